--- /dev/null
+++ b/ids.go
@@ -0,0 +1,128 @@
+package wick
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+)
+
+// Names of the objects that operators publish.
+type (
+	// ModelName names a base model.
+	ModelName string
+	// AdapterName names a LoRA adapter.
+	AdapterName string
+	// VersionName names one version of an adapter, unique within it.
+	VersionName string
+	// RouteName is what callers put into the "model" field of a request.
+	RouteName string
+	// PriorityName names a priority class.
+	PriorityName string
+	// PoolName names a group of interchangeable endpoints.
+	PoolName string
+	// EndpointName names a runner or a plain service.
+	EndpointName string
+	// StoreName names a weight store, whose load budget is shared by runners.
+	StoreName string
+)
+
+// Names of the machines and people around the system.
+type (
+	// HostName names a machine.
+	HostName string
+	// Domain names a failure domain.
+	Domain string
+	// OperatorName names who published a change.
+	OperatorName string
+)
+
+// Ids that the system assigns.
+type (
+	// Incarnation tells two runs of a daemon on one host apart. It is drawn at
+	// random at start and never reused.
+	Incarnation uint64
+	// Offset is a position in one stream of the platform's log. The first
+	// record has offset 1, so that 0 means "before everything".
+	Offset uint64
+	// ViewNumber is the offset of the record that made the view. It is also
+	// the fencing number on orders.
+	ViewNumber uint64
+	// Sequence numbers the messages of one sender, starting at 1.
+	Sequence uint64
+	// RequestID names one request of a caller across all hops.
+	RequestID string
+	// ClaimKey is the caller's idempotency key of a command.
+	ClaimKey string
+	// ChangeID names one published change, drawn by its publisher.
+	ChangeID string
+	// Fingerprint identifies the content of a request, however often its
+	// caller sends it again.
+	Fingerprint uint64
+	// StreamName names a stream of the platform's log.
+	StreamName string
+)
+
+// Address is an IP address and port, such as "127.0.0.1:7000".
+type Address string
+
+// Check reports an address that is not an IP address with a port.
+func (a Address) Check() error {
+	if _, err := netip.ParseAddrPort(string(a)); err != nil {
+		return fmt.Errorf("address %q: want IP:port", string(a))
+	}
+	return nil
+}
+
+// Ref names exactly one version of one adapter. The zero Ref is the base model
+// without an adapter.
+type Ref struct {
+	Adapter AdapterName `json:"Adapter,omitempty"`
+	Version VersionName `json:"Version,omitempty"`
+}
+
+// IsBase reports whether r is the base model without an adapter.
+func (r Ref) IsBase() bool { return r == Ref{} }
+
+// String returns "adapter@version", or "base" for the zero Ref.
+func (r Ref) String() string {
+	if r.IsBase() {
+		return "base"
+	}
+	return string(r.Adapter) + "@" + string(r.Version)
+}
+
+// Check reports a Ref with only one of its names.
+func (r Ref) Check() error {
+	if (r.Adapter == "") != (r.Version == "") {
+		return errors.New("reference needs both adapter and version")
+	}
+	return nil
+}
+
+// maxNameBytes bounds the length of every name.
+const maxNameBytes = 128
+
+// checkName reports a name that is empty, too long, or holds anything but
+// letters, digits, '-', '_', '.' and ':'.
+func checkName[T ~string](field string, name T) error {
+	if name == "" {
+		return fmt.Errorf("%s: must not be empty", field)
+	}
+	if len(name) > maxNameBytes {
+		return fmt.Errorf("%s: longer than %d bytes", field, maxNameBytes)
+	}
+	for _, r := range name {
+		if !isNameRune(r) {
+			return fmt.Errorf("%s: %q holds %q", field, string(name), r)
+		}
+	}
+	return nil
+}
+
+func isNameRune(r rune) bool {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
+		return true
+	}
+	return r == '-' || r == '_' || r == '.' || r == ':'
+}
--- /dev/null
+++ b/peer.go
@@ -0,0 +1,193 @@
+package wick
+
+import (
+	"fmt"
+)
+
+// Renewal is what a member sends its witnesses a few times within its lease.
+// It carries what daemons must know of one another.
+type Renewal struct {
+	From        HostName    `json:"From"`
+	Incarnation Incarnation `json:"Incarnation"`
+	// View is the view the sender acts in; 0 while it is no member yet.
+	View ViewNumber `json:"View"`
+	// Sequence numbers the renewals of one incarnation; it rises.
+	Sequence Sequence `json:"Sequence"`
+	// Config and Claims are the newest offsets the sender has applied.
+	Config Offset `json:"Config"`
+	Claims Offset `json:"Claims"`
+	// Digests tell how the sender's own endpoints are.
+	Digests []Digest `json:"Digests,omitempty"`
+	// Stopping tells that the sender is shutting down gracefully.
+	Stopping bool `json:"Stopping,omitempty"`
+}
+
+// Check implements Checker.
+func (r Renewal) Check() error {
+	if err := checkName("From", r.From); err != nil {
+		return err
+	}
+	if r.Incarnation == 0 {
+		return badField("Incarnation", "must not be 0")
+	}
+	for _, d := range r.Digests {
+		if err := d.Check(); err != nil {
+			return fmt.Errorf("digest of %s: %w", d.Endpoint, err)
+		}
+	}
+	return nil
+}
+
+// RenewalAck answers a renewal.
+type RenewalAck struct {
+	From        HostName    `json:"From"`
+	Incarnation Incarnation `json:"Incarnation"`
+	// Sequence echoes the renewal.
+	Sequence Sequence `json:"Sequence"`
+	// Vouched is the view for which the witness vouches; it equals the
+	// renewal's view, or is 0 if the witness has adopted a later one.
+	Vouched ViewNumber `json:"Vouched,omitempty"`
+	// Later is the newest view of the witness, if later than the sender's.
+	Later *View `json:"Later,omitempty"`
+	// Config and Claims are the newest offsets of the witness.
+	Config Offset `json:"Config"`
+	Claims Offset `json:"Claims"`
+}
+
+// Check implements Checker.
+func (a RenewalAck) Check() error {
+	if err := checkName("From", a.From); err != nil {
+		return err
+	}
+	if a.Incarnation == 0 {
+		return badField("Incarnation", "must not be 0")
+	}
+	return nil
+}
+
+// Digest is how an owner describes one of its endpoints to routers.
+type Digest struct {
+	Endpoint EndpointName `json:"Endpoint"`
+	// Queued is the estimated cost of the work that waits.
+	Queued Cost `json:"Queued"`
+	// Running counts the requests in the batch.
+	Running Slots `json:"Running"`
+	// Slow is the time per token relative to the endpoint's peers; 1 is
+	// ordinary and 0 means not known.
+	Slow float64 `json:"Slow,omitempty"`
+	// Ejected tells that the endpoint gets no ordinary work for now.
+	Ejected bool `json:"Ejected,omitempty"`
+	// Ready lists the adapters that are resident and not closing.
+	Ready []Ref `json:"Ready,omitempty"`
+}
+
+// Check implements Checker.
+func (d Digest) Check() error {
+	if d.Queued < 0 || d.Running < 0 || d.Slow < 0 {
+		return badField("Queued, Running, Slow", "must not be negative")
+	}
+	return checkName("Endpoint", d.Endpoint)
+}
+
+// Fetch asks a peer for log records the sender misses.
+type Fetch struct {
+	Stream StreamName `json:"Stream"`
+	// From is the first offset wanted.
+	From Offset `json:"From"`
+}
+
+// Fetched answers a Fetch.
+type Fetched struct {
+	Entries []Entry `json:"Entries,omitempty"`
+	// Checkpoint replaces the entries where the peer no longer has them.
+	Checkpoint *Checkpoint `json:"Checkpoint,omitempty"`
+}
+
+// Check implements Checker.
+func (f Fetched) Check() error {
+	if f.Checkpoint != nil {
+		return f.Checkpoint.Check()
+	}
+	return nil
+}
+
+// Grant is the share of a store's load budget that its owner gives to another
+// owner of runners, and the question for it.
+type Grant struct {
+	Store StoreName `json:"Store"`
+	// From is who asks.
+	From HostName `json:"From"`
+	// Wanted is the cost of the work that waits for loads, at the asker.
+	Wanted Cost `json:"Wanted"`
+	// Loading is how many loads the asker has in flight.
+	Loading Slots `json:"Loading"`
+	// Given is how many loads may start, in the answer.
+	Given Slots `json:"Given,omitempty"`
+}
+
+// Check implements Checker.
+func (g Grant) Check() error {
+	if g.Wanted < 0 || g.Loading < 0 || g.Given < 0 {
+		return badField("Wanted, Loading, Given", "must not be negative")
+	}
+	return checkName("Store", g.Store)
+}
+
+// Cancel tells the owner that a request's caller has gone or was served
+// elsewhere.
+type Cancel struct {
+	Request  RequestID    `json:"Request"`
+	Endpoint EndpointName `json:"Endpoint"`
+}
+
+// Suspect tells peers of a request that was in flight at an endpoint's crash.
+type Suspect struct {
+	Print Fingerprint `json:"Print"`
+	// Crashes is how many crashes the request was suspected of; positive.
+	Crashes int `json:"Crashes"`
+	// Alone tells that it was the only request in flight at the last one.
+	Alone bool `json:"Alone,omitempty"`
+}
+
+// PeerMessage is one control message between daemons, question or answer.
+// Exactly one field is set.
+type PeerMessage struct {
+	Renewal    *Renewal    `json:"Renewal,omitempty"`
+	RenewalAck *RenewalAck `json:"RenewalAck,omitempty"`
+	Fetch      *Fetch      `json:"Fetch,omitempty"`
+	Fetched    *Fetched    `json:"Fetched,omitempty"`
+	Grant      *Grant      `json:"Grant,omitempty"`
+	Suspects   []Suspect   `json:"Suspects,omitempty"`
+	Error      *Error      `json:"Error,omitempty"`
+}
+
+// Check implements Checker.
+func (m PeerMessage) Check() error {
+	set := 0
+	var err error
+	if m.Renewal != nil {
+		set, err = set+1, m.Renewal.Check()
+	}
+	if m.RenewalAck != nil {
+		set, err = set+1, m.RenewalAck.Check()
+	}
+	if m.Fetch != nil {
+		set++
+	}
+	if m.Fetched != nil {
+		set, err = set+1, m.Fetched.Check()
+	}
+	if m.Grant != nil {
+		set, err = set+1, m.Grant.Check()
+	}
+	if m.Suspects != nil {
+		set++
+	}
+	if m.Error != nil {
+		set, err = set+1, m.Error.Check()
+	}
+	if set != 1 {
+		return fmt.Errorf("peer message holds %d values, want 1", set)
+	}
+	return err
+}
--- /dev/null
+++ b/record.go
@@ -0,0 +1,127 @@
+package wick
+
+import (
+	"fmt"
+)
+
+// The streams of the platform's log that the system reads and writes.
+const (
+	// ConfigStream holds changes and checkpoints of the configuration.
+	ConfigStream StreamName = "Config"
+	// ViewStream holds view changes and closings.
+	ViewStream StreamName = "Views"
+	// ClaimStream holds claims on commands.
+	ClaimStream StreamName = "Claims"
+	// AuditStream holds the verdicts on changes, for operators.
+	AuditStream StreamName = "Audit"
+)
+
+// ClaimStep is a step in the life of a claim.
+type ClaimStep string
+
+// The steps of a claim.
+const (
+	// ClaimTaken claims a key before its command is dispatched.
+	ClaimTaken ClaimStep = "Taken"
+	// ClaimReleased gives up a claim whose command was never dispatched.
+	ClaimReleased ClaimStep = "Released"
+	// ClaimAnswered says that the command ran and was answered.
+	ClaimAnswered ClaimStep = "Answered"
+)
+
+// Claim is one step of one claim on a key.
+type Claim struct {
+	Step ClaimStep `json:"Step"`
+	Key  ClaimKey  `json:"Key"`
+	// Request is the try that claims the key.
+	Request RequestID `json:"Request"`
+	// Holder and Incarnation name the daemon that may dispatch the command.
+	Holder      HostName    `json:"Holder"`
+	Incarnation Incarnation `json:"Incarnation"`
+	// Print identifies the command, so that a key is not used for two.
+	Print Fingerprint `json:"Print"`
+	// At is the platform's time in Unix seconds when the key was first taken.
+	At int64 `json:"At,omitempty"`
+}
+
+// Check implements Checker.
+func (c Claim) Check() error {
+	switch c.Step {
+	case ClaimTaken, ClaimReleased, ClaimAnswered:
+	default:
+		return badField("Step", "%q is no step of a claim", string(c.Step))
+	}
+	if err := checkName("Key", c.Key); err != nil {
+		return err
+	}
+	if err := checkName("Request", c.Request); err != nil {
+		return err
+	}
+	return checkName("Holder", c.Holder)
+}
+
+// Claims is a batch of steps in one record, in order.
+type Claims struct {
+	Steps []Claim `json:"Steps"`
+}
+
+// Check implements Checker.
+func (c Claims) Check() error {
+	if len(c.Steps) == 0 {
+		return badField("Steps", "must not be empty")
+	}
+	for _, s := range c.Steps {
+		if err := s.Check(); err != nil {
+			return fmt.Errorf("claim on %s: %w", s.Key, err)
+		}
+	}
+	return nil
+}
+
+// Record is what one log record holds. Exactly one field is set.
+type Record struct {
+	Change     *Change     `json:"Change,omitempty"`
+	Checkpoint *Checkpoint `json:"Checkpoint,omitempty"`
+	ViewChange *ViewChange `json:"ViewChange,omitempty"`
+	ViewClosed *ViewClosed `json:"ViewClosed,omitempty"`
+	Claims     *Claims     `json:"Claims,omitempty"`
+	Verdict    *Verdict    `json:"Verdict,omitempty"`
+}
+
+// Check implements Checker.
+func (r Record) Check() error {
+	set := 0
+	var err error
+	if r.Change != nil {
+		set++ // A malformed change gets a verdict, so it is not checked here.
+	}
+	if r.Checkpoint != nil {
+		set, err = set+1, r.Checkpoint.Check()
+	}
+	if r.ViewChange != nil {
+		set, err = set+1, r.ViewChange.Check()
+	}
+	if r.ViewClosed != nil {
+		set, err = set+1, r.ViewClosed.Check()
+	}
+	if r.Claims != nil {
+		set, err = set+1, r.Claims.Check()
+	}
+	if r.Verdict != nil {
+		set++
+	}
+	if set != 1 {
+		return fmt.Errorf("record holds %d values, want 1", set)
+	}
+	return err
+}
+
+// Entry is a record with its place on the log.
+type Entry struct {
+	Offset Offset `json:"Offset"`
+	// Time is the platform's time of the append, in Unix milliseconds.
+	Time   int64  `json:"Time"`
+	Record Record `json:"Record"`
+	// Bad tells that the record could not be decoded; readers skip it alike.
+	Bad bool `json:"Bad,omitempty"`
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,150 @@
+package wick
+
+// Work is a completion to run on a runner.
+type Work struct {
+	Model ModelName `json:"Model"`
+	Ref   Ref       `json:"Ref"`
+	// Prompt is the caller's prompt, unchanged.
+	Prompt string `json:"Prompt"`
+	// MaxTokens bounds the whole answer; positive.
+	MaxTokens Tokens `json:"MaxTokens"`
+	// Have is the text the caller already received; the runner goes on after
+	// it.
+	Have string `json:"Have,omitempty"`
+	// HaveTokens counts the tokens of Have.
+	HaveTokens Tokens `json:"HaveTokens,omitempty"`
+}
+
+// Check implements Checker.
+func (w Work) Check() error {
+	if w.MaxTokens <= 0 {
+		return badField("MaxTokens", "must be positive")
+	}
+	if w.HaveTokens < 0 || w.HaveTokens > w.MaxTokens {
+		return badField("HaveTokens", "must be 0 to MaxTokens")
+	}
+	return w.Ref.Check()
+}
+
+// Call is a call of a plain service.
+type Call struct {
+	Path string `json:"Path"`
+	Body []byte `json:"Body,omitempty"`
+	// Key is the caller's idempotency key; never empty where NonIdempotent.
+	Key           ClaimKey `json:"Key,omitempty"`
+	NonIdempotent bool     `json:"NonIdempotent,omitempty"`
+}
+
+// Check implements Checker.
+func (c Call) Check() error {
+	if c.Path == "" || c.Path[0] != '/' {
+		return badField("Path", "must start with '/'")
+	}
+	if c.NonIdempotent && c.Key == "" {
+		return badField("Key", "a non-idempotent call needs one")
+	}
+	return nil
+}
+
+// Submission is a request as its entry hands it to the owner of the endpoint.
+type Submission struct {
+	Request  RequestID    `json:"Request"`
+	Route    RouteName    `json:"Route"`
+	Endpoint EndpointName `json:"Endpoint"`
+	// View is the view in which the sender computed the owner.
+	View ViewNumber `json:"View"`
+	// Config is the offset at which the sender resolved the route. An owner
+	// that is behind catches up first.
+	Config Offset `json:"Config"`
+	Level  Level  `json:"Level"`
+	// Sheddable tells that the request may be refused under overload.
+	Sheddable bool `json:"Sheddable,omitempty"`
+	// Within is the time left for the first token or the reply; positive.
+	Within Duration `json:"Within"`
+	// Print identifies the request's content.
+	Print Fingerprint `json:"Print"`
+	// Exactly one of Work and Call is set.
+	Work *Work `json:"Work,omitempty"`
+	Call *Call `json:"Call,omitempty"`
+}
+
+// Check implements Checker.
+func (s Submission) Check() error {
+	if err := checkName("Request", s.Request); err != nil {
+		return err
+	}
+	if err := checkName("Endpoint", s.Endpoint); err != nil {
+		return err
+	}
+	if s.Within <= 0 {
+		return badField("Within", "must be positive")
+	}
+	switch {
+	case s.Work != nil && s.Call == nil:
+		return s.Work.Check()
+	case s.Call != nil && s.Work == nil:
+		return s.Call.Check()
+	}
+	return badField("Work, Call", "exactly one must be set")
+}
+
+// FrameKind tells the frames of an answer apart.
+type FrameKind uint8
+
+// The kinds of frames. An answer is Start, then any number of Text and Beat,
+// then exactly one End or Fail.
+const (
+	// FrameStart says that the endpoint took the request.
+	FrameStart FrameKind = iota + 1
+	// FrameText carries a part of the answer.
+	FrameText
+	// FrameBeat says that the hop is alive while there is no text.
+	FrameBeat
+	// FrameEnd marks a whole answer.
+	FrameEnd
+	// FrameFail ends an answer that is not whole.
+	FrameFail
+)
+
+// Ran tells what a request ran on, as the endpoint itself echoed it.
+type Ran struct {
+	Endpoint EndpointName `json:"Endpoint"`
+	Ref      Ref          `json:"Ref"`
+}
+
+// Frame is one part of an answer on its way to the caller.
+type Frame struct {
+	// Request echoes the request, so that crossed answers are noticed.
+	Request RequestID `json:"Request"`
+	Kind    FrameKind `json:"Kind"`
+	// Index is the position of the first token of Text in the whole answer.
+	Index Tokens `json:"Index,omitempty"`
+	// Count is the number of tokens in Text; on FrameEnd of the whole answer.
+	Count Tokens `json:"Count,omitempty"`
+	Text  string `json:"Text,omitempty"`
+	// Body is the reply of a plain service, on FrameEnd.
+	Body []byte `json:"Body,omitempty"`
+	// Status is the HTTP status of a plain service, on FrameEnd.
+	Status int `json:"Status,omitempty"`
+	// Ran is set on FrameStart and FrameEnd.
+	Ran *Ran `json:"Ran,omitempty"`
+	// Fail is set on FrameFail only.
+	Fail *Error `json:"Fail,omitempty"`
+}
+
+// Check implements Checker.
+func (f Frame) Check() error {
+	if f.Kind < FrameStart || f.Kind > FrameFail {
+		return badField("Kind", "%d is no kind of frame", f.Kind)
+	}
+	if (f.Kind == FrameFail) != (f.Fail != nil) {
+		return badField("Fail", "must be set on a failure and only there")
+	}
+	if f.Index < 0 || f.Count < 0 {
+		return badField("Index, Count", "must not be negative")
+	}
+	if f.Fail != nil {
+		return f.Fail.Check()
+	}
+	return nil
+}
--- /dev/null
+++ b/units.go
@@ -0,0 +1,56 @@
+package wick
+
+import (
+	"fmt"
+	"time"
+)
+
+type (
+	// Tokens counts tokens of a prompt or an answer.
+	Tokens int
+	// Bytes counts bytes.
+	Bytes int64
+	// Slots counts places in a batch, places for adapters, or loads in flight.
+	Slots int
+	// PerSecond is a rate of events a second.
+	PerSecond float64
+	// Level orders priorities: a higher level is served first.
+	Level int
+	// Cost is the estimated time, in seconds, that a request occupies a batch
+	// slot on a runner of ordinary speed.
+	Cost float64
+)
+
+// Duration is a time.Duration that is written as text, such as "250ms".
+type Duration time.Duration
+
+// Std returns d as the standard library's type.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// String returns d as time.Duration writes it.
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// MarshalText writes d as time.ParseDuration reads it.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(d.String()), nil
+}
+
+// UnmarshalText reads what MarshalText wrote.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("duration %q: want a number with a unit, such as 250ms", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Instant is a reading of one daemon's monotonic clock, as the time since that
+// daemon started. Instants of different daemons must never be compared.
+type Instant time.Duration
+
+// Add returns the instant d after t.
+func (t Instant) Add(d time.Duration) Instant { return t + Instant(d) }
+
+// Sub returns the time from u to t.
+func (t Instant) Sub(u Instant) time.Duration { return time.Duration(t - u) }
