--- a/wick.go
+++ b/wick.go
@@ -4,7 +4,7 @@
 //
 // The package does no I/O, starts no goroutine and reads no clock. Decisions
 // live in packages below it (config, lease, claim, route, place, sched,
-// limit), the one control thread of a daemon in ctrl, and everything that
+// limit, eject, crash), the one control thread of a daemon in ctrl, and everything that
 // talks to the outside in adapter packages.
 package wick
 
