--- /dev/null
+++ b/ctrl/run.go
@@ -0,0 +1,61 @@
+package ctrl
+
+import (
+	"context"
+
+	"currantwick"
+)
+
+// Decision is what the control thread decided on a run.
+type Decision struct {
+	// Fail is set if the request must not be sent to the endpoint.
+	Fail *wick.Error
+	// Endpoint is where to send the request otherwise.
+	Endpoint wick.Endpoint
+	// Until is the instant before which it must be sent.
+	Until wick.Instant
+}
+
+// Run is a request at the owner of its endpoint. The control thread decides on
+// it once.
+type Run struct {
+	// Sub never changes after NewRun.
+	Sub wick.Submission
+	// stop ends the context in which the endpoint runs the request.
+	stop    context.CancelFunc
+	decided chan Decision
+
+	// The fields below belong to the control thread.
+
+	// settled tells that a decision was sent.
+	settled bool
+	// dispatched tells that the decision was to send the request.
+	dispatched bool
+	// claimed tells that the daemon holds the claim on the run's key.
+	claimed bool
+	// parked is when the run began to wait for the configuration.
+	parked wick.Instant
+}
+
+// NewRun returns a run and the context in which the endpoint must run it.
+func NewRun(ctx context.Context, sub wick.Submission) (*Run, context.Context) {
+	ctx, stop := context.WithCancel(ctx)
+	return &Run{Sub: sub, stop: stop, decided: make(chan Decision, 1)}, ctx
+}
+
+// Decided returns the channel on which the decision comes, exactly once.
+func (r *Run) Decided() <-chan Decision { return r.decided }
+
+// Close frees what the run holds. It must be called when the run has ended.
+func (r *Run) Close() { r.stop() }
+
+func (r *Run) settle(d Decision) {
+	if r.settled {
+		return
+	}
+	r.settled = true
+	r.dispatched = d.Fail == nil
+	r.decided <- d
+}
+
+func (r *Run) refuse(fail *wick.Error) { r.settle(Decision{Fail: fail}) }
--- /dev/null
+++ b/ctrl/snap.go
@@ -0,0 +1,64 @@
+package ctrl
+
+import (
+	"slices"
+	"time"
+
+	"currantwick"
+	"currantwick/config"
+)
+
+// keepEntries is how long callers may keep an answer on the addresses to use.
+const keepEntries = 10 * time.Second
+
+// Snapshot is the control state as traffic goroutines see it. It never
+// changes.
+type Snapshot struct {
+	View   wick.View
+	Config *config.Table
+	// Offset is the newest offset of the configuration.
+	Offset wick.Offset
+	Router wick.Router
+	// Stale tells that the configuration may be older than it ought to be.
+	Stale bool
+	// Stopping tells that the daemon takes no new requests.
+	Stopping bool
+	// leaving are hosts that no caller should turn to.
+	leaving map[wick.HostName]bool
+}
+
+// Accepts returns why the daemon takes no new requests, or nil.
+func (s *Snapshot) Accepts() *wick.Error {
+	switch {
+	case s.Stopping:
+		return wick.NotRunf(wick.CodeStopping, "this entry is stopping")
+	case s.Offset == 0:
+		return wick.NotRunf(wick.CodeStale, "no configuration yet")
+	case s.Stale:
+		return wick.NotRunf(wick.CodeStale, "this entry is cut off and its configuration may be old")
+	}
+	return nil
+}
+
+// Entries returns the addresses callers should use, those in their own failure
+// domain first, in an order that spreads callers.
+func (s *Snapshot) Entries(near wick.Domain) wick.EntryList {
+	list := wick.EntryList{Keep: wick.Duration(keepEntries)}
+	for _, m := range s.View.Members {
+		if s.leaving[m.Host] {
+			continue
+		}
+		list.Entries = append(list.Entries, wick.EntryPoint{Address: m.Entry, Host: m.Host, Domain: m.Domain})
+	}
+	slices.SortStableFunc(list.Entries, func(a, b wick.EntryPoint) int {
+		return rank(a, near) - rank(b, near)
+	})
+	return list
+}
+
+func rank(e wick.EntryPoint, near wick.Domain) int {
+	if e.Domain == near {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,220 @@
+// Package entry is the front end for callers over HTTP: which addresses to
+// use, completions in the OpenAI style, plain or streamed, and calls of plain
+// services. It translates to and from wick.Front and decides nothing.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"currantwick"
+	"currantwick/codec"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+// Headers of the callers' interface.
+const (
+	// HeaderRequest names the request; drawn by the entry if the caller gives
+	// none, and echoed on every answer.
+	HeaderRequest = "X-Request-Id"
+	// HeaderKey is the idempotency key of a call.
+	HeaderKey = "Idempotency-Key"
+	// HeaderDeadline bounds the wait for the first token or the reply, in
+	// milliseconds.
+	HeaderDeadline = "X-Deadline-Ms"
+	// HeaderOutcome tells the outcome of a call of a plain service.
+	HeaderOutcome = "X-Outcome"
+)
+
+const (
+	pathEntries     = "/v1/entries"
+	pathCompletions = "/v1/completions"
+	pathCalls       = "/v1/calls/"
+	jsonType        = "application/json"
+	requestIDBytes  = 12
+	// readTimeout bounds how long a caller may take to send a request.
+	readTimeout = 30 * time.Second
+	// idleTimeout bounds how long an unused connection is kept.
+	idleTimeout = 2 * time.Minute
+)
+
+// Config sets up a Server.
+type Config struct {
+	// Address is where to listen.
+	Address wick.Address
+	// TLS is nil for plain HTTP.
+	TLS *tls.Config
+	// BodyBytes bounds the body of a request; positive.
+	BodyBytes wick.Bytes
+	// Front serves what arrives.
+	Front wick.Front
+}
+
+// Server is the front end.
+type Server struct {
+	cfg      Config
+	listener net.Listener
+	http     fasthttp.Server
+	base     context.Context
+	cancel   context.CancelFunc
+	active   atomic.Int64
+}
+
+// Listen opens the server's socket.
+func Listen(cfg Config) (*Server, error) {
+	l, err := net.Listen("tcp", string(cfg.Address))
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", cfg.Address, err)
+	}
+	if cfg.TLS != nil {
+		l = tls.NewListener(l, cfg.TLS)
+	}
+	s := &Server{cfg: cfg, listener: l}
+	s.base, s.cancel = context.WithCancel(context.Background())
+	s.http = fasthttp.Server{
+		Handler:               s.handle,
+		ErrorHandler:          s.refuse,
+		MaxRequestBodySize:    int(cfg.BodyBytes),
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		CloseOnShutdown:       true,
+		NoDefaultServerHeader: true,
+		Logger:                quietLogger{},
+	}
+	return s, nil
+}
+
+// quietLogger drops what fasthttp would print: a caller that goes away is no
+// change of state.
+type quietLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (quietLogger) Printf(string, ...any) {}
+
+// Address returns where the server listens.
+func (s *Server) Address() wick.Address {
+	return wick.Address(s.listener.Addr().String())
+}
+
+// Active returns how many requests are being served.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// Run serves until ctx ends, then takes no new connections and returns when
+// the last request has been answered.
+func (s *Server) Run(ctx context.Context) error {
+	defer s.cancel()
+	var group errgroup.Group
+	group.Go(func() error {
+		if err := s.http.Serve(s.listener); err != nil {
+			return fmt.Errorf("serve callers: %w", err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		if err := s.http.ShutdownWithContext(s.base); err != nil {
+			return fmt.Errorf("stop serving callers: %w", err)
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+func (s *Server) handle(c *fasthttp.RequestCtx) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	path := string(c.Path())
+	switch {
+	case path == pathEntries && c.IsGet():
+		s.entries(c)
+	case path == pathCompletions && c.IsPost():
+		s.completions(c)
+	case strings.HasPrefix(path, pathCalls) && c.IsPost():
+		s.call(c, wick.RouteName(path[len(pathCalls):]))
+	default:
+		writeError(c, wick.NotRunf(wick.CodeBadRequest, "no such path or method: %s %s", c.Method(), path))
+	}
+}
+
+// refuse answers requests that could not be read.
+func (s *Server) refuse(c *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		writeError(c, wick.NotRunf(wick.CodeTooLarge, "body over %d bytes", s.cfg.BodyBytes))
+		return
+	}
+	writeError(c, wick.NotRunf(wick.CodeBadRequest, "malformed request: %v", err))
+}
+
+func (s *Server) entries(c *fasthttp.RequestCtx) {
+	near := wick.Domain(c.QueryArgs().Peek("domain"))
+	writeJSON(c, fasthttp.StatusOK, s.cfg.Front.Entries(near))
+}
+
+func (s *Server) call(c *fasthttp.RequestCtx, route wick.RouteName) {
+	ask, err := newAsk(c)
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	ask.Route = route
+	ask.Body = append([]byte(nil), c.PostBody()...)
+	ask.Key = wick.ClaimKey(c.Request.Header.Peek(HeaderKey))
+	reply, fail := s.cfg.Front.Invoke(s.base, ask)
+	c.Response.Header.Set(HeaderRequest, string(ask.Request))
+	if fail != nil {
+		writeError(c, wick.AsError(fail))
+		return
+	}
+	c.Response.Header.Set(HeaderOutcome, string(wick.Answered))
+	c.SetStatusCode(reply.Status)
+	c.SetBody(reply.Body)
+}
+
+// newAsk reads what all requests share.
+func newAsk(c *fasthttp.RequestCtx) (wick.Ask, *wick.Error) {
+	ask := wick.Ask{Request: wick.RequestID(c.Request.Header.Peek(HeaderRequest))}
+	if ask.Request == "" {
+		ask.Request = newRequestID()
+	}
+	if err := ask.Request.Check(); err != nil {
+		return ask, wick.NotRunf(wick.CodeBadRequest, "%s: %v", HeaderRequest, err)
+	}
+	text := string(c.Request.Header.Peek(HeaderDeadline))
+	if text == "" {
+		return ask, nil
+	}
+	ms, err := strconv.ParseUint(text, 10, 31)
+	if err != nil || ms == 0 {
+		return ask, wick.NotRunf(wick.CodeBadRequest, "%s: want milliseconds", HeaderDeadline)
+	}
+	ask.Within = wick.Duration(time.Duration(ms) * time.Millisecond)
+	return ask, nil
+}
+
+func newRequestID() wick.RequestID {
+	var b [requestIDBytes]byte
+	_, _ = rand.Read(b[:]) // It never fails.
+	return wick.RequestID(hex.EncodeToString(b[:]))
+}
+
+func writeJSON(c *fasthttp.RequestCtx, status int, v any) {
+	data, err := codec.EncodeJSON(v)
+	if err != nil {
+		c.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetStatusCode(status)
+	c.SetContentType(jsonType)
+	c.SetBody(data)
+}
--- a/ids.go
+++ b/ids.go
@@ -126,3 +126,9 @@
 	}
 	return r == '-' || r == '_' || r == '.' || r == ':'
 }
+
+// Check reports a request id that is no name.
+func (r RequestID) Check() error { return checkName("RequestID", r) }
+
+// Check reports a key that is no name.
+func (k ClaimKey) Check() error { return checkName("ClaimKey", k) }
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,144 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"currantwick"
+
+	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/errgroup"
+)
+
+// ServerConfig sets up a Server.
+type ServerConfig struct {
+	// Address is where to listen.
+	Address wick.Address
+	// TLS is the server's side of mutual TLS.
+	TLS *tls.Config
+	// HostOf returns the host that a verified certificate names.
+	HostOf func(*x509.Certificate) wick.HostName
+	// Quiet bounds the silence on a connection before it is given up.
+	Quiet time.Duration
+	// Handler answers what arrives.
+	Handler wick.PeerServer
+}
+
+// Server accepts what other daemons send.
+type Server struct {
+	cfg      ServerConfig
+	listener *quic.Listener
+}
+
+// Listen opens the server's socket.
+func Listen(cfg ServerConfig) (*Server, error) {
+	l, err := quic.ListenAddr(string(cfg.Address), cfg.TLS, quicConfig(cfg.Quiet))
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", cfg.Address, err)
+	}
+	return &Server{cfg: cfg, listener: l}, nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() wick.Address {
+	return wick.Address(s.listener.Addr().String())
+}
+
+// Run serves until ctx ends, then drops all connections.
+func (s *Server) Run(ctx context.Context) error {
+	var group errgroup.Group
+	for {
+		conn, err := s.listener.Accept(ctx)
+		if err != nil {
+			break
+		}
+		group.Go(func() error {
+			s.serveConn(ctx, conn)
+			return nil
+		})
+	}
+	err := s.listener.Close()
+	_ = group.Wait()
+	if err != nil {
+		return fmt.Errorf("close listener: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) serveConn(ctx context.Context, conn *quic.Conn) {
+	defer func() { _ = conn.CloseWithError(0, "stopping") }()
+	certs := conn.ConnectionState().TLS.PeerCertificates
+	if len(certs) == 0 {
+		return // TLS demands one, so this is not reached.
+	}
+	from := s.cfg.HostOf(certs[0])
+	var group errgroup.Group
+	for {
+		st, err := conn.AcceptStream(ctx)
+		if err != nil {
+			break
+		}
+		group.Go(func() error {
+			s.serveStream(ctx, from, st)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func (s *Server) serveStream(ctx context.Context, from wick.HostName, st *quic.Stream) {
+	defer func() { _ = st.Close() }()
+	var open opening
+	if err := readValue(st, &open); err != nil {
+		cancelStream(st)
+		return
+	}
+	if open.Call != nil {
+		s.serveCall(ctx, from, st, *open.Call)
+		return
+	}
+	s.serveSubmit(ctx, from, st, *open.Submit)
+}
+
+func (s *Server) serveCall(ctx context.Context, from wick.HostName, st *quic.Stream, msg wick.PeerMessage) {
+	answer, err := s.cfg.Handler.HandleCall(ctx, from, msg)
+	if err != nil {
+		answer = wick.PeerMessage{Error: wick.AsError(err)}
+	}
+	if err := writeValue(st, answer); err != nil {
+		cancelStream(st)
+	}
+}
+
+// serveSubmit runs a request. Its context ends when the entry closes the
+// stream, so that abandoned work stops.
+func (s *Server) serveSubmit(ctx context.Context, from wick.HostName, st *quic.Stream, sub wick.Submission) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var watch errgroup.Group
+	watch.Go(func() error {
+		defer cancel()
+		_, _ = st.Read(make([]byte, 1)) // Returns when the entry is gone.
+		return nil
+	})
+	var mu sync.Mutex
+	emit := func(f wick.Frame) error {
+		mu.Lock()
+		defer mu.Unlock()
+		return writeValue(st, f)
+	}
+	if err := s.cfg.Handler.HandleSubmit(ctx, from, sub, emit); err != nil {
+		fail := wick.Frame{Request: sub.Request, Kind: wick.FrameFail, Fail: wick.AsError(err)}
+		if err := emit(fail); err != nil && !errors.Is(err, context.Canceled) {
+			st.CancelWrite(0)
+		}
+	}
+	_ = st.Close()
+	st.CancelRead(0)
+	_ = watch.Wait()
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,261 @@
+// Package relay carries requests from a front end to the owners of endpoints:
+// it resolves the route, picks an endpoint, hands the request to the owner,
+// and goes on elsewhere when that breaks and may be repeated. It runs on
+// traffic goroutines and reads control state only from snapshots.
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"currantwick"
+	"currantwick/ctrl"
+	"currantwick/tally"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxTries bounds how often one request is handed to an owner.
+	maxTries = 16
+	// pause is the wait before a pool without a usable endpoint is tried
+	// again.
+	pause = 50 * time.Millisecond
+	// prefixBytes is how much of a prompt counts as its start.
+	prefixBytes = 256
+	// maxRequestBytes leaves room for the suffix of a try in a request's id.
+	maxRequestBytes = 96
+)
+
+// Config sets up a Relay.
+type Config struct {
+	// Self is the host of this daemon.
+	Self wick.HostName
+	// Snapshot returns the newest control state.
+	Snapshot func() *ctrl.Snapshot
+	// Local runs requests for endpoints that this daemon owns.
+	Local wick.PeerServer
+	// Peers reaches the other owners.
+	Peers wick.Peers
+	// Quiet bounds the silence of an owner before a stream counts as broken;
+	// it is a few times the owners' heartbeat.
+	Quiet time.Duration
+	// Retries bounds retries to a share of the requests.
+	Retries RetryBudget
+	// Note counts what happens.
+	Note Note
+}
+
+// RetryBudget bounds retries. Implementations are safe for concurrent use.
+type RetryBudget interface {
+	// Earn counts a first try.
+	Earn()
+	// Spend reports whether one more retry may be made.
+	Spend() bool
+}
+
+// Note counts what happens to requests. Implementations are safe for
+// concurrent use.
+type Note interface {
+	// Try counts a request that was handed to an owner.
+	Try()
+	// Resume counts a stream that went on after a break.
+	Resume()
+	// Ended counts a finished request; code is empty for an answer.
+	Ended(code wick.Code, first, whole time.Duration)
+}
+
+// Relay implements wick.Front.
+type Relay struct {
+	cfg  Config
+	load tally.Counts
+	turn atomic.Uint64
+}
+
+var _ wick.Front = (*Relay)(nil)
+
+// New returns a Relay.
+func New(cfg Config) *Relay {
+	return &Relay{cfg: cfg}
+}
+
+// InFlight returns this daemon's own work by endpoint.
+func (r *Relay) InFlight() wick.InFlight { return &r.load }
+
+// Complete implements wick.Front.
+func (r *Relay) Complete(ctx context.Context, ask wick.Ask, emit func(wick.Frame) error) error {
+	t, fail := r.begin(ask)
+	if fail != nil {
+		return r.ended(nil, fail)
+	}
+	if fail := t.completion(ask); fail != nil {
+		return r.ended(t, fail)
+	}
+	t.emit = emit
+	return r.ended(t, r.drive(ctx, t))
+}
+
+// Invoke implements wick.Front.
+func (r *Relay) Invoke(ctx context.Context, ask wick.Ask) (wick.Reply, error) {
+	t, fail := r.begin(ask)
+	if fail != nil {
+		return wick.Reply{}, r.ended(nil, fail)
+	}
+	if fail := t.call(ask); fail != nil {
+		return wick.Reply{}, r.ended(t, fail)
+	}
+	t.emit = func(wick.Frame) error { return nil }
+	if err := r.ended(t, r.drive(ctx, t)); err != nil {
+		return wick.Reply{}, err
+	}
+	return wick.Reply{Status: t.end.Status, Body: t.end.Body}, nil
+}
+
+// Entries implements wick.Front.
+func (r *Relay) Entries(near wick.Domain) wick.EntryList {
+	return r.cfg.Snapshot().Entries(near)
+}
+
+// begin resolves the route of a request.
+func (r *Relay) begin(ask wick.Ask) (*task, *wick.Error) {
+	if len(ask.Request) > maxRequestBytes {
+		return nil, wick.NotRunf(wick.CodeBadRequest, "request id over %d bytes", maxRequestBytes)
+	}
+	snap := r.cfg.Snapshot()
+	if fail := snap.Accepts(); fail != nil {
+		return nil, fail
+	}
+	resolved, fail := snap.Config.Resolve(ask.Route)
+	if fail != nil {
+		return nil, fail
+	}
+	return newTask(ask, resolved, snap.Offset), nil
+}
+
+// drive hands the task to owners until one of them answers whole, nothing may
+// be repeated any more, or the deadline has passed.
+func (r *Relay) drive(ctx context.Context, t *task) *wick.Error {
+	r.cfg.Retries.Earn()
+	last := wick.NotRunf(wick.CodeNoEndpoint, "no endpoint of pool %s can take the request now", t.resolved.Pool.Name)
+	for tries := 0; tries < maxTries && !t.expired(); {
+		target, ok := r.pick(t)
+		if !ok {
+			t.avoid = t.avoid[:0]
+			if !sleep(ctx, pause) {
+				return canceled(last)
+			}
+			continue
+		}
+		tries++
+		last = r.try(ctx, t, target)
+		if last == nil || !t.mayRepeat(last) || ctx.Err() != nil {
+			return last
+		}
+		if t.costs(last) && !r.cfg.Retries.Spend() {
+			return last
+		}
+		t.avoid = append(t.avoid, target.Endpoint)
+	}
+	return last
+}
+
+// pick chooses an endpoint whose owner is known.
+func (r *Relay) pick(t *task) (wick.Target, bool) {
+	in := wick.RouteInput{
+		Pool:     t.resolved.Pool.Name,
+		Ref:      t.resolved.Route.Ref,
+		Avoid:    t.avoid,
+		Prefix:   t.prefix,
+		Cost:     t.cost,
+		Random:   rand.Uint64(),
+		Turn:     r.turn.Add(1),
+		InFlight: &r.load,
+	}
+	target, ok := r.cfg.Snapshot().Router.Pick(&in)
+	return target, ok && target.Owner != ""
+}
+
+// try hands the task to the owner of one endpoint and passes its frames on.
+func (r *Relay) try(ctx context.Context, t *task, target wick.Target) *wick.Error {
+	r.cfg.Note.Try()
+	r.load.Start(target.Index, t.cost)
+	defer r.load.Done(target.Index, t.cost)
+	sub := t.submission(target, r.cfg.Snapshot().View.Number)
+	if t.haveTokens > 0 {
+		r.cfg.Note.Resume()
+	}
+	if target.Owner == r.cfg.Self {
+		err := r.cfg.Local.HandleSubmit(ctx, r.cfg.Self, sub, t.take)
+		return t.finish(err)
+	}
+	s, err := r.cfg.Peers.Submit(ctx, target.Peer, sub)
+	if err != nil {
+		return t.finish(err)
+	}
+	defer func() { _ = s.Close() }()
+	return t.finish(r.pump(ctx, t, s))
+}
+
+// pump passes frames on until the end. It judges the owner by what arrives,
+// not by the connection being open.
+func (r *Relay) pump(ctx context.Context, t *task, s wick.Stream) error {
+	for {
+		next, cancel := context.WithTimeout(ctx, r.cfg.Quiet)
+		f, err := s.Next(next)
+		cancel()
+		if err != nil {
+			return fmt.Errorf("read frame: %w", err)
+		}
+		if f.Kind == wick.FrameFail {
+			return f.Fail
+		}
+		if err := t.take(f); err != nil {
+			return err
+		}
+		if f.Kind == wick.FrameEnd {
+			return nil
+		}
+	}
+}
+
+// ended counts the end of a task and returns its failure, if any.
+func (r *Relay) ended(t *task, fail *wick.Error) error {
+	if fail == nil {
+		r.cfg.Note.Ended("", t.firstAfter, time.Since(t.started))
+		return nil
+	}
+	r.cfg.Note.Ended(fail.Code, 0, 0)
+	if t == nil {
+		return fail
+	}
+	return t.verdict(fail)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func canceled(last *wick.Error) *wick.Error {
+	if last != nil && last.Outcome == wick.Unknown {
+		return last
+	}
+	return wick.NotRunf(wick.CodeCanceled, "caller went away")
+}
+
+func fingerprint(route wick.RouteName, body string) wick.Fingerprint {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(route)) // It never fails.
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(body)
+	return wick.Fingerprint(d.Sum64())
+}
--- /dev/null
+++ b/relay/task.go
@@ -0,0 +1,243 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"currantwick"
+	"currantwick/config"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// task is one request on its way, over all its tries.
+type task struct {
+	ask      wick.Ask
+	resolved config.Resolved
+	offset   wick.Offset
+	started  time.Time
+	// due is when the first token or the reply is due.
+	due  time.Time
+	emit func(wick.Frame) error
+	work *wick.Work
+	svc  *wick.Call
+	// print identifies the content, prefix the start of the prompt.
+	print  wick.Fingerprint
+	prefix wick.Fingerprint
+	cost   wick.Cost
+	avoid  []wick.EndpointName
+	// attempt is the id of the newest try.
+	attempt wick.RequestID
+
+	// begun tells that FrameStart was passed on.
+	begun bool
+	// everUnknown tells that an endpoint may have run one of the tries, so
+	// that the task as a whole can't be said not to have run.
+	everUnknown bool
+	// have is the text passed on so far, and haveTokens its tokens.
+	have       strings.Builder
+	haveTokens wick.Tokens
+	firstAfter time.Duration
+	end        *wick.Frame
+}
+
+const (
+	// promptCost and answerCost are the estimated seconds a token of the
+	// prompt and of the answer occupies a batch slot.
+	promptCost wick.Cost = 0.0002
+	answerCost wick.Cost = 0.02
+	callCost   wick.Cost = 0.02
+)
+
+func newTask(ask wick.Ask, resolved config.Resolved, offset wick.Offset) *task {
+	within := resolved.Priority.Deadline
+	if ask.Within > 0 && ask.Within < within {
+		within = ask.Within
+	}
+	now := time.Now()
+	return &task{
+		ask:      ask,
+		resolved: resolved,
+		offset:   offset,
+		started:  now,
+		due:      now.Add(within.Std()),
+	}
+}
+
+// completion makes the task a completion.
+func (t *task) completion(ask wick.Ask) *wick.Error {
+	if t.resolved.Pool.Kind != wick.RunnerEndpoint {
+		return wick.NotRunf(wick.CodeBadRequest, "route %s is no completion", ask.Route)
+	}
+	bound := t.resolved.Route.MaxTokens
+	if bound == 0 {
+		bound = t.resolved.Model.Context
+	}
+	if ask.MaxTokens > 0 {
+		bound = min(bound, ask.MaxTokens)
+	}
+	t.work = &wick.Work{
+		Model:     t.resolved.Model.Name,
+		Ref:       t.resolved.Route.Ref,
+		Prompt:    ask.Prompt,
+		MaxTokens: bound,
+	}
+	t.print = fingerprint(ask.Route, ask.Prompt)
+	t.prefix = wick.Fingerprint(xxhash.Sum64String(ask.Prompt[:min(len(ask.Prompt), prefixBytes)]))
+	words := wick.Cost(strings.Count(ask.Prompt, " ") + 1)
+	t.cost = words*promptCost + wick.Cost(bound)*answerCost
+	return nil
+}
+
+// call makes the task a call of a plain service.
+func (t *task) call(ask wick.Ask) *wick.Error {
+	route := t.resolved.Route
+	if t.resolved.Pool.Kind != wick.ServiceEndpoint {
+		return wick.NotRunf(wick.CodeBadRequest, "route %s is no service", ask.Route)
+	}
+	if route.NonIdempotent && ask.Key == "" {
+		return wick.NotRunf(wick.CodeMissingKey, "route %s is non-idempotent and needs an idempotency key", ask.Route)
+	}
+	if ask.Key != "" {
+		if err := ask.Key.Check(); err != nil {
+			return wick.NotRunf(wick.CodeBadRequest, "idempotency key: %v", err)
+		}
+	}
+	t.svc = &wick.Call{Path: route.Path, Body: ask.Body, Key: ask.Key, NonIdempotent: route.NonIdempotent}
+	t.print = fingerprint(ask.Route, string(ask.Body))
+	t.cost = callCost
+	return nil
+}
+
+// submission returns the next try as its owner gets it. Each try has an id of
+// its own, so that frames of an older one are never taken for it.
+func (t *task) submission(target wick.Target, view wick.ViewNumber) wick.Submission {
+	t.attempt = wick.RequestID(fmt.Sprintf("%s.%x", t.ask.Request, rand.Uint64()))
+	sub := wick.Submission{
+		Request:   t.attempt,
+		Route:     t.ask.Route,
+		Endpoint:  target.Endpoint,
+		View:      view,
+		Config:    t.offset,
+		Level:     t.resolved.Priority.Level,
+		Sheddable: t.resolved.Priority.Sheddable,
+		Within:    wick.Duration(max(time.Until(t.due), time.Millisecond)),
+		Print:     t.print,
+		Call:      t.svc,
+	}
+	if t.work != nil {
+		w := *t.work
+		w.Have, w.HaveTokens = t.have.String(), t.haveTokens
+		sub.Work = &w
+	}
+	return sub
+}
+
+// take passes one frame of the newest try on to the caller. It refuses frames
+// of other requests, and gaps and repeats in the text.
+func (t *task) take(f wick.Frame) error {
+	if f.Request != t.attempt {
+		return wick.Unknownf(wick.CodeMismatch, "frame of request %s", f.Request)
+	}
+	f.Request = t.ask.Request
+	switch f.Kind {
+	case wick.FrameStart:
+		if t.begun {
+			return nil
+		}
+		t.begun = true
+	case wick.FrameText:
+		if f.Index != t.haveTokens {
+			return wick.Unknownf(wick.CodeBroken, "text at token %d, want %d", f.Index, t.haveTokens)
+		}
+		if t.haveTokens == 0 {
+			t.firstAfter = time.Since(t.started)
+		}
+		t.haveTokens += f.Count
+		t.have.WriteString(f.Text)
+	case wick.FrameEnd:
+		return t.takeEnd(f)
+	}
+	return t.pass(f)
+}
+
+func (t *task) takeEnd(f wick.Frame) error {
+	if t.work != nil {
+		if f.Count != t.haveTokens {
+			return wick.Unknownf(wick.CodeBroken, "answer of %d tokens, got %d", f.Count, t.haveTokens)
+		}
+		if f.Ran == nil || f.Ran.Ref != t.work.Ref {
+			return wick.Unknownf(wick.CodeMismatch, "answer ran on another adapter than %s", t.work.Ref)
+		}
+	}
+	t.end = &f
+	return t.pass(f)
+}
+
+// errCaller marks errors of the caller's side, after which nothing is retried.
+var errCaller = errors.New("caller does not take frames")
+
+func (t *task) pass(f wick.Frame) error {
+	if err := t.emit(f); err != nil {
+		return fmt.Errorf("%w: %w", errCaller, err)
+	}
+	return nil
+}
+
+// finish judges how a try ended.
+func (t *task) finish(err error) *wick.Error {
+	fail := t.failure(err)
+	if fail != nil && fail.Outcome == wick.Unknown {
+		t.everUnknown = true
+	}
+	return fail
+}
+
+func (t *task) failure(err error) *wick.Error {
+	if errors.Is(err, errCaller) {
+		return wick.Unknownf(wick.CodeCanceled, "caller went away")
+	}
+	if err != nil {
+		return wick.AsError(err)
+	}
+	if t.end == nil {
+		return wick.Unknownf(wick.CodeBroken, "answer without an end")
+	}
+	return nil
+}
+
+// verdict returns a failure as it holds for the task as a whole.
+func (t *task) verdict(fail *wick.Error) *wick.Error {
+	if fail.Outcome != wick.NotRun || !t.everUnknown {
+		return fail
+	}
+	whole := *fail
+	whole.Outcome = wick.Unknown
+	return &whole
+}
+
+// mayRepeat reports whether the task may be tried again after a failure.
+func (t *task) mayRepeat(fail *wick.Error) bool {
+	switch fail.Code {
+	case wick.CodeCanceled, wick.CodeKilled, wick.CodeClaimed, wick.CodeClaimsDown,
+		wick.CodeBadRequest, wick.CodeOverload:
+		return false
+	}
+	if fail.Outcome == wick.NotRun {
+		return true
+	}
+	return fail.Outcome == wick.Unknown && !t.resolved.Route.NonIdempotent
+}
+
+// costs reports whether trying again puts load on endpoints a second time. A
+// try that did not run only moves.
+func (t *task) costs(fail *wick.Error) bool { return fail.Outcome != wick.NotRun }
+
+// expired reports that the first token or the reply is overdue. Once a stream
+// has begun, it is finished however long that takes.
+func (t *task) expired() bool {
+	return t.haveTokens == 0 && !time.Now().Before(t.due)
+}
