Apply the configuration alike on every daemon

Package config judges a change against the whole table: form, references both ways, revisions read, immutable weights, fitting kinds, shared addresses. Checkpoints are cut into parts of 1,000 objects with a common sum, since the whole of a large configuration doesn't fit into one record.

--- a/change.go
+++ b/change.go
@@ -127,17 +127,30 @@
 func (v Verdict) Accepted() bool { return len(v.Violations) == 0 }
 
 // Checkpoint is the whole configuration as of one offset, so that a reader
-// needs no older records.
+// needs no older records. A large one stands on the log in parts.
 type Checkpoint struct {
 	// AsOf is the offset of the last record that is part of the state.
-	AsOf    Offset  `json:"AsOf"`
+	AsOf Offset `json:"AsOf"`
+	// Sum identifies the objects and revisions of the whole checkpoint, so
+	// that readers notice one that is not whole.
+	Sum uint64 `json:"Sum,omitempty"`
+	// Part is which of Parts parts this is, from 1; both are 0 for a
+	// checkpoint in one piece.
+	Part    int     `json:"Part,omitempty"`
+	Parts   int     `json:"Parts,omitempty"`
 	Objects Objects `json:"Objects"`
 	// Revisions gives, for every object, the offset that last put it.
 	Revisions []Based `json:"Revisions"`
 }
 
+// maxParts bounds the parts of a checkpoint.
+const maxParts = 10_000
+
 // Check implements Checker.
 func (c Checkpoint) Check() error {
+	if c.Part < 0 || c.Part > c.Parts || c.Parts > 0 && c.Part == 0 || c.Parts > maxParts {
+		return badField("Part, Parts", "%d of %d", c.Part, c.Parts)
+	}
 	n := 0
 	for o := range c.Objects.All {
 		if err := o.Check(); err != nil {
--- /dev/null
+++ b/config/dict.go
@@ -0,0 +1,140 @@
+package config
+
+import (
+	"slices"
+
+	"currantwick"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// fanout is the number of children of each of the two levels of a dict.
+const fanout = 64
+
+// node is one object with what the configuration knows about it. Nodes are
+// never changed once they are part of a table.
+type node struct {
+	name   string
+	object wick.Object
+	// revision is the offset of the change that last put the object.
+	revision wick.Offset
+	// uses counts the references of other objects to this one.
+	uses int
+}
+
+// bucket is sorted by name.
+type bucket []*node
+
+// dict maps names to nodes. Its values are immutable: with and without copy
+// the one path they change, so that a change of one object among tens of
+// thousands copies a few kilobytes.
+type dict struct {
+	root *[fanout]*[fanout]bucket
+	size int
+}
+
+// text lets names be looked up without first turning them into strings.
+type text interface{ ~string | ~[]byte }
+
+func place(hash uint64) (uint64, uint64) {
+	return hash % fanout, hash / fanout % fanout
+}
+
+func find[T text](b bucket, name T) (int, bool) {
+	lo, hi := 0, len(b)
+	for lo < hi {
+		mid := (lo + hi) / 2
+		if b[mid].name < string(name) {
+			lo = mid + 1
+		} else {
+			hi = mid
+		}
+	}
+	return lo, lo < len(b) && b[lo].name == string(name)
+}
+
+func (d dict) get(name string) *node {
+	return lookup(d, xxhash.Sum64String(name), name)
+}
+
+// lookup returns the node of a name with its hash, or nil.
+func lookup[T text](d dict, hash uint64, name T) *node {
+	if d.root == nil {
+		return nil
+	}
+	i, j := place(hash)
+	if d.root[i] == nil {
+		return nil
+	}
+	b := d.root[i][j]
+	k, ok := find(b, name)
+	if !ok {
+		return nil
+	}
+	return b[k]
+}
+
+// branch returns d with a copy of the path to the bucket at i and j, and that
+// bucket's place.
+func (d dict) branch(i, j uint64) (dict, *bucket) {
+	root := new([fanout]*[fanout]bucket)
+	if d.root != nil {
+		*root = *d.root
+	}
+	inner := new([fanout]bucket)
+	if root[i] != nil {
+		*inner = *root[i]
+	}
+	root[i] = inner
+	return dict{root, d.size}, &inner[j]
+}
+
+// with returns d with n in it.
+func (d dict) with(n *node) dict {
+	i, j := place(xxhash.Sum64String(n.name))
+	d, b := d.branch(i, j)
+	k, ok := find(*b, n.name)
+	if ok {
+		*b = slices.Clone(*b)
+		(*b)[k] = n
+		return d
+	}
+	grown := make(bucket, 0, len(*b)+1)
+	grown = append(grown, (*b)[:k]...)
+	grown = append(grown, n)
+	*b = append(grown, (*b)[k:]...)
+	d.size++
+	return d
+}
+
+// without returns d with no node of that name.
+func (d dict) without(name string) dict {
+	if d.get(name) == nil {
+		return d
+	}
+	i, j := place(xxhash.Sum64String(name))
+	d, b := d.branch(i, j)
+	k, _ := find(*b, name)
+	*b = slices.Delete(slices.Clone(*b), k, k+1)
+	d.size--
+	return d
+}
+
+// all calls yield for every node, in an order that depends only on the names.
+func (d dict) all(yield func(*node) bool) {
+	if d.root == nil {
+		return
+	}
+	for _, inner := range d.root {
+		if inner == nil {
+			continue
+		}
+		for _, b := range inner {
+			for _, n := range b {
+				if !yield(n) {
+					return
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/config/fits.go
@@ -0,0 +1,134 @@
+package config
+
+import (
+	"fmt"
+
+	"currantwick"
+)
+
+// ref is a reference of an object's field to another object.
+type ref struct {
+	field string
+	key   wick.ObjectKey
+}
+
+// refs lists what an object refers to.
+func refs(o wick.Object) []ref {
+	switch v := o.(type) {
+	case wick.Adapter:
+		return []ref{toModel(v.Model)}
+	case wick.Version:
+		return []ref{{"Adapter", wick.ObjectKey{Kind: wick.KindAdapter, Name: string(v.Adapter)}}}
+	case wick.Pool:
+		if v.Kind != wick.RunnerEndpoint {
+			return nil
+		}
+		return []ref{
+			toModel(v.Model),
+			{"Store", wick.ObjectKey{Kind: wick.KindStore, Name: string(v.Store)}},
+		}
+	case wick.Endpoint:
+		return []ref{toPool(v.Pool)}
+	case wick.Route:
+		out := []ref{
+			toPool(v.Pool),
+			{"Priority", wick.ObjectKey{Kind: wick.KindPriority, Name: string(v.Priority)}},
+		}
+		if !v.Ref.IsBase() {
+			out = append(out, ref{"Ref", wick.VersionKey(v.Ref)})
+		}
+		return out
+	}
+	return nil
+}
+
+func toModel(name wick.ModelName) ref {
+	return ref{"Model", wick.ObjectKey{Kind: wick.KindModel, Name: string(name)}}
+}
+
+func toPool(name wick.PoolName) ref {
+	return ref{"Pool", wick.ObjectKey{Kind: wick.KindPool, Name: string(name)}}
+}
+
+// fault is a rule that an object breaks.
+type fault struct {
+	Rule wick.Rule
+	Text string
+}
+
+// fits returns which rules an object breaks among the objects of t.
+func fits(t *Table, o wick.Object) []fault {
+	var out []fault
+	for _, r := range refs(o) {
+		if t.node(r.key) == nil {
+			out = append(out, fault{wick.RuleReference, fmt.Sprintf("%s: %s does not exist", r.field, r.key)})
+		}
+	}
+	if len(out) > 0 {
+		return out // What does not exist can't fit.
+	}
+	switch v := o.(type) {
+	case wick.Endpoint:
+		return endpointFits(t, v)
+	case wick.Route:
+		return routeFits(t, v)
+	}
+	return nil
+}
+
+func endpointFits(t *Table, e wick.Endpoint) []fault {
+	pool, _ := t.Pool(e.Pool)
+	switch {
+	case pool.Kind == wick.RunnerEndpoint && e.AdapterSlots == 0:
+		return mismatch("AdapterSlots: a runner needs at least 1")
+	case pool.Kind == wick.ServiceEndpoint && e.AdapterSlots != 0:
+		return mismatch("AdapterSlots: must be 0 for a service")
+	case pool.Kind == wick.ServiceEndpoint && e.ChecksFencing:
+		return mismatch("ChecksFencing: a service takes no orders")
+	}
+	return nil
+}
+
+func routeFits(t *Table, r wick.Route) []fault {
+	pool, _ := t.Pool(r.Pool)
+	if pool.Kind == wick.ServiceEndpoint {
+		return serviceRouteFits(r)
+	}
+	var out []fault
+	if r.Path != "" {
+		out = append(out, mismatch("Path: pool %s holds runners, which have none", r.Pool)...)
+	}
+	if r.NonIdempotent {
+		out = append(out, mismatch("NonIdempotent: only calls of services can be")...)
+	}
+	model, ok := t.Model(pool.Model)
+	if ok && r.MaxTokens > model.Context {
+		out = append(out, mismatch("MaxTokens: %d is over the context %d of model %s", r.MaxTokens, model.Context, model.Name)...)
+	}
+	if r.Ref.IsBase() {
+		return out
+	}
+	adapter, ok := t.Adapter(r.Ref.Adapter)
+	if ok && adapter.Model != pool.Model {
+		out = append(out, mismatch("Ref: adapter %s is for model %s, pool %s runs model %s", adapter.Name, adapter.Model, pool.Name, pool.Model)...)
+	}
+	return out
+}
+
+func serviceRouteFits(r wick.Route) []fault {
+	var out []fault
+	if r.Path == "" {
+		out = append(out, mismatch("Path: pool %s holds services, which need one", r.Pool)...)
+	}
+	if !r.Ref.IsBase() {
+		out = append(out, mismatch("Ref: pool %s holds services, which have no adapters", r.Pool)...)
+	}
+	if r.MaxTokens != 0 {
+		out = append(out, mismatch("MaxTokens: must be 0 for a service")...)
+	}
+	return out
+}
+
+func mismatch(format string, args ...any) []fault {
+	return []fault{{wick.RuleMatch, fmt.Sprintf(format, args...)}}
+}
