Choose endpoints from an immutable table that costs little to keep

A decision must stay cheap at 10,000 runners and 38,000 adapters, and a digest must not rebuild what it did not change. Weighed: one map of all state made anew at each digest (10,000 entries copied each time), cells that traffic reads while control writes them (cheap, but no decision sees one moment), and Maglev's table (even, but made anew when one endpoint joins). Taken: vectors of pages that are copied at most once between two published tables, and a ring of hashes in buckets.

The adapter's holders come first while their load is within bounds, the less loaded of two; then its homes on the ring; then two at random. This daemon's own work counts as of now beside the digests. Round robin and the less loaded of two without affinity stand beside it.

--- /dev/null
+++ b/policy_route.go
@@ -0,0 +1,68 @@
+package wick
+
+// EndpointIndex is the place of an endpoint in a router's table. It stays the
+// same for as long as the endpoint is configured.
+type EndpointIndex int32
+
+// RouteInput is what a router is told of one request.
+type RouteInput struct {
+	Pool PoolName
+	// Ref is the adapter and version the request names; the zero Ref for the
+	// base model and for plain services.
+	Ref Ref
+	// Avoid lists endpoints that were tried already.
+	Avoid []EndpointName
+	// Prefix identifies the start of the prompt, so that requests that share
+	// it can share an endpoint's prefix cache; 0 means none.
+	Prefix Fingerprint
+	Cost   Cost
+	// Random is drawn afresh for each request.
+	Random uint64
+	// Turn counts the requests of this daemon.
+	Turn uint64
+	// InFlight gives this daemon's own work; nil means none.
+	InFlight InFlight
+}
+
+// InFlight tells how much work this daemon itself has at endpoints right now.
+// Digests lag; these figures do not. Implementations are safe for concurrent
+// use.
+type InFlight interface {
+	// Cost returns the sum of the costs of what was sent to the endpoint and
+	// has not ended.
+	Cost(EndpointIndex) Cost
+}
+
+// Target is where a request goes.
+type Target struct {
+	Index    EndpointIndex
+	Endpoint EndpointName
+	// Owner is the daemon that dispatches for the endpoint, and Peer where it
+	// is reached; both are empty while no owner is known.
+	Owner HostName
+	Peer  Address
+	// Ready tells that the adapter was resident there by the last digest.
+	Ready bool
+}
+
+// Router chooses the endpoint of a request. Implementations are immutable and
+// safe for concurrent use.
+type Router interface {
+	// Pick returns the endpoint for a request, or false if the pool has none
+	// that may take it.
+	Pick(in *RouteInput) (Target, bool)
+}
+
+// RoutePolicy names an implementation of Router in the settings.
+type RoutePolicy string
+
+// The implementations of Router.
+const (
+	// RouteAffinity prefers endpoints that hold the adapter, within bounds on
+	// their load.
+	RouteAffinity RoutePolicy = "Affinity"
+	// RouteLeastLoaded takes the less loaded of two endpoints at random.
+	RouteLeastLoaded RoutePolicy = "LeastLoaded"
+	// RouteRoundRobin takes endpoints in turn.
+	RouteRoundRobin RoutePolicy = "RoundRobin"
+)
--- /dev/null
+++ b/route/ring.go
@@ -0,0 +1,135 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// pointsPerNode is the number of places of one endpoint on the ring. More
+	// of them even out the shares of endpoints and cost memory.
+	pointsPerNode = 32
+	// bucketPoints is the mean number of points in a bucket at which the ring
+	// doubles its buckets.
+	bucketPoints = 8
+)
+
+// point is one place of an endpoint on the ring.
+type point struct {
+	hash uint32
+	node int32
+}
+
+func (a point) compare(b point) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.node, b.node))
+}
+
+// ring is a consistent-hash ring. Its points are kept in buckets by their top
+// bits, so that looking up, joining and leaving cost the same at any size.
+type ring struct {
+	// buckets holds 1<<bits sorted lists; a list is replaced, never changed.
+	buckets pages[[]point]
+	bits    uint
+	points  int
+}
+
+func newRing(epoch uint64) ring {
+	return ring{buckets: newPages[[]point](1, epoch)}
+}
+
+func (r *ring) bucket(hash uint32) int { return int(uint64(hash) >> (32 - r.bits)) }
+
+// join adds the points of a node. seed is the hash of its name.
+func (r *ring) join(node int32, seed, epoch uint64) {
+	for i := range uint64(pointsPerNode) {
+		p := point{hash: uint32(mix(seed+i) >> 32), node: node}
+		b := r.buckets.edit(r.bucket(p.hash), epoch)
+		at, _ := slices.BinarySearchFunc(*b, p, point.compare)
+		list := make([]point, 0, len(*b)+1)
+		list = append(list, (*b)[:at]...)
+		list = append(list, p)
+		*b = append(list, (*b)[at:]...)
+	}
+	r.points += pointsPerNode
+	for r.points > bucketPoints<<r.bits {
+		r.double(epoch)
+	}
+}
+
+// leave removes the points of a node.
+func (r *ring) leave(node int32, seed, epoch uint64) {
+	for i := range uint64(pointsPerNode) {
+		hash := uint32(mix(seed+i) >> 32)
+		b := r.buckets.edit(r.bucket(hash), epoch)
+		list := make([]point, 0, len(*b))
+		for _, p := range *b {
+			if p.node != node {
+				list = append(list, p)
+			}
+		}
+		*b = list
+	}
+	r.points -= pointsPerNode
+}
+
+// double splits each bucket into two.
+func (r *ring) double(epoch uint64) {
+	n := 1 << r.bits
+	next := newPages[[]point](2*n, epoch)
+	bits := r.bits + 1
+	for i := range n {
+		list := *r.buckets.at(i)
+		at := 0
+		for at < len(list) && uint64(list[at].hash)>>(32-bits)&1 == 0 {
+			at++
+		}
+		*next.edit(2*i, epoch) = slices.Clone(list[:at])
+		*next.edit(2*i+1, epoch) = slices.Clone(list[at:])
+	}
+	r.buckets, r.bits = next, bits
+}
+
+// walk is a position on the ring.
+type walk struct {
+	ring   *ring
+	bucket int
+	at     int
+	// left counts the buckets that were not entered yet.
+	left int
+}
+
+// from starts a walk at the first point at or after key.
+func (r *ring) from(key uint64) walk {
+	hash := uint32(key >> 32)
+	w := walk{ring: r, bucket: r.bucket(hash), left: 1 << r.bits}
+	list := *r.buckets.at(w.bucket)
+	for w.at < len(list) && list[w.at].hash < hash {
+		w.at++
+	}
+	return w
+}
+
+// next returns the node of the next point, or false after about one turn.
+func (w *walk) next() (int32, bool) {
+	for {
+		list := *w.ring.buckets.at(w.bucket)
+		if w.at < len(list) {
+			w.at++
+			return list[w.at-1].node, true
+		}
+		if w.left == 0 {
+			return 0, false
+		}
+		w.left--
+		w.at = 0
+		w.bucket = (w.bucket + 1) & (1<<w.ring.bits - 1)
+	}
+}
+
+// mix spreads the bits of x over the whole word.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,328 @@
+package route
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"currantwick"
+	"currantwick/tally"
+)
+
+func ref(i int) wick.Ref {
+	return wick.Ref{Adapter: wick.AdapterName(fmt.Sprintf("adapter-%05d", i)), Version: "v1"}
+}
+
+func name(i int) wick.EndpointName { return wick.EndpointName(fmt.Sprintf("runner-%05d", i)) }
+
+func endpoint(i int) wick.Endpoint {
+	return wick.Endpoint{Name: name(i), Pool: "p", Domain: wick.Domain(fmt.Sprint("d", i%3)), BatchSlots: 8}
+}
+
+func build(t testing.TB, cfg Config, own wick.InFlight, n int) *Builder {
+	t.Helper()
+	b, err := New(cfg, own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range n {
+		b.Put(endpoint(i))
+	}
+	return b
+}
+
+// shares counts where requests with fresh random numbers go.
+func shares(r wick.Router, in wick.RouteInput, n int) map[wick.EndpointName]int {
+	got := make(map[wick.EndpointName]int)
+	for i := range n {
+		in.Random, in.Turn = mix(uint64(i)), uint64(i)
+		if to, ok := r.Pick(&in); ok {
+			got[to.Endpoint]++
+		}
+	}
+	return got
+}
+
+func only(got map[wick.EndpointName]int) wick.EndpointName {
+	if len(got) != 1 {
+		return ""
+	}
+	for n := range got {
+		return n
+	}
+	return ""
+}
+
+func TestPick(t *testing.T) {
+	ready := func(i int, load wick.Cost, refs ...wick.Ref) wick.Digest {
+		return wick.Digest{Endpoint: name(i), Queued: load, Ready: refs}
+	}
+	tests := []struct {
+		name    string
+		policy  wick.RoutePolicy
+		digests []wick.Digest
+		ref     wick.Ref
+		avoid   []wick.EndpointName
+		leave   []int
+		want    []wick.EndpointName // what may be chosen, all of it must be
+	}{
+		{name: "base takes all", want: []wick.EndpointName{name(0), name(1), name(2), name(3)}},
+		{
+			name: "base avoids", avoid: []wick.EndpointName{name(0), name(2)},
+			want: []wick.EndpointName{name(1), name(3)},
+		},
+		{name: "all avoided", avoid: []wick.EndpointName{name(0), name(1), name(2), name(3)}},
+		{name: "leaving gets nothing", leave: []int{1, 2, 3}, want: []wick.EndpointName{name(0)}},
+		{
+			name: "resident adapter", digests: []wick.Digest{ready(2, 0, ref(1))}, ref: ref(1),
+			want: []wick.EndpointName{name(2)},
+		},
+		{
+			name: "both copies", digests: []wick.Digest{ready(2, 0, ref(1)), ready(0, 0, ref(1))}, ref: ref(1),
+			want: []wick.EndpointName{name(0), name(2)},
+		},
+		{
+			name: "less loaded copy", digests: []wick.Digest{ready(2, 9, ref(1)), ready(0, 1, ref(1))}, ref: ref(1),
+			want: []wick.EndpointName{name(0)},
+		},
+		{
+			name: "other version is no copy", digests: []wick.Digest{ready(0, 0, ref(1)), ready(1, 0, ref(2)), ready(2, 0, ref(3))},
+			ref: ref(1), want: []wick.EndpointName{name(0)},
+		},
+		{
+			name: "load beats a loaded holder", digests: []wick.Digest{ready(2, 90, ref(1)), ready(1, 90), ready(3, 90)},
+			ref: ref(1), want: []wick.EndpointName{name(0)},
+		},
+		{
+			name: "ejected gets nothing", digests: []wick.Digest{
+				{Endpoint: name(2), Ejected: true, Ready: []wick.Ref{ref(1)}},
+				{Endpoint: name(1), Queued: 90},
+				{Endpoint: name(3), Queued: 90},
+			},
+			ref: ref(1), want: []wick.EndpointName{name(0)},
+		},
+		{
+			name: "too many ejected", digests: []wick.Digest{
+				{Endpoint: name(0), Ejected: true},
+				{Endpoint: name(1), Ejected: true},
+				{Endpoint: name(2), Ejected: true},
+			},
+			want: []wick.EndpointName{name(0), name(1), name(2), name(3)},
+		},
+		{
+			name: "slow copy gets nothing", digests: []wick.Digest{
+				{Endpoint: name(0), Running: 4, Slow: 9, Ready: []wick.Ref{ref(1)}},
+				{Endpoint: name(1), Running: 8, Ready: []wick.Ref{ref(1)}},
+			},
+			ref: ref(1), want: []wick.EndpointName{name(1)},
+		},
+		{
+			name: "round robin ignores load", policy: wick.RouteRoundRobin,
+			digests: []wick.Digest{ready(0, 90), {Endpoint: name(1), Ejected: true}},
+			want:    []wick.EndpointName{name(0), name(1), name(2), name(3)},
+		},
+		{
+			name: "least loaded ignores residence", policy: wick.RouteLeastLoaded,
+			digests: []wick.Digest{ready(2, 0, ref(1))}, ref: ref(1),
+			want: []wick.EndpointName{name(0), name(1), name(2), name(3)},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := build(t, Config{Policy: tt.policy}, nil, 4)
+			for _, d := range tt.digests {
+				b.Digest(d)
+			}
+			for _, i := range tt.leave {
+				b.Leave(name(i), true)
+			}
+			got := shares(b.Publish(), wick.RouteInput{Pool: "p", Ref: tt.ref, Avoid: tt.avoid, Cost: 1}, 400)
+			for n := range got {
+				if !slices.Contains(tt.want, n) {
+					t.Errorf("chose %s", n)
+				}
+			}
+			if len(got) != len(tt.want) {
+				t.Errorf("chose %v, want each of %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestPickUnknownPool(t *testing.T) {
+	r := build(t, Config{}, nil, 1).Publish()
+	if _, ok := r.Pick(&wick.RouteInput{Pool: "q"}); ok {
+		t.Error("picked from a pool that does not exist")
+	}
+}
+
+func TestConfigCheck(t *testing.T) {
+	tests := []struct {
+		cfg Config
+		ok  bool
+	}{
+		{Config{}, true},
+		{Config{Policy: wick.RouteRoundRobin, Bound: 2}, true},
+		{Config{Policy: "Best"}, false},
+		{Config{Bound: 0.5}, false},
+		{Config{LoadCost: -1}, false},
+	}
+	for _, tt := range tests {
+		if err := tt.cfg.Check(); (err == nil) != tt.ok {
+			t.Errorf("Check(%+v) = %v", tt.cfg, err)
+		}
+	}
+}
+
+// A cold adapter has one home, whatever the random number, and keeps it when
+// other endpoints join or leave.
+func TestHomeIsStable(t *testing.T) {
+	const runners, adapters = 60, 2000
+	b := build(t, Config{}, nil, runners)
+	before := b.Publish()
+	home := func(r wick.Router, i int) wick.EndpointName {
+		return only(shares(r, wick.RouteInput{Pool: "p", Ref: ref(i), Cost: 1}, 4))
+	}
+	count := make(map[wick.EndpointName]int)
+	for i := range adapters {
+		count[home(before, i)]++
+	}
+	for n, c := range count {
+		if mean := adapters / runners; n == "" || c > 2*mean {
+			t.Errorf("%q is home to %d adapters, mean %d", n, c, mean)
+		}
+	}
+	b.Put(endpoint(runners))
+	after := b.Publish()
+	moved := 0
+	for i := range adapters {
+		was, is := home(before, i), home(after, i)
+		if was == is {
+			continue
+		}
+		moved++
+		if is != name(runners) {
+			t.Errorf("%s moved from %s to %s", ref(i), was, is)
+		}
+	}
+	if moved == 0 || moved > 3*adapters/runners {
+		t.Errorf("%d of %d adapters moved to one of %d endpoints", moved, adapters, runners+1)
+	}
+}
+
+// Own work counts at once, though the digests stay as they are.
+func TestOwnWorkIsFresh(t *testing.T) {
+	var own tally.Counts
+	r := build(t, Config{}, &own, 12).Publish()
+	in := wick.RouteInput{Pool: "p", Cost: 1, InFlight: &own}
+	got := make([]int, 12)
+	for i := range 1200 {
+		in.Random = mix(uint64(i))
+		to, _ := r.Pick(&in)
+		own.Start(to.Index, in.Cost)
+		got[to.Index]++
+	}
+	if lo, hi := slices.Min(got), slices.Max(got); hi-lo > 8 {
+		t.Errorf("shares from %d to %d: %v", lo, hi, got)
+	}
+}
+
+// The first of two snapshots must not change while the builder goes on, and
+// one builder that took every step must agree with one that took only the last.
+func TestBuilderAgrees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 20
+		b, _ := New(Config{}, nil)
+		ends := make(map[int]wick.Endpoint)
+		digests := make(map[int]wick.Digest)
+		leaving := make(map[int]bool)
+		var snap wick.Router
+		var want string
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, n-1).Draw(t, "endpoint")
+			_, known := ends[i]
+			switch op := rapid.IntRange(0, 9).Draw(t, "op"); {
+			case op < 3:
+				e := endpoint(i)
+				e.Leaving = rapid.Bool().Draw(t, "closed")
+				e.BatchSlots = wick.Slots(rapid.IntRange(1, 9).Draw(t, "slots"))
+				ends[i] = e
+				b.Put(e)
+			case op == 3:
+				b.Remove(name(i))
+				delete(ends, i)
+				delete(digests, i)
+				delete(leaving, i)
+			case op == 4:
+				if known {
+					leaving[i] = rapid.Bool().Draw(t, "leaving")
+				}
+				b.Leave(name(i), leaving[i])
+			case op == 5:
+				snap = b.Publish()
+				want = picture(snap)
+			default:
+				d := wick.Digest{
+					Endpoint: name(i),
+					Queued:   wick.Cost(rapid.IntRange(0, 9).Draw(t, "queued")),
+					Ejected:  rapid.Bool().Draw(t, "ejected"),
+				}
+				for range rapid.IntRange(0, 4).Draw(t, "ready") {
+					d.Ready = append(d.Ready, ref(rapid.IntRange(0, 40).Draw(t, "ref")))
+				}
+				if b.Digest(d) != known {
+					t.Fatalf("Digest knows %s: %v", name(i), !known)
+				}
+				if known {
+					digests[i] = d
+				}
+			}
+		}
+		if snap != nil && picture(snap) != want {
+			t.Fatalf("published table changed from\n%s\nto\n%s", want, picture(snap))
+		}
+		fresh, _ := New(Config{}, nil)
+		for i, e := range ends {
+			fresh.Put(e)
+			fresh.Leave(e.Name, leaving[i])
+			if d, ok := digests[i]; ok {
+				fresh.Digest(d)
+			}
+		}
+		if got, want := picture(b.Publish()), picture(fresh.Publish()); got != want {
+			t.Fatalf("after all steps\n%s\nwant\n%s", got, want)
+		}
+	})
+}
+
+// picture writes down all that a table decides by, without its indexes.
+func picture(r wick.Router) string {
+	t := r.(*Affinity).Table
+	names := func(list []int32) []string {
+		var out []string
+		for _, i := range list {
+			out = append(out, string(t.nodes.at(int(i)).name))
+		}
+		slices.Sort(out)
+		return out
+	}
+	pi, ok := t.byName["p"]
+	if !ok || len(t.pools[pi].members) == 0 {
+		return ""
+	}
+	p := &t.pools[pi]
+	s := fmt.Sprint(names(p.members), names(p.live), math.Round(float64(p.work)), p.slots)
+	for i := range 41 {
+		s += fmt.Sprint("\n", names(t.holdersOf(refKey(pi, ref(i)))))
+		var homes []string
+		t.Homes("p", ref(i), func(n wick.EndpointName, _ wick.Domain) bool {
+			homes = append(homes, string(n))
+			return len(homes) < 5
+		})
+		s += fmt.Sprint(homes)
+	}
+	return s
+}
