--- /dev/null
+++ b/ctrl/conf.go
@@ -0,0 +1,139 @@
+package ctrl
+
+import (
+	"maps"
+
+	"currantwick"
+)
+
+// keepRecent is how many entries of the configuration are kept for peers that
+// miss them; those further behind get a checkpoint.
+const keepRecent = 512
+
+// readConfig takes in what was read from the configuration's stream.
+func (s *state) readConfig(now wick.Instant, e Entries) {
+	for _, entry := range e.List {
+		s.applyEntry(now, entry)
+	}
+	if !s.conf.Behind() {
+		s.fresh = max(s.fresh, e.Sent)
+	}
+	s.settleConfig(now)
+}
+
+func (s *state) applyEntry(now wick.Instant, e wick.Entry) {
+	if e.Offset > s.conf.Offset() {
+		s.recent = append(s.recent, e)
+		if len(s.recent) > 2*keepRecent {
+			s.recent = append([]wick.Entry(nil), s.recent[len(s.recent)-keepRecent:]...)
+		}
+	}
+	if v, ok := s.conf.Apply(e); ok {
+		s.judged(now, v)
+	}
+	for _, v := range s.conf.Late() {
+		s.judged(now, v)
+	}
+}
+
+// judged passes a verdict on to whoever waits for it, and to the audit trail.
+func (s *state) judged(_ wick.Instant, v wick.Verdict) {
+	s.cfg.Note.Verdict(v)
+	if reply, ok := s.awaited[v.Change]; ok {
+		delete(s.awaited, v.Change)
+		reply <- v
+	}
+	if s.audits() {
+		s.out.Append(wick.AuditStream, wick.Record{Verdict: &v})
+	}
+}
+
+// audits reports whether this daemon writes the audit trail: the first member
+// of the view does. During a change of view two may, so readers pass over a
+// verdict they have seen.
+func (s *state) audits() bool {
+	members := s.keeper.View().Members
+	return len(members) > 0 && members[0].Host == s.cfg.Lease.Self.Host
+}
+
+// settleConfig brings endpoints in line with the configuration.
+func (s *state) settleConfig(now wick.Instant) {
+	table := s.conf.Table()
+	gone := maps.Clone(s.known)
+	for end := range table.Endpoints() {
+		delete(gone, end.Name)
+		if old, ok := s.known[end.Name]; ok && old == end {
+			continue
+		}
+		s.known[end.Name] = end
+		s.routes.Put(end)
+		s.routes.Leave(end.Name, s.hosts[end.Host])
+		s.settleRoute(end.Name)
+		if o := s.owned[end.Name]; o != nil {
+			o.end = end
+			s.perform(now, o, o.sched.Update(now, end))
+		}
+	}
+	for name := range gone {
+		delete(s.known, name)
+		s.routes.Remove(name)
+		if o := s.owned[name]; o != nil {
+			s.perform(now, o, o.sched.Drain(now))
+		}
+	}
+	s.own(now)
+	s.unpark(now)
+	s.urgent = true
+}
+
+// follow fetches from a peer what it knows and this daemon does not.
+func (s *state) follow(peer wick.Address, offset wick.Offset) {
+	if offset <= s.conf.Offset() || s.fetching || peer == "" {
+		return
+	}
+	s.fetching = true
+	s.out.Fetch(peer, wick.Fetch{Stream: wick.ConfigStream, From: s.conf.Offset() + 1})
+}
+
+// apply implements Event.
+func (e FetchAsked) apply(s *state, _ wick.Instant) {
+	var out wick.Fetched
+	switch {
+	case e.Fetch.From > s.conf.Offset():
+	case len(s.recent) > 0 && s.recent[0].Offset <= e.Fetch.From:
+		for _, entry := range s.recent {
+			if entry.Offset >= e.Fetch.From {
+				out.Entries = append(out.Entries, entry)
+			}
+		}
+	default:
+		c := s.conf.Checkpoint()
+		out.Checkpoint = &c
+	}
+	e.Reply <- out
+}
+
+// apply implements Event.
+func (e FetchAnswered) apply(s *state, now wick.Instant) {
+	s.fetching = false
+	if e.Err != nil {
+		return
+	}
+	if c := e.Fetched.Checkpoint; c != nil && c.AsOf > s.conf.Offset() {
+		s.recent = nil
+		if err := s.conf.Restore(*c); err != nil {
+			s.cfg.Note.Refused("checkpoint", err)
+			return
+		}
+	}
+	for _, entry := range e.Fetched.Entries {
+		s.applyEntry(now, entry)
+	}
+	s.settleConfig(now)
+}
+
+// apply implements Event.
+func (e Awaited) apply(s *state, _ wick.Instant) { s.awaited[e.Change] = e.Reply }
+
+// apply implements Event.
+func (e Forgotten) apply(s *state, _ wick.Instant) { delete(s.awaited, e.Change) }
--- a/ctrl/run.go
+++ b/ctrl/run.go
@@ -14,6 +14,15 @@
 	Endpoint wick.Endpoint
 	// Until is the instant before which it must be sent.
 	Until wick.Instant
+
+	view wick.ViewNumber
+	gate *gate
+}
+
+// Open reports whether the request may still be sent. It must be asked
+// immediately before the sending.
+func (d Decision) Open(now wick.Instant) bool {
+	return now < d.Until && d.gate.open(d.view)
 }
 
 // Run is a request at the owner of its endpoint. The control thread decides on
--- /dev/null
+++ b/ctrl/state.go
@@ -0,0 +1,221 @@
+package ctrl
+
+import (
+	"fmt"
+	"time"
+
+	"currantwick"
+	"currantwick/claim"
+	"currantwick/config"
+	"currantwick/lease"
+	"currantwick/route"
+)
+
+const (
+	// publishEvery is the least time between two snapshots that differ only
+	// in the load of endpoints.
+	publishEvery = 20 * time.Millisecond
+	// lookEvery is how often what has no event of its own is looked at.
+	lookEvery = 100 * time.Millisecond
+	// parkWithin is how long a request waits for the configuration it was
+	// resolved at.
+	parkWithin = time.Second
+)
+
+// Config sets up a Thread.
+type Config struct {
+	// Clock is the daemon's monotonic clock.
+	Clock wick.Clock
+	Lease lease.Config
+	Claim claim.Config
+	Route route.Config
+	// Policy makes the policies of one endpoint.
+	Policy Policy
+	// InFlight is this daemon's own work by endpoint.
+	InFlight wick.InFlight
+	// Stale is how long the daemon goes on after it last knew that its
+	// configuration is current; positive.
+	Stale time.Duration
+	// Note counts what happens.
+	Note wick.ControlNote
+}
+
+// Policy makes the policies of one endpoint. They may hold state, so each
+// endpoint gets its own.
+type Policy struct {
+	Order func() wick.Orderer
+	Evict func() wick.Evictor
+	Admit func() wick.Admitter
+}
+
+// state is all control state of a daemon. Only the control thread touches it.
+type state struct {
+	cfg    Config
+	out    wick.Outside
+	gate   *gate
+	keeper *lease.Keeper
+	conf   *config.State
+	book   *claim.Book
+	routes *route.Builder
+
+	// owned are the endpoints that the daemon owns in the current view or
+	// still has requests in flight at.
+	owned map[wick.EndpointName]*owned
+	// known are the endpoints as routes has them.
+	known map[wick.EndpointName]wick.Endpoint
+	// parked are runs that wait for the configuration.
+	parked []*Run
+	// claiming are runs that wait for a claim on their key.
+	claiming map[wick.ClaimKey]*Run
+	awaited  map[wick.ChangeID]chan<- wick.Verdict
+	// recent are the newest entries of the configuration, for peers.
+	recent []wick.Entry
+	// hosts are the hosts that the platform says are leaving.
+	hosts map[wick.HostName]bool
+	loads loads
+
+	// fresh is when the configuration was last known to be current.
+	fresh    wick.Instant
+	isFresh  bool
+	fetching bool
+	stopping bool
+	// looked is when look ran last.
+	looked wick.Instant
+	// urgent tells that the next snapshot must not wait, moved that it would
+	// differ from the last one, published when that was.
+	urgent    bool
+	moved     bool
+	published wick.Instant
+}
+
+func newState(cfg Config, g *gate) (*state, error) {
+	routes, err := route.New(cfg.Route, cfg.InFlight)
+	if err != nil {
+		return nil, fmt.Errorf("control state: %w", err)
+	}
+	return &state{
+		cfg:      cfg,
+		gate:     g,
+		keeper:   lease.New(cfg.Lease),
+		conf:     config.New(),
+		book:     claim.New(cfg.Claim),
+		routes:   routes,
+		owned:    make(map[wick.EndpointName]*owned),
+		known:    make(map[wick.EndpointName]wick.Endpoint),
+		claiming: make(map[wick.ClaimKey]*Run),
+		awaited:  make(map[wick.ChangeID]chan<- wick.Verdict),
+		hosts:    make(map[wick.HostName]bool),
+		loads:    newLoads(),
+	}, nil
+}
+
+// tick lets all that waits for time go on.
+func (s *state) tick(now wick.Instant) {
+	s.lease(now, s.keeper.Tick(now))
+	s.claims(now, s.book.Tick(now))
+	for _, o := range s.owned {
+		if now >= o.sched.Next() {
+			s.perform(now, o, o.sched.Tick(now))
+		}
+	}
+	if now.Sub(s.looked) >= lookEvery {
+		s.look(now)
+	}
+}
+
+// look checks what changes with time alone.
+func (s *state) look(now wick.Instant) {
+	s.looked = now
+	for name, o := range s.owned {
+		s.settleOwner(now, o)
+		s.routes.Digest(o.digest(now))
+		s.moved = true
+		if o.idle() {
+			delete(s.owned, name)
+		}
+	}
+	s.unpark(now)
+	if s.loadsLook(now) {
+		s.moved = true
+	}
+	if fresh := s.isCurrent(now); fresh != s.isFresh {
+		s.isFresh = fresh
+		s.urgent = true
+	}
+}
+
+// next returns when tick must run again.
+func (s *state) next() wick.Instant {
+	at := min(s.looked.Add(lookEvery), s.keeper.Next(), s.book.Next())
+	for _, o := range s.owned {
+		at = min(at, o.sched.Next())
+	}
+	return at
+}
+
+// publishes reports whether it is time for a new snapshot.
+func (s *state) publishes(now wick.Instant) bool {
+	return s.urgent || s.moved && now.Sub(s.published) >= publishEvery
+}
+
+// snapshot returns the state as traffic goroutines see it.
+func (s *state) snapshot(now wick.Instant) *Snapshot {
+	s.urgent, s.moved, s.published = false, false, now
+	return &Snapshot{
+		View:     s.keeper.View(),
+		Config:   s.conf.Table(),
+		Offset:   s.conf.Offset(),
+		Router:   s.routes.Publish(),
+		Stale:    !s.isFresh,
+		Stopping: s.stopping,
+		leaving:  s.leavingEntries(),
+	}
+}
+
+// leavingEntries returns the hosts to which no caller should be sent.
+func (s *state) leavingEntries() map[wick.HostName]bool {
+	out := make(map[wick.HostName]bool, len(s.hosts)+1)
+	for h := range s.hosts {
+		out[h] = true
+	}
+	if s.stopping {
+		out[s.cfg.Lease.Self.Host] = true
+	}
+	return out
+}
+
+// isCurrent reports whether the configuration is known to be current: the log
+// was read a short while ago, or a majority of the daemon's witnesses can be
+// reached, which would have handed over what is newer.
+func (s *state) isCurrent(now wick.Instant) bool {
+	if s.fresh > 0 && now.Sub(s.fresh) < s.cfg.Stale {
+		return true
+	}
+	_, ok := s.keeper.Lease(now)
+	return ok
+}
+
+// apply implements Event.
+func (e Stopping) apply(s *state, now wick.Instant) {
+	s.stopping = true
+	s.urgent = true
+	s.lease(now, s.keeper.Stop(now))
+}
+
+// apply implements Event.
+func (e Listed) apply(s *state, now wick.Instant) {
+	leaving := make(map[wick.HostName]bool)
+	for _, h := range e.Hosts {
+		if h.State == wick.HostLeaving {
+			leaving[h.Host] = true
+		}
+	}
+	s.hosts = leaving
+	for name, end := range s.known {
+		s.routes.Leave(name, leaving[end.Host])
+		if o := s.owned[name]; o != nil && leaving[end.Host] {
+			s.perform(now, o, o.sched.Drain(now))
+		}
+	}
+	s.urgent = true
+}
--- /dev/null
+++ b/ctrl/submit.go
@@ -0,0 +1,104 @@
+package ctrl
+
+import (
+	"currantwick"
+	"currantwick/lease"
+	"currantwick/sched"
+)
+
+// apply implements Event.
+func (e Submitted) apply(s *state, now wick.Instant) { s.submit(now, e.Run) }
+
+// submit takes a request for an endpoint of this daemon.
+func (s *state) submit(now wick.Instant, r *Run) {
+	sub := &r.Sub
+	if s.conf.Offset() < sub.Config {
+		s.park(now, r)
+		return
+	}
+	if _, ok := s.keeper.Acts(now, lease.EndpointKey(sub.Endpoint)); !ok {
+		r.refuse(wick.NotRunf(wick.CodeNotOwner, "this daemon does not act for endpoint %s", sub.Endpoint))
+		return
+	}
+	o := s.owned[sub.Endpoint]
+	if o == nil {
+		r.refuse(wick.NotRunf(wick.CodeNoEndpoint, "endpoint %s is not configured", sub.Endpoint))
+		return
+	}
+	s.settleOwner(now, o)
+	if sub.Call != nil && sub.Call.NonIdempotent {
+		s.claim(now, r)
+		return
+	}
+	s.enqueue(now, o, r)
+}
+
+// enqueue hands a run to its endpoint's schedule.
+func (s *state) enqueue(now wick.Instant, o *owned, r *Run) {
+	it := sched.Item{Sub: &r.Sub}
+	if w := r.Sub.Work; w != nil && !w.Ref.IsBase() {
+		v, ok := s.conf.Table().Version(w.Ref)
+		if !ok {
+			s.drop(now, o, r, wick.NotRunf(wick.CodeNoRoute, "version %s is not configured", w.Ref))
+			return
+		}
+		it.Source = v.Source
+	}
+	o.runs[r.Sub.Request] = r
+	s.perform(now, o, o.sched.Submit(now, it))
+}
+
+// park lets a run wait until the configuration it was resolved at is here.
+func (s *state) park(now wick.Instant, r *Run) {
+	r.parked = now
+	s.parked = append(s.parked, r)
+}
+
+// unpark submits the runs whose wait is over, and refuses those that waited
+// too long.
+func (s *state) unpark(now wick.Instant) {
+	list := s.parked
+	s.parked = nil
+	for _, r := range list {
+		switch {
+		case r.settled:
+		case s.conf.Offset() >= r.Sub.Config:
+			s.submit(now, r)
+		case now.Sub(r.parked) > parkWithin:
+			r.refuse(wick.NotRunf(wick.CodeStale, "the owner lacks the configuration at %d", r.Sub.Config))
+		default:
+			s.parked = append(s.parked, r)
+		}
+	}
+}
+
+// apply implements Event.
+func (e Canceled) apply(s *state, now wick.Instant) {
+	r := e.Run
+	if o := s.owned[r.Sub.Endpoint]; o != nil && o.runs[r.Sub.Request] == r {
+		s.perform(now, o, o.sched.Cancel(now, r.Sub.Request))
+		return
+	}
+	fail := wick.NotRunf(wick.CodeCanceled, "caller went away")
+	s.unclaim(now, r)
+	r.refuse(fail)
+}
+
+// apply implements Event.
+func (e Progressed) apply(s *state, now wick.Instant) {
+	if o := s.owned[e.Run.Sub.Endpoint]; o != nil {
+		o.sched.Progress(now, e.Run.Sub.Request, e.Tokens)
+	}
+}
+
+// apply implements Event.
+func (e Finished) apply(s *state, now wick.Instant) {
+	r := e.Run
+	s.claimEnded(now, r, e.Result)
+	o := s.owned[r.Sub.Endpoint]
+	if o == nil || o.runs[r.Sub.Request] != r {
+		return
+	}
+	delete(o.runs, r.Sub.Request)
+	s.perform(now, o, o.sched.Done(now, r.Sub.Request, e.Result))
+}
--- a/ctrl/thread.go
+++ b/ctrl/thread.go
@@ -22,16 +22,26 @@
 	cfg    Config
 	events chan Event
 	snap   atomic.Pointer[Snapshot]
+	gate   *gate
+	// state belongs to Run from its start on.
+	state *state
 	done   chan struct{}
 }
 
 // New returns a thread that Run starts.
 func New(cfg Config) (*Thread, error) {
-	t := &Thread{cfg: cfg, events: make(chan Event, eventBuffer), done: make(chan struct{})}
-	s, err := newState(cfg)
+	g := &gate{}
+	s, err := newState(cfg, g)
 	if err != nil {
 		return nil, err
 	}
+	t := &Thread{
+		cfg:    cfg,
+		events: make(chan Event, eventBuffer),
+		gate:   g,
+		state:  s,
+		done:   make(chan struct{}),
+	}
 	t.snap.Store(s.snapshot(cfg.Clock.Now()))
 	return t, nil
 }
@@ -54,10 +64,7 @@
 // Run handles events until ctx ends. out carries out what is decided.
 func (t *Thread) Run(ctx context.Context, out wick.Outside) error {
 	defer close(t.done)
-	s, err := newState(t.cfg)
-	if err != nil {
-		return err
-	}
+	s := t.state
 	s.out = out
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- /dev/null
+++ b/note.go
@@ -0,0 +1,32 @@
+package wick
+
+import "time"
+
+// ControlNote counts what the control thread does and logs its changes of
+// state. Its methods must not wait.
+type ControlNote interface {
+	// View notes that a view was adopted.
+	View(v View)
+	// Acting notes that the daemon began or ceased to act for an endpoint.
+	Acting(e EndpointName, acts bool)
+	// Verdict notes the judgement on a change.
+	Verdict(v Verdict)
+	// Refused notes something from outside that could not be used.
+	Refused(what string, err error)
+	// LogFailed notes that a stream of the platform's log could not be read.
+	LogFailed(stream StreamName)
+	// Appended notes how an append ended.
+	Appended(stream StreamName, err error)
+}
+
+// TrafficNote counts what happens to requests. Implementations are safe for
+// concurrent use.
+type TrafficNote interface {
+	// Try counts a request that was handed to an owner.
+	Try()
+	// Resume counts a stream that went on after a break.
+	Resume()
+	// Ended counts a finished request; code is empty for an answer. first and
+	// whole are the times to the first token and to the end.
+	Ended(code Code, first, whole time.Duration)
+}
--- /dev/null
+++ b/owner/owner.go
@@ -0,0 +1,183 @@
+// Package owner runs requests at the daemon that owns their endpoint: it asks
+// the control thread, waits for its decision, and passes the endpoint's answer
+// on. It runs on traffic goroutines.
+package owner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"currantwick"
+	"currantwick/ctrl"
+	"currantwick/sched"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Config sets up a Server.
+type Config struct {
+	Thread   *ctrl.Thread
+	Clock    wick.Clock
+	Engine   wick.Engine
+	Services wick.Services
+	// Beat is the time between signs of life on an answer without text.
+	Beat time.Duration
+}
+
+// Server implements the traffic part of wick.PeerServer.
+type Server struct {
+	cfg Config
+}
+
+// New returns a Server.
+func New(cfg Config) *Server { return &Server{cfg: cfg} }
+
+// HandleSubmit runs a request for an endpoint that this daemon owns.
+func (s *Server) HandleSubmit(ctx context.Context, _ wick.HostName, sub wick.Submission, emit func(wick.Frame) error) error {
+	out := &sink{emit: emit, request: sub.Request}
+	run, ctx := ctrl.NewRun(ctx, sub)
+	defer run.Close()
+	var beats errgroup.Group
+	done := make(chan struct{})
+	beats.Go(func() error {
+		out.beat(s.cfg.Beat, done)
+		return nil
+	})
+	err := s.run(ctx, run, out)
+	close(done)
+	_ = beats.Wait()
+	return err
+}
+
+// run waits for the decision and carries it out.
+func (s *Server) run(ctx context.Context, run *ctrl.Run, out *sink) error {
+	s.cfg.Thread.Post(ctrl.Submitted{Run: run})
+	d, err := s.decision(ctx, run)
+	if err != nil {
+		return err
+	}
+	if d.Fail != nil {
+		return d.Fail
+	}
+	var res sched.Result
+	switch {
+	case ctx.Err() != nil:
+		res.Err = wick.NotRunf(wick.CodeCanceled, "caller went away")
+	case !d.Open(s.cfg.Clock.Now()):
+		res.Err = wick.NotRunf(wick.CodeNotOwner, "the lease on %s has ended", d.Endpoint.Name)
+	case run.Sub.Work != nil:
+		res = s.generate(ctx, run, d.Endpoint, out)
+	default:
+		res = s.invoke(ctx, run, d.Endpoint, out)
+	}
+	s.cfg.Thread.Post(ctrl.Finished{Run: run, Result: res})
+	if res.Err != nil {
+		return res.Err
+	}
+	return nil
+}
+
+// decision waits until the control thread has decided. A caller that goes away
+// meanwhile is reported, which brings the decision about.
+func (s *Server) decision(ctx context.Context, run *ctrl.Run) (ctrl.Decision, error) {
+	select {
+	case d := <-run.Decided():
+		return d, nil
+	case <-ctx.Done():
+		s.cfg.Thread.Post(ctrl.Canceled{Run: run})
+	case <-s.cfg.Thread.Done():
+	}
+	select {
+	case d := <-run.Decided():
+		return d, nil
+	case <-s.cfg.Thread.Done():
+		return ctrl.Decision{}, wick.NotRunf(wick.CodeStopping, "the owner has stopped")
+	}
+}
+
+// generate runs a completion and reports its progress to the control thread.
+func (s *Server) generate(ctx context.Context, run *ctrl.Run, end wick.Endpoint, out *sink) sched.Result {
+	job := wick.Job{
+		Request:  run.Sub.Request,
+		Endpoint: end.Name,
+		Level:    run.Sub.Level,
+		Work:     *run.Sub.Work,
+	}
+	var res sched.Result
+	err := s.cfg.Engine.Generate(ctx, end.Address, job, func(f wick.Frame) error {
+		if f.Kind == wick.FrameText {
+			res.Tokens += f.Count
+			s.cfg.Thread.Post(ctrl.Progressed{Run: run, Tokens: f.Count})
+		}
+		return out.send(f)
+	})
+	if err != nil {
+		res.Err = wick.AsError(err)
+	}
+	return res
+}
+
+// invoke calls a plain service, once.
+func (s *Server) invoke(ctx context.Context, run *ctrl.Run, end wick.Endpoint, out *sink) sched.Result {
+	reply, err := s.cfg.Services.Invoke(ctx, end.Address, run.Sub.Request, *run.Sub.Call)
+	if err != nil {
+		return sched.Result{Err: wick.AsError(err)}
+	}
+	err = out.send(wick.Frame{
+		Request: run.Sub.Request,
+		Kind:    wick.FrameEnd,
+		Status:  reply.Status,
+		Body:    reply.Body,
+		Ran:     &wick.Ran{Endpoint: end.Name},
+	})
+	if err != nil {
+		return sched.Result{Err: wick.AsError(err)}
+	}
+	return sched.Result{}
+}
+
+// sink passes frames on, and signs of life between them.
+type sink struct {
+	request wick.RequestID
+	mu      sync.Mutex
+	emit    func(wick.Frame) error
+	// busy tells that a frame was sent since the last beat.
+	busy bool
+}
+
+func (o *sink) send(f wick.Frame) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.busy = true
+	if err := o.emit(f); err != nil {
+		return fmt.Errorf("pass frame on: %w", err)
+	}
+	return nil
+}
+
+// beat sends a sign of life whenever nothing else was sent for a while, until
+// done is closed.
+func (o *sink) beat(every time.Duration, done <-chan struct{}) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+			o.beatOnce()
+		}
+	}
+}
+
+func (o *sink) beatOnce() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.busy {
+		// A failure shows when the next frame is sent.
+		_ = o.emit(wick.Frame{Request: o.request, Kind: wick.FrameBeat})
+	}
+	o.busy = false
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -44,28 +44,9 @@
 	// it is a few times the owners' heartbeat.
 	Quiet time.Duration
 	// Retries bounds retries to a share of the requests.
-	Retries RetryBudget
+	Retries wick.RetryBudget
 	// Note counts what happens.
-	Note Note
-}
-
-// RetryBudget bounds retries. Implementations are safe for concurrent use.
-type RetryBudget interface {
-	// Earn counts a first try.
-	Earn()
-	// Spend reports whether one more retry may be made.
-	Spend() bool
-}
-
-// Note counts what happens to requests. Implementations are safe for
-// concurrent use.
-type Note interface {
-	// Try counts a request that was handed to an owner.
-	Try()
-	// Resume counts a stream that went on after a break.
-	Resume()
-	// Ended counts a finished request; code is empty for an answer.
-	Ended(code wick.Code, first, whole time.Duration)
+	Note wick.TrafficNote
 }
 
 // Relay implements wick.Front.
