--- a/ids.go
+++ b/ids.go
@@ -36,6 +36,13 @@
 	OperatorName string
 )
 
+// Check reports a name that is empty, too long, or holds anything but letters,
+// digits, '-', '_', '.' and ':'.
+func (h HostName) Check() error { return checkName("host", h) }
+
+// Check reports a name as HostName.Check does.
+func (d Domain) Check() error { return checkName("failure domain", d) }
+
 // Ids that the system assigns.
 type (
 	// Incarnation tells two runs of a daemon on one host apart. It is drawn at
--- /dev/null
+++ b/setup/setup.go
@@ -0,0 +1,233 @@
+// Package setup holds the settings of one daemon, written in JSON. Every field
+// has a range, and one reading reports all faults at once.
+package setup
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"currantwick"
+	"currantwick/codec"
+)
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	// Host is the daemon's own machine, as its certificate names it.
+	Host wick.HostName `json:"Host"`
+	// Domain is the failure domain the host stands in.
+	Domain wick.Domain `json:"Domain"`
+	Entry  Entry       `json:"Entry"`
+	Peer   Peer        `json:"Peer"`
+	Admin  Admin       `json:"Admin"`
+	// Peers are peer addresses of other daemons to start from; they are
+	// needed only while the log can't be read.
+	Peers []wick.Address `json:"Peers"`
+	Log   Log            `json:"Log"`
+	Hosts Hosts          `json:"Hosts"`
+	Keys  Keys           `json:"Keys"`
+	Lease Lease          `json:"Lease"`
+	Claim Claim          `json:"Claim"`
+	// Stale is how long a daemon that reaches neither the log nor a peer goes
+	// on taking new work; 1 s to 10 min, above Lease.TTL.
+	Stale  wick.Duration `json:"Stale"`
+	Limits Limits        `json:"Limits"`
+	Policy Policy        `json:"Policy"`
+	Stop   Stop          `json:"Stop"`
+}
+
+// Entry is where callers come in.
+type Entry struct {
+	// Address is given to callers, so it names one IP address.
+	Address wick.Address `json:"Address"`
+	// TLS is left out where callers come in plain HTTP.
+	TLS *Pair `json:"TLS,omitempty"`
+}
+
+// Peer is where other daemons come in.
+type Peer struct {
+	// Address is given to other daemons, so it names one IP address.
+	Address wick.Address `json:"Address"`
+}
+
+// Admin is where operators come in.
+type Admin struct {
+	Address wick.Address `json:"Address"`
+	// Exactly one of Token and TokenFile is set. The token has 16 to 512
+	// bytes.
+	Token     Token  `json:"Token,omitempty"`
+	TokenFile string `json:"TokenFile,omitempty"`
+	// TLS is left out where operators come in plain HTTP.
+	TLS *Pair `json:"TLS,omitempty"`
+}
+
+// Pair names the files of a certificate and its key, in PEM.
+type Pair struct {
+	Cert string `json:"Cert"`
+	Key  string `json:"Key"`
+}
+
+// Keys names the files for mutual TLS between daemons, in PEM.
+type Keys struct {
+	// CA holds one or more certificates of authorities that daemons trust.
+	CA   string `json:"CA"`
+	Cert string `json:"Cert"`
+	Key  string `json:"Key"`
+}
+
+// Log is the platform's log.
+type Log struct {
+	Address wick.Address `json:"Address"`
+	// Retention is how long the log keeps a record; 1 min to 10,000 h.
+	// Checkpoints are written four times within it.
+	Retention wick.Duration `json:"Retention"`
+	// Timeout bounds one append; 50 ms to 1 min.
+	Timeout wick.Duration `json:"Timeout"`
+}
+
+// Hosts is the platform's list of hosts.
+type Hosts struct {
+	// Address is empty where the platform has no list.
+	Address wick.Address `json:"Address,omitempty"`
+	// Every is the time between two readings; 50 ms to 1 min.
+	Every wick.Duration `json:"Every"`
+}
+
+// Lease holds the times of views and leases.
+type Lease struct {
+	// TTL is how long a renewal lets an owner act; 200 ms to 1 min.
+	TTL wick.Duration `json:"TTL"`
+	// Renew is the time between two renewals; 10 ms to a third of TTL.
+	Renew wick.Duration `json:"Renew"`
+	// Suspect is the silence after which a member is taken out of the view;
+	// from twice Renew to 1 min.
+	Suspect wick.Duration `json:"Suspect"`
+	// Drift is added to TTL for clocks that run unlike; from a hundredth of
+	// TTL to TTL.
+	Drift wick.Duration `json:"Drift"`
+}
+
+// Claim holds the times of claims on commands that run at most once.
+type Claim struct {
+	// Life is how long a key is remembered; 1 min to 10,000 h and no longer
+	// than half of Log.Retention.
+	Life wick.Duration `json:"Life"`
+	// Batch is how long steps are gathered into one append; 1 ms to 1 s.
+	Batch wick.Duration `json:"Batch"`
+}
+
+// Limits bound what one daemon takes in.
+type Limits struct {
+	// BodyBytes bounds the body of a request; 1 KiB to 1 GiB.
+	BodyBytes wick.Bytes `json:"BodyBytes"`
+	// Requests bounds the requests in flight; 1 to 1,000,000.
+	Requests int `json:"Requests"`
+	// Connections bounds the open connections of callers; 1 to 1,000,000.
+	Connections int `json:"Connections"`
+	// Idle is how long an unused connection of a caller stays open; 1 s to
+	// 1 h.
+	Idle wick.Duration `json:"Idle"`
+	// Silence is how long an endpoint may show no progress on a request
+	// before its connection is probed; 50 ms to 10 min.
+	Silence wick.Duration `json:"Silence"`
+}
+
+// Choice names one implementation of a policy.
+type Choice string
+
+// The implementations that each policy has.
+const (
+	// Chosen is the implementation that the design settled on.
+	Chosen Choice = "Chosen"
+	// Baseline is the plain one beside it.
+	Baseline Choice = "Baseline"
+)
+
+// Policy names the implementation of each policy.
+type Policy struct {
+	Router Choice `json:"Router"`
+	Order  Choice `json:"Order"`
+	Evict  Choice `json:"Evict"`
+	Admit  Choice `json:"Admit"`
+	Eject  Choice `json:"Eject"`
+	Hedge  Choice `json:"Hedge"`
+}
+
+// Stop holds the times of a graceful stop.
+type Stop struct {
+	// Grace bounds the wait for the last stream of a stop; 1 s to 24 h.
+	Grace wick.Duration `json:"Grace"`
+}
+
+// Token is the operators' secret. It does not print itself.
+type Token string
+
+// String returns a placeholder.
+func (t Token) String() string { return "(token)" }
+
+// Default returns the settings that hold where a file says nothing. Host,
+// Domain, the addresses, the keys and the token have no default.
+func Default() Settings {
+	return Settings{
+		Log:    Log{Retention: hours(168), Timeout: millis(2000)},
+		Hosts:  Hosts{Every: millis(500)},
+		Lease:  Lease{TTL: millis(1500), Renew: millis(300), Suspect: millis(1000), Drift: millis(150)},
+		Claim:  Claim{Life: hours(24), Batch: millis(20)},
+		Stale:  millis(9000),
+		Limits: Limits{BodyBytes: 16 * mebibyte, Requests: 20_000, Connections: 20_000, Idle: millis(60_000), Silence: millis(2000)},
+		Policy: Policy{Chosen, Chosen, Chosen, Chosen, Chosen, Chosen},
+		Stop:   Stop{Grace: hours(1)},
+	}
+}
+
+const (
+	kibibyte wick.Bytes = 1 << 10
+	mebibyte wick.Bytes = 1 << 20
+	gibibyte wick.Bytes = 1 << 30
+)
+
+func millis(n int) wick.Duration { return wick.Duration(n) * wick.Duration(time.Millisecond) }
+
+func hours(n int) wick.Duration { return wick.Duration(n) * wick.Duration(time.Hour) }
+
+// Parse reads settings over the defaults and checks them.
+func Parse(data []byte) (Settings, error) {
+	s := Default()
+	if err := codec.DecodeStrict(data, &s); err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	if err := s.Check(); err != nil {
+		return Settings{}, fmt.Errorf("check settings: %w", err)
+	}
+	return s, nil
+}
+
+// Load reads and checks the settings in a file.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, fmt.Errorf("load settings: %w", err)
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return Settings{}, fmt.Errorf("file %s: %w", file, err)
+	}
+	return s, nil
+}
+
+// Secret returns the operators' token, from its file if it stands in one.
+func (a Admin) Secret() (Token, error) {
+	if a.TokenFile == "" {
+		return a.Token, nil
+	}
+	data, err := os.ReadFile(a.TokenFile)
+	if err != nil {
+		return "", fmt.Errorf("read token: %w", err)
+	}
+	token := Token(strings.TrimSpace(string(data)))
+	if err := token.check(); err != nil {
+		return "", fmt.Errorf("token in %s: %w", a.TokenFile, err)
+	}
+	return token, nil
+}
