Schedule one endpoint: queue, pins, adapter slots and loads

sched.Endpoint is the state of one endpoint at its owner: requests wait in one queue, hold a pin on their adapter while they run, and an adapter is unloaded only without pins.

OrderDone takes the whole order instead of its kind and adapter: with those two alone a late answer to an earlier order for the same adapter could not be told from the answer to the last one.

--- /dev/null
+++ b/sched/sched_test.go
@@ -0,0 +1,254 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/evict"
+)
+
+const (
+	ms  = wick.Instant(time.Millisecond)
+	sec = wick.Instant(time.Second)
+)
+
+func runner(batch, slots wick.Slots) wick.Endpoint {
+	return wick.Endpoint{
+		Name: "r1", Pool: "p", Host: "h", Domain: "d", Address: "127.0.0.1:1",
+		BatchSlots: batch, AdapterSlots: slots,
+	}
+}
+
+func newRunner(batch, slots wick.Slots) *Endpoint {
+	return New(Config{
+		Endpoint: runner(batch, slots),
+		Kind:     wick.RunnerEndpoint,
+		Order:    Shortest{},
+		Evict:    evict.Heat{},
+		Admit:    Deadline{},
+	})
+}
+
+// owned returns an owned runner whose state is known, at the time 2 s.
+func owned(t *testing.T, batch, slots wick.Slots) *Endpoint {
+	t.Helper()
+	e := newRunner(batch, slots)
+	e.Takeover(0, 7)
+	e.Report(2*sec, 2*sec-1, wick.Report{Boot: "b"})
+	if e.blind || e.foreign != 0 {
+		t.Fatal("still in doubt after a report")
+	}
+	return e
+}
+
+func ref(n int) wick.Ref {
+	if n == 0 {
+		return wick.Ref{}
+	}
+	return wick.Ref{Adapter: wick.AdapterName(fmt.Sprint("a", n)), Version: "1"}
+}
+
+func work(id string, adapter int, tokens wick.Tokens) Item {
+	return Item{
+		Sub: &wick.Submission{
+			Request: wick.RequestID(id), Route: "x", Endpoint: "r1", View: 7,
+			Within: wick.Duration(10 * time.Second),
+			Work:   &wick.Work{Model: "m", Ref: ref(adapter), Prompt: id, MaxTokens: tokens},
+		},
+		Source: "weights",
+	}
+}
+
+// show writes actions in short, for comparison.
+func show(actions []Action) string {
+	var s string
+	for _, a := range actions {
+		if s != "" {
+			s += " "
+		}
+		switch a := a.(type) {
+		case Dispatch:
+			s += "run:" + string(a.Sub.Request)
+		case Refuse:
+			s += fmt.Sprintf("refuse:%s:%s", a.Request, a.Err.Code)
+		case CancelRun:
+			s += "cancel:" + string(a.Request)
+		case Order:
+			s += fmt.Sprintf("%s:%s", a.Order.Kind, a.Order.Ref)
+		case WantLoad:
+			s += "want:" + a.Ref.String()
+		case Forgo:
+			s += "forgo:" + a.Ref.String()
+		case ReadReport:
+			s += "report"
+		}
+	}
+	return s
+}
+
+// last returns the last order for an adapter.
+func (e *Endpoint) lastOrder(n int) wick.Order { return e.adapters[ref(n)].order }
+
+func TestEndpoint(t *testing.T) {
+	type step struct {
+		do   func(e *Endpoint, now wick.Instant) []Action
+		want string
+	}
+	submit := func(it Item) func(*Endpoint, wick.Instant) []Action {
+		return func(e *Endpoint, now wick.Instant) []Action { return e.Submit(now, it) }
+	}
+	done := func(id wick.RequestID, err *wick.Error) func(*Endpoint, wick.Instant) []Action {
+		return func(e *Endpoint, now wick.Instant) []Action {
+			return e.Done(now, id, Result{Tokens: 1, Err: err})
+		}
+	}
+	granted := func(n int) func(*Endpoint, wick.Instant) []Action {
+		return func(e *Endpoint, now wick.Instant) []Action { return e.Granted(now, ref(n)) }
+	}
+	ordered := func(n int, err *wick.Error) func(*Endpoint, wick.Instant) []Action {
+		return func(e *Endpoint, now wick.Instant) []Action {
+			return e.OrderDone(now, e.lastOrder(n), err)
+		}
+	}
+	tick := func(after wick.Instant) func(*Endpoint, wick.Instant) []Action {
+		return func(e *Endpoint, now wick.Instant) []Action { return e.Tick(now + after) }
+	}
+	report := func(after wick.Instant, refs ...int) func(*Endpoint, wick.Instant) []Action {
+		return func(e *Endpoint, now wick.Instant) []Action {
+			r := wick.Report{Boot: "b"}
+			for _, n := range refs {
+				r.Resident = append(r.Resident, wick.Resident{Ref: ref(n)})
+			}
+			return e.Report(now+after, now+after-1, r)
+		}
+	}
+	load := func(n int) []step {
+		return []step{
+			{submit(work("l", n, 10)), "want:" + ref(n).String()},
+			{granted(n), "Load:" + ref(n).String()},
+			{ordered(n, nil), "run:l"},
+			{done("l", nil), ""},
+		}
+	}
+	lost := wick.Unknownf(wick.CodeBroken, "lost")
+	failed := wick.NotRunf(wick.CodeLoadFailed, "failed")
+	tests := []struct {
+		name  string
+		batch wick.Slots
+		slots wick.Slots
+		steps []step
+	}{
+		{"base model runs at once", 1, 1, []step{
+			{submit(work("x", 0, 10)), "run:x"},
+			{submit(work("y", 0, 10)), ""},
+			{done("x", nil), "run:y"},
+		}},
+		{"loads are joined", 4, 1, []step{
+			{submit(work("x", 1, 10)), "want:a1@1"},
+			{submit(work("y", 1, 10)), ""},
+			{granted(1), "Load:a1@1"},
+			{ordered(1, nil), "run:x run:y"},
+		}},
+		{"an adapter that serves stays", 4, 1, []step{
+			{submit(work("x", 1, 10)), "want:a1@1"},
+			{granted(1), "Load:a1@1"},
+			{ordered(1, nil), "run:x"},
+			{submit(work("y", 2, 10)), ""},
+			{done("x", nil), "want:a2@1"},
+			{granted(2), "Unload:a1@1"},
+			{ordered(1, nil), "Load:a2@1"},
+			{ordered(2, nil), "run:y"},
+		}},
+		{"closing takes no pins", 4, 1, append(load(1), []step{
+			{submit(work("y", 2, 10)), "want:a2@1"},
+			{granted(2), "Unload:a1@1"},
+			{submit(work("x", 1, 10)), ""},
+			{ordered(1, nil), "Load:a2@1"},
+		}...)},
+		{"a lost load is unknown until a report", 4, 2, []step{
+			{submit(work("x", 1, 10)), "want:a1@1"},
+			{granted(1), "Load:a1@1"},
+			{ordered(1, lost), ""},
+			{report(1), ""},
+			{report(2*sec, 1), "run:x"},
+		}},
+		{"a lost load that had no effect", 4, 2, []step{
+			{submit(work("x", 1, 10)), "want:a1@1"},
+			{granted(1), "Load:a1@1"},
+			{ordered(1, lost), ""},
+			{tick(2 * sec), "report"},
+			{report(2 * sec), "want:a1@1"},
+		}},
+		{"failed loads go elsewhere", 4, 2, []step{
+			{submit(work("x", 1, 10)), "want:a1@1"},
+			{granted(1), "Load:a1@1"},
+			{ordered(1, failed), ""},
+			{tick(sec), "want:a1@1"},
+			{granted(1), "Load:a1@1"},
+			{ordered(1, failed), "refuse:x:LoadFailed"},
+		}},
+		{"an engine without the adapter", 4, 2, append(load(1), []step{
+			{submit(work("x", 1, 10)), "run:x"},
+			{done("x", failed), "report"},
+			{submit(work("x", 1, 10)), "want:a1@1"},
+		}...)},
+		{"a restart empties the slots", 4, 2, append(load(1), []step{
+			{func(e *Endpoint, now wick.Instant) []Action { return e.Lost(now, "c") }, ""},
+			{submit(work("x", 1, 10)), "want:a1@1"},
+		}...)},
+		{"a suspect runs alone", 4, 1, []step{
+			{submit(work("x", 0, 10)), "run:x"},
+			{func(e *Endpoint, now wick.Instant) []Action {
+				it := work("s", 0, 10)
+				it.Suspect = true
+				return e.Submit(now, it)
+			}, ""},
+			{done("x", nil), "run:s"},
+			{submit(work("y", 0, 10)), ""},
+			{done("s", nil), "run:y"},
+		}},
+		{"release sends the queue to the new owner", 1, 1, []step{
+			{submit(work("x", 0, 10)), "run:x"},
+			{submit(work("y", 0, 10)), ""},
+			{func(e *Endpoint, now wick.Instant) []Action { return e.Release(now) }, "refuse:y:NotOwner"},
+			{submit(work("z", 0, 10)), "refuse:z:NotOwner"},
+			{done("x", nil), ""},
+		}},
+		{"drain ends what runs", 1, 1, []step{
+			{submit(work("x", 0, 10)), "run:x"},
+			{submit(work("y", 0, 10)), ""},
+			{func(e *Endpoint, now wick.Instant) []Action { return e.Drain(now) }, "refuse:y:Stopping"},
+			{done("x", nil), ""},
+		}},
+		{"work past its time is refused", 1, 1, []step{
+			{submit(work("x", 0, 10)), "run:x"},
+			{submit(work("y", 0, 10)), ""},
+			{tick(10 * sec), "refuse:y:Overload"},
+		}},
+		{"cancel", 1, 1, []step{
+			{submit(work("x", 0, 10)), "run:x"},
+			{submit(work("y", 0, 10)), ""},
+			{func(e *Endpoint, now wick.Instant) []Action { return e.Cancel(now, "y") }, "refuse:y:Canceled"},
+			{func(e *Endpoint, now wick.Instant) []Action { return e.Cancel(now, "x") }, "cancel:x"},
+		}},
+		{"prefetch", 1, 1, []step{
+			{func(e *Endpoint, now wick.Instant) []Action { return e.Prefetch(now, ref(1), "w") }, "want:a1@1"},
+			{granted(1), "Load:a1@1"},
+			{granted(1), "forgo:a1@1"},
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := owned(t, tt.batch, tt.slots)
+			now := 3 * sec
+			for i, s := range tt.steps {
+				now += ms
+				if got := show(s.do(e, now)); got != s.want {
+					t.Fatalf("step %d: got %q, want %q", i, got, s.want)
+				}
+			}
+		})
+	}
+}
