--- a/ctrl/conf.go
+++ b/ctrl/conf.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"currantwick"
+	"currantwick/config"
 )
 
 // keepRecent is how many entries of the configuration are kept for peers that
@@ -137,3 +138,18 @@
 
 // apply implements Event.
 func (e Forgotten) apply(s *state, _ wick.Instant) { delete(s.awaited, e.Change) }
+
+// checkpoint writes the configuration to the log again, well before the log
+// drops the records it was made from. The writer of the audit trail does it.
+func (s *state) checkpoint(now wick.Instant) {
+	if m := s.conf.Newest(); m != s.mark {
+		s.mark, s.markedAt = m, now
+	}
+	if !s.audits() || s.conf.Offset() <= s.mark.AsOf || now.Sub(s.markedAt) < s.cfg.Checkpoint {
+		return
+	}
+	s.markedAt = now
+	for _, part := range config.Split(s.conf.Checkpoint()) {
+		s.out.Append(wick.ConfigStream, wick.Record{Checkpoint: &part})
+	}
+}
--- a/ctrl/event.go
+++ b/ctrl/event.go
@@ -119,6 +119,9 @@
 // the view.
 type Stopping struct{}
 
+// Closing asks the daemon to refuse new requests.
+type Closing struct{}
+
 // Awaited asks for the verdict on a change that is about to be appended.
 type Awaited struct {
 	Change wick.ChangeID
--- a/ctrl/owned.go
+++ b/ctrl/owned.go
@@ -45,9 +45,9 @@
 		sched: sched.New(sched.Config{
 			Endpoint: end,
 			Kind:     pool.Kind,
-			Order:    s.cfg.Policy.Order(),
-			Evict:    s.cfg.Policy.Evict(),
-			Admit:    s.cfg.Policy.Admit(),
+			Order:    s.cfg.Policy.Order,
+			Evict:    s.cfg.Policy.Evict,
+			Admit:    s.cfg.Policy.Admit,
 		}),
 	}
 	s.owned[end.Name] = o
@@ -140,7 +140,7 @@
 	until, ok := s.keeper.Acts(now, lease.EndpointKey(o.end.Name))
 	if !ok {
 		fail := wick.NotRunf(wick.CodeNotOwner, "the lease on %s has ended", o.end.Name)
-		return o.sched.OrderDone(now, ord.Kind, ord.Ref, fail)
+		return o.sched.OrderDone(now, ord, fail)
 	}
 	s.out.Order(o.end, ord, until)
 	return nil
@@ -153,7 +153,7 @@
 		return
 	}
 	s.loads.ended(o, e.Order, now)
-	s.perform(now, o, o.sched.OrderDone(now, e.Order.Kind, e.Order.Ref, e.Err))
+	s.perform(now, o, o.sched.OrderDone(now, e.Order, e.Err))
 }
 
 // apply implements Event.
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -25,27 +25,27 @@
 // Config sets up a Thread.
 type Config struct {
 	// Clock is the daemon's monotonic clock.
-	Clock wick.Clock
-	Lease lease.Config
-	Claim claim.Config
-	Route route.Config
-	// Policy makes the policies of one endpoint.
+	Clock  wick.Clock
+	Lease  lease.Config
+	Claim  claim.Config
+	Route  route.Config
 	Policy Policy
 	// InFlight is this daemon's own work by endpoint.
 	InFlight wick.InFlight
 	// Stale is how long the daemon goes on after it last knew that its
 	// configuration is current; positive.
 	Stale time.Duration
+	// Checkpoint is the time between checkpoints of the configuration; positive.
+	Checkpoint time.Duration
 	// Note counts what happens.
 	Note wick.ControlNote
 }
 
-// Policy makes the policies of one endpoint. They may hold state, so each
-// endpoint gets its own.
+// Policy holds the policies of every endpoint; none is nil.
 type Policy struct {
-	Order func() wick.Orderer
-	Evict func() wick.Evictor
-	Admit func() wick.Admitter
+	Order wick.Orderer
+	Evict wick.Evictor
+	Admit wick.Admitter
 }
 
 // state is all control state of a daemon. Only the control thread touches it.
@@ -78,7 +78,13 @@
 	fresh    wick.Instant
 	isFresh  bool
 	fetching bool
+	// stopping tells that callers are sent elsewhere, closed that new requests
+	// are refused.
 	stopping bool
+	closed   bool
+	// mark is the newest checkpoint seen on the log, at markedAt.
+	mark     config.Mark
+	markedAt wick.Instant
 	// looked is when look ran last.
 	looked wick.Instant
 	// urgent tells that the next snapshot must not wait, moved that it would
@@ -135,6 +141,7 @@
 		}
 	}
 	s.unpark(now)
+	s.checkpoint(now)
 	if s.loadsLook(now) {
 		s.moved = true
 	}
@@ -167,7 +174,7 @@
 		Offset:   s.conf.Offset(),
 		Router:   s.routes.Publish(),
 		Stale:    !s.isFresh,
-		Stopping: s.stopping,
+		Stopping: s.closed,
 		leaving:  s.leavingEntries(),
 	}
 }
@@ -202,6 +209,12 @@
 	s.lease(now, s.keeper.Stop(now))
 }
 
+// apply implements Event.
+func (e Closing) apply(s *state, _ wick.Instant) {
+	s.closed = true
+	s.urgent = true
+}
+
 // apply implements Event.
 func (e Listed) apply(s *state, now wick.Instant) {
 	leaving := make(map[wick.HostName]bool)
--- a/ctrl/thread.go
+++ b/ctrl/thread.go
@@ -25,7 +25,7 @@
 	gate   *gate
 	// state belongs to Run from its start on.
 	state *state
-	done   chan struct{}
+	done  chan struct{}
 }
 
 // New returns a thread that Run starts.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -107,6 +107,14 @@
 	return wick.Address(s.listener.Addr().String())
 }
 
+// Close gives up a server that was never run.
+func (s *Server) Close() error {
+	if err := s.listener.Close(); err != nil {
+		return fmt.Errorf("close listener: %w", err)
+	}
+	return nil
+}
+
 // Active returns how many requests are being served.
 func (s *Server) Active() int64 { return s.active.Load() }
 
--- /dev/null
+++ b/node/front.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"context"
+	"fmt"
+
+	"currantwick"
+	"currantwick/ctrl"
+)
+
+// Complete implements wick.Front.
+func (n *Node) Complete(ctx context.Context, ask wick.Ask, emit func(wick.Frame) error) error {
+	return n.relay.Complete(ctx, ask, emit)
+}
+
+// Invoke implements wick.Front.
+func (n *Node) Invoke(ctx context.Context, ask wick.Ask) (wick.Reply, error) {
+	return n.relay.Invoke(ctx, ask)
+}
+
+// Entries implements wick.Front.
+func (n *Node) Entries(near wick.Domain) wick.EntryList { return n.relay.Entries(near) }
+
+// HandleSubmit implements wick.PeerServer.
+func (n *Node) HandleSubmit(ctx context.Context, from wick.HostName, sub wick.Submission, emit func(wick.Frame) error) error {
+	return n.owner.HandleSubmit(ctx, from, sub, emit)
+}
+
+// HandleCall implements wick.PeerServer.
+func (n *Node) HandleCall(ctx context.Context, from wick.HostName, msg wick.PeerMessage) (wick.PeerMessage, error) {
+	switch {
+	case msg.Renewal != nil:
+		if msg.Renewal.From != from {
+			return wick.PeerMessage{}, wick.NotRunf(wick.CodeUnauthorized, "%s renews for %s", from, msg.Renewal.From)
+		}
+		reply := make(chan wick.RenewalAck, 1)
+		n.thread.Post(ctrl.Renewed{Renewal: *msg.Renewal, Reply: reply})
+		ack, err := await(ctx, n.thread, reply)
+		return wick.PeerMessage{RenewalAck: &ack}, err
+	case msg.Fetch != nil:
+		reply := make(chan wick.Fetched, 1)
+		n.thread.Post(ctrl.FetchAsked{Fetch: *msg.Fetch, Reply: reply})
+		got, err := await(ctx, n.thread, reply)
+		return wick.PeerMessage{Fetched: &got}, err
+	case msg.Grant != nil:
+		reply := make(chan wick.Grant, 1)
+		n.thread.Post(ctrl.Asked{Grant: *msg.Grant, Reply: reply})
+		got, err := await(ctx, n.thread, reply)
+		return wick.PeerMessage{Grant: &got}, err
+	case msg.Suspects != nil:
+		n.thread.Post(ctrl.Suspected{List: msg.Suspects})
+		return wick.PeerMessage{Suspects: []wick.Suspect{}}, nil
+	}
+	return wick.PeerMessage{}, wick.NotRunf(wick.CodeBadRequest, "no such message")
+}
+
+// await waits for the control thread's answer.
+func await[T any](ctx context.Context, t *ctrl.Thread, reply <-chan T) (T, error) {
+	var none T
+	select {
+	case v := <-reply:
+		return v, nil
+	case <-ctx.Done():
+		return none, fmt.Errorf("wait for the control thread: %w", ctx.Err())
+	case <-t.Done():
+		return none, wick.NotRunf(wick.CodeStopping, "the daemon has stopped")
+	}
+}
+
+// Publish appends a change to the configuration and waits for the verdict.
+// An error leaves open whether the change took effect.
+func (n *Node) Publish(ctx context.Context, c wick.Change) (wick.Verdict, error) {
+	if err := c.Check(); err != nil {
+		return wick.Verdict{}, wick.NotRunf(wick.CodeBadRequest, "%v", err)
+	}
+	reply := make(chan wick.Verdict, 1)
+	n.thread.Post(ctrl.Awaited{Change: c.ID, Reply: reply})
+	defer n.thread.Post(ctrl.Forgotten{Change: c.ID})
+	if _, err := n.cfg.Log.Append(ctx, wick.ConfigStream, wick.Record{Change: &c}); err != nil {
+		return wick.Verdict{}, fmt.Errorf("append change: %w", err)
+	}
+	return await(ctx, n.thread, reply)
+}
--- /dev/null
+++ b/node/outside.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"currantwick"
+	"currantwick/ctrl"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// callWithin bounds a control message between daemons.
+	callWithin = time.Second
+	// fetchWithin bounds a fetch, whose answer may be large.
+	fetchWithin = 5 * time.Second
+	// reportWithin bounds the reading of an engine's report.
+	reportWithin = time.Second
+)
+
+// outside implements wick.Outside. Each method starts a goroutine of the
+// daemon's group and returns.
+type outside struct {
+	n     *Node
+	ctx   context.Context
+	group *errgroup.Group
+}
+
+var _ wick.Outside = (*outside)(nil)
+
+// start runs f within a bound on its time.
+func (o *outside) start(within time.Duration, f func(context.Context)) {
+	o.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(o.ctx, within)
+		defer cancel()
+		f(ctx)
+		return nil
+	})
+}
+
+// Renew implements wick.Outside.
+func (o *outside) Renew(to wick.Member, r wick.Renewal) {
+	sent := o.n.clock.Now()
+	o.start(callWithin, func(ctx context.Context) {
+		answer, err := o.n.client.Call(ctx, to.Peer, wick.PeerMessage{Renewal: &r})
+		if err != nil || answer.RenewalAck == nil {
+			return
+		}
+		o.n.thread.Post(ctrl.Acked{Sent: sent, From: to.Peer, Ack: *answer.RenewalAck})
+	})
+}
+
+// Append implements wick.Outside.
+func (o *outside) Append(stream wick.StreamName, rec wick.Record) {
+	o.start(o.n.cfg.Times.Append, func(ctx context.Context) {
+		_, err := o.n.cfg.Log.Append(ctx, stream, rec)
+		o.n.thread.Post(ctrl.Appended{Stream: stream, Record: rec, Err: err})
+	})
+}
+
+// Fetch implements wick.Outside.
+func (o *outside) Fetch(to wick.Address, f wick.Fetch) {
+	o.start(fetchWithin, func(ctx context.Context) {
+		answer, err := o.n.client.Call(ctx, to, wick.PeerMessage{Fetch: &f})
+		if err == nil && answer.Fetched == nil {
+			err = errors.New("answer is of another kind")
+		}
+		if err != nil {
+			o.n.thread.Post(ctrl.FetchAnswered{Err: err})
+			return
+		}
+		o.n.thread.Post(ctrl.FetchAnswered{Fetched: *answer.Fetched})
+	})
+}
+
+// Order implements wick.Outside.
+func (o *outside) Order(e wick.Endpoint, ord wick.Order, until wick.Instant) {
+	o.start(o.n.cfg.Times.Order, func(ctx context.Context) {
+		done := ctrl.Ordered{Endpoint: e.Name, Order: ord}
+		if o.n.clock.Now() >= until {
+			done.Err = wick.NotRunf(wick.CodeNotOwner, "the lease on %s has ended", e.Name)
+		} else if err := o.n.cfg.Engine.Do(ctx, e.Address, ord); err != nil {
+			done.Err = wick.AsError(err)
+		}
+		o.n.thread.Post(done)
+	})
+}
+
+// Report implements wick.Outside.
+func (o *outside) Report(e wick.Endpoint) {
+	sent := o.n.clock.Now()
+	o.start(reportWithin, func(ctx context.Context) {
+		rep, err := o.n.cfg.Engine.Report(ctx, e.Address)
+		o.n.thread.Post(ctrl.Reported{Endpoint: e.Name, Sent: sent, Report: rep, Err: err})
+	})
+}
+
+// Ask implements wick.Outside.
+func (o *outside) Ask(to wick.Member, g wick.Grant) {
+	o.start(callWithin, func(ctx context.Context) {
+		answer, err := o.n.client.Call(ctx, to.Peer, wick.PeerMessage{Grant: &g})
+		if err == nil && answer.Grant == nil {
+			err = errors.New("answer is of another kind")
+		}
+		if err != nil {
+			o.n.thread.Post(ctrl.Granted{Grant: g, Err: err})
+			return
+		}
+		o.n.thread.Post(ctrl.Granted{Grant: *answer.Grant})
+	})
+}
+
+// Tell implements wick.Outside.
+func (o *outside) Tell(to wick.Member, list []wick.Suspect) {
+	o.start(callWithin, func(ctx context.Context) {
+		// A peer that misses it learns of the suspect at the next crash.
+		_, _ = o.n.client.Call(ctx, to.Peer, wick.PeerMessage{Suspects: list})
+	})
+}
--- /dev/null
+++ b/node/read.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	mrand "math/rand/v2"
+	"time"
+
+	"currantwick"
+	"currantwick/ctrl"
+)
+
+const (
+	// readLimit is how many records are read at once.
+	readLimit = 512
+	// readWithin bounds one read, which waits for the first new record.
+	readWithin = 10 * time.Second
+	// minBackoff and maxBackoff bound the pause after a failed read.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 2 * time.Second
+)
+
+// read follows one stream of the platform's log until ctx ends.
+func (n *Node) read(ctx context.Context, stream wick.StreamName) error {
+	next := wick.Offset(1)
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		sent := n.clock.Now()
+		list, err := n.readOnce(ctx, stream, next)
+		if err != nil {
+			n.thread.Post(ctrl.LogFailed{Stream: stream})
+			pause(ctx, backoff/2+mrand.N(backoff))
+			backoff = min(2*backoff, maxBackoff)
+			continue
+		}
+		backoff = minBackoff
+		if len(list) > 0 {
+			next = list[len(list)-1].Offset + 1
+		}
+		n.thread.Post(ctrl.Entries{Stream: stream, List: list, Sent: sent})
+	}
+	return nil
+}
+
+func (n *Node) readOnce(ctx context.Context, stream wick.StreamName, from wick.Offset) ([]wick.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, readWithin)
+	defer cancel()
+	list, err := n.cfg.Log.Read(ctx, stream, from, readLimit)
+	if err != nil {
+		return nil, fmt.Errorf("read %s from %d: %w", stream, from, err)
+	}
+	return list, nil
+}
+
+// list follows the platform's list of hosts until ctx ends.
+func (n *Node) list(ctx context.Context) error {
+	if n.cfg.Hosts == nil {
+		return nil
+	}
+	for ctx.Err() == nil {
+		n.listOnce(ctx)
+		pause(ctx, n.cfg.Times.Hosts)
+	}
+	return nil
+}
+
+func (n *Node) listOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	hosts, err := n.cfg.Hosts.List(ctx)
+	if err != nil {
+		n.cfg.Control.Refused("list of hosts", err)
+		return
+	}
+	n.thread.Post(ctrl.Listed{Hosts: hosts})
+}
+
+// pause waits for a while, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// clock implements wick.Clock by the monotonic clock of the process, which
+// goes on while the process is stopped.
+type clock struct{ start time.Time }
+
+func newClock() clock { return clock{time.Now()} }
+
+// Now implements wick.Clock.
+func (c clock) Now() wick.Instant { return wick.Instant(time.Since(c.start)) }
+
+// drawIncarnation returns a number that no other run of a daemon has.
+func drawIncarnation() (wick.Incarnation, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return 0, fmt.Errorf("draw incarnation: %w", err)
+	}
+	return wick.Incarnation(binary.BigEndian.Uint64(b[:]) | 1), nil
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"currantwick"
@@ -28,14 +29,20 @@
 
 // Server implements the traffic part of wick.PeerServer.
 type Server struct {
-	cfg Config
+	cfg    Config
+	active atomic.Int64
 }
 
 // New returns a Server.
 func New(cfg Config) *Server { return &Server{cfg: cfg} }
 
+// Active returns how many requests are being run.
+func (s *Server) Active() int64 { return s.active.Load() }
+
 // HandleSubmit runs a request for an endpoint that this daemon owns.
 func (s *Server) HandleSubmit(ctx context.Context, _ wick.HostName, sub wick.Submission, emit func(wick.Frame) error) error {
+	s.active.Add(1)
+	defer s.active.Add(-1)
 	out := &sink{emit: emit, request: sub.Request}
 	run, ctx := ctrl.NewRun(ctx, sub)
 	defer run.Close()
@@ -125,16 +132,15 @@
 	if err != nil {
 		return sched.Result{Err: wick.AsError(err)}
 	}
-	err = out.send(wick.Frame{
+	// The call was answered even if the entry is gone, which then sees its
+	// stream broken.
+	_ = out.send(wick.Frame{
 		Request: run.Sub.Request,
 		Kind:    wick.FrameEnd,
 		Status:  reply.Status,
 		Body:    reply.Body,
 		Ran:     &wick.Ran{Endpoint: end.Name},
 	})
-	if err != nil {
-		return sched.Result{Err: wick.AsError(err)}
-	}
 	return sched.Result{}
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -22,7 +22,7 @@
 	// TLS is the server's side of mutual TLS.
 	TLS *tls.Config
 	// HostOf returns the host that a verified certificate names.
-	HostOf func(*x509.Certificate) wick.HostName
+	HostOf func(*x509.Certificate) (wick.HostName, error)
 	// Quiet bounds the silence on a connection before it is given up.
 	Quiet time.Duration
 	// Handler answers what arrives.
@@ -49,6 +49,14 @@
 	return wick.Address(s.listener.Addr().String())
 }
 
+// Close gives up a server that was never run.
+func (s *Server) Close() error {
+	if err := s.listener.Close(); err != nil {
+		return fmt.Errorf("close listener: %w", err)
+	}
+	return nil
+}
+
 // Run serves until ctx ends, then drops all connections.
 func (s *Server) Run(ctx context.Context) error {
 	var group errgroup.Group
@@ -76,7 +84,10 @@
 	if len(certs) == 0 {
 		return // TLS demands one, so this is not reached.
 	}
-	from := s.cfg.HostOf(certs[0])
+	from, err := s.cfg.HostOf(certs[0])
+	if err != nil {
+		return // Such a certificate names no host of ours.
+	}
 	var group errgroup.Group
 	for {
 		st, err := conn.AcceptStream(ctx)
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -76,7 +76,7 @@
 // new one.
 func quicConfig(quiet time.Duration) *quic.Config {
 	return &quic.Config{
-		HandshakeIdleTimeout: quiet,
+		HandshakeIdleTimeout: quiet / 3,
 		MaxIdleTimeout:       quiet,
 		KeepAlivePeriod:      quiet / 3,
 		MaxIncomingStreams:   1 << 16,
--- a/policy_route.go
+++ b/policy_route.go
@@ -66,3 +66,12 @@
 	// RouteRoundRobin takes endpoints in turn.
 	RouteRoundRobin RoutePolicy = "RoundRobin"
 )
+
+// RetryBudget bounds retries to a share of the requests. Implementations are
+// safe for concurrent use.
+type RetryBudget interface {
+	// Earn counts a first try.
+	Earn()
+	// Spend reports whether one more retry may be made.
+	Spend() bool
+}
