Add stand-ins for the platform and the adapter to model engines

An exchange is one request over one fresh connection: its handshake proves the path, so that no request waits on a connection that went silent while idle, and nothing can be sent twice. fasthttp's client was ruled out for this: it offers no context, and repeats requests on connections that turn out closed unless told otherwise.

The stand-in engine batches continuously, checks fencing on demand, and counts runs, violations and batch occupancy.

--- /dev/null
+++ b/engine/stream.go
@@ -0,0 +1,180 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"currantwick"
+)
+
+// chunk is one event of a streamed completion.
+type chunk struct {
+	ID         string      `json:"id"`
+	Model      string      `json:"model"`
+	Choices    []choice    `json:"choices"`
+	TokenIndex wick.Tokens `json:"token_index"`
+	TokenCount wick.Tokens `json:"token_count"`
+	Error      *chunkError `json:"error,omitempty"`
+}
+
+type choice struct {
+	Text         string  `json:"text"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// chunkError ends a stream that fails after its head was sent.
+type chunkError struct {
+	Message string `json:"message"`
+	// NotRun tells that the request never entered the batch.
+	NotRun bool `json:"not_run"`
+}
+
+var (
+	dataPrefix = []byte("data:")
+	doneMark   = []byte("[DONE]")
+)
+
+// stream turns events into frames. Its frames are contiguous: next is the index
+// of the first token that is still to come.
+type stream struct {
+	job     wick.Job
+	model   string
+	emit    func(wick.Frame) error
+	next    wick.Tokens
+	started bool
+	ended   bool
+}
+
+func newStream(job wick.Job, emit func(wick.Frame) error) *stream {
+	return &stream{job: job, model: ModelField(job.Work), emit: emit, next: job.Work.HaveTokens}
+}
+
+// run reads events until the end mark.
+func (s *stream) run(r *bufio.Reader) error {
+	for {
+		line, err := r.ReadSlice('\n')
+		if errors.Is(err, io.EOF) {
+			return errNoEnd
+		}
+		if err != nil {
+			return fmt.Errorf("read event: %w", err)
+		}
+		done, err := s.line(bytes.TrimSpace(line))
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+// line takes one line of the stream and reports whether it was the end mark.
+func (s *stream) line(line []byte) (done bool, err error) {
+	if len(line) == 0 {
+		return false, nil
+	}
+	if line[0] == ':' {
+		return false, s.beat()
+	}
+	data, ok := bytes.CutPrefix(line, dataPrefix)
+	if !ok {
+		return false, nil // Other fields of an event carry nothing for us.
+	}
+	data = bytes.TrimSpace(data)
+	if bytes.Equal(data, doneMark) {
+		return s.finish()
+	}
+	var ch chunk
+	if err := json.Unmarshal(data, &ch); err != nil {
+		return false, fmt.Errorf("decode event: %w", err)
+	}
+	return false, s.take(ch)
+}
+
+func (s *stream) finish() (bool, error) {
+	if !s.ended {
+		return false, errNoEnd
+	}
+	return true, s.send(wick.Frame{Kind: wick.FrameEnd, Count: s.next, Ran: s.ran()})
+}
+
+// beat passes a heartbeat on; before the start there is nobody to pass it to.
+func (s *stream) beat() error {
+	if !s.started {
+		return nil
+	}
+	return s.send(wick.Frame{Kind: wick.FrameBeat})
+}
+
+func (s *stream) take(ch chunk) error {
+	if ch.Error != nil {
+		return s.broken(ch.Error)
+	}
+	if err := s.check(ch); err != nil {
+		return err
+	}
+	if !s.started {
+		s.started = true
+		if err := s.send(wick.Frame{Kind: wick.FrameStart, Ran: s.ran()}); err != nil {
+			return err
+		}
+	}
+	c := ch.Choices[0]
+	if c.FinishReason != nil && *c.FinishReason != "" {
+		s.ended = true
+	}
+	if ch.TokenCount == 0 {
+		return nil
+	}
+	f := wick.Frame{Kind: wick.FrameText, Index: s.next, Count: ch.TokenCount, Text: c.Text}
+	s.next += ch.TokenCount
+	return s.send(f)
+}
+
+func (s *stream) broken(e *chunkError) error {
+	if e.NotRun && s.next == s.job.Work.HaveTokens {
+		return wick.NotRunf(wick.CodeLoadFailed, "engine: %s", e.Message)
+	}
+	return wick.Unknownf(wick.CodeBroken, "engine: %s", e.Message)
+}
+
+// check compares what the engine says it runs with the job, so that a crossed
+// answer is noticed at its first event.
+func (s *stream) check(ch chunk) error {
+	if ch.ID != string(s.job.Request) {
+		return wick.Unknownf(wick.CodeMismatch, "engine answered request %q, not %q", ch.ID, s.job.Request)
+	}
+	if ch.Model != s.model {
+		return wick.Unknownf(wick.CodeMismatch, "engine ran %q, not %q", ch.Model, s.model)
+	}
+	if len(ch.Choices) != 1 {
+		return wick.Unknownf(wick.CodeBroken, "event holds %d choices, not 1", len(ch.Choices))
+	}
+	if s.ended {
+		return wick.Unknownf(wick.CodeBroken, "event after the finish reason")
+	}
+	if ch.TokenCount < 0 || ch.TokenCount > 0 && ch.TokenIndex != s.next {
+		return wick.Unknownf(wick.CodeBroken, "event has tokens %d+%d, not from %d", ch.TokenIndex, ch.TokenCount, s.next)
+	}
+	if ch.TokenCount > s.job.Work.MaxTokens-s.next {
+		return wick.Unknownf(wick.CodeBroken, "engine sent more than %d tokens", s.job.Work.MaxTokens)
+	}
+	if ch.TokenCount == 0 && ch.Choices[0].Text != "" {
+		return wick.Unknownf(wick.CodeBroken, "event has text but no tokens")
+	}
+	return nil
+}
+
+func (s *stream) ran() *wick.Ran {
+	return &wick.Ran{Endpoint: s.job.Endpoint, Ref: s.job.Work.Ref}
+}
+
+func (s *stream) send(f wick.Frame) error {
+	f.Request = s.job.Request
+	if err := s.emit(f); err != nil {
+		return emitError{err}
+	}
+	return nil
+}
--- /dev/null
+++ b/fakes/engine.go
@@ -0,0 +1,275 @@
+package fakes
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"currantwick"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+// EngineConfig configures an Engine.
+type EngineConfig struct {
+	// Address is where the engine listens; port 0 picks one.
+	Address wick.Address `json:"Address"`
+	// Model is the base model's name.
+	Model wick.ModelName `json:"Model"`
+	// BatchSlots is how many requests run at once; at least 1.
+	BatchSlots wick.Slots `json:"BatchSlots"`
+	// AdapterSlots is how many adapters are resident at once.
+	AdapterSlots wick.Slots `json:"AdapterSlots"`
+	// QueueBound is how many requests may wait; 0 is no bound.
+	QueueBound wick.Slots `json:"QueueBound,omitempty"`
+	// A step takes Base, and PerSequence for each request in the batch.
+	Base        wick.Duration `json:"Base"`
+	PerSequence wick.Duration `json:"PerSequence"`
+	// PerPromptToken is the time to prefill one token of a prompt.
+	PerPromptToken wick.Duration `json:"PerPromptToken,omitempty"`
+	// PrefixCache is how many prompt tokens are cached.
+	PrefixCache wick.Tokens `json:"PrefixCache,omitempty"`
+	// ReportLag is how old reports are.
+	ReportLag wick.Duration `json:"ReportLag,omitempty"`
+	// Beat is the time between heartbeats of a stream that waits.
+	Beat wick.Duration `json:"Beat,omitempty"`
+	// ChecksFencing makes the engine refuse orders with an old fencing number.
+	ChecksFencing bool `json:"ChecksFencing,omitempty"`
+	// Store is the address of the weight store of another process.
+	Store wick.Address `json:"Store,omitempty"`
+	// Weights is the weight store of this process; it goes before Store.
+	Weights *Store `json:"-"`
+}
+
+// defaultBeat is the time between heartbeats where the settings name none.
+const defaultBeat = 200 * time.Millisecond
+
+// EngineStats is what an engine has seen since it was started, crashes
+// notwithstanding.
+type EngineStats struct {
+	// Runs counts, for each request id, how often it entered the batch.
+	Runs map[wick.RequestID]int `json:"Runs"`
+	// RunsOn counts the same for each model.
+	RunsOn map[string]int `json:"RunsOn"`
+	Tokens wick.Tokens    `json:"Tokens"`
+	// Finished and Canceled count requests that left the batch.
+	Finished int `json:"Finished"`
+	Canceled int `json:"Canceled"`
+	// Loads, Unloads and FailedLoads count orders by what became of them.
+	Loads       int `json:"Loads"`
+	Unloads     int `json:"Unloads"`
+	FailedLoads int `json:"FailedLoads"`
+	// Violations counts unloads of an adapter that a request ran on or waited
+	// for, and Evicted those requests.
+	Violations int `json:"Violations"`
+	Evicted    int `json:"Evicted"`
+	// WrongModel counts requests whose prompt holds "want:MODEL" and that ran
+	// on another model.
+	WrongModel int `json:"WrongModel"`
+	// BadResumes counts requests to go on after a text that is not how the
+	// answer starts.
+	BadResumes int `json:"BadResumes"`
+	// NotResident, QueueFull, OldFencing, SlotsFull and Expired count refusals.
+	NotResident int `json:"NotResident"`
+	QueueFull   int `json:"QueueFull"`
+	OldFencing  int `json:"OldFencing"`
+	SlotsFull   int `json:"SlotsFull"`
+	Expired     int `json:"Expired"`
+	// Steps counts steps, and BatchSum the requests in the batch over all of
+	// them, so that BatchSum/Steps/BatchSlots is the batch efficiency.
+	Steps    int `json:"Steps"`
+	BatchSum int `json:"BatchSum"`
+	// Prefilled and Cached count prompt tokens.
+	Prefilled wick.Tokens `json:"Prefilled"`
+	Cached    wick.Tokens `json:"Cached"`
+	Crashes   int         `json:"Crashes"`
+}
+
+// Engine is a stand-in for a model engine. It batches continuously: one
+// goroutine steps the batch, and one for each request sends its tokens.
+type Engine struct {
+	cfg   EngineConfig
+	gate  *gate
+	group errgroup.Group
+	life  context.Context // ends at Close
+	stop  context.CancelFunc
+	// wake holds a value if there may be work.
+	wake chan struct{}
+
+	mu       sync.Mutex
+	boot     int
+	resident map[string]bool
+	loading  map[string]*loading
+	fenced   fence
+	waiting  []*sequence // in the order in which they will run
+	running  []*sequence
+	prefix   *prefixCache
+	samples  []sample // reports, oldest first
+	faults   faults
+	stats    EngineStats
+}
+
+// StartEngine starts an engine.
+func StartEngine(cfg EngineConfig) (*Engine, error) {
+	cfg.BatchSlots = max(cfg.BatchSlots, 1)
+	if cfg.Beat <= 0 {
+		cfg.Beat = wick.Duration(defaultBeat)
+	}
+	e := &Engine{cfg: cfg, wake: make(chan struct{}, 1), faults: faults{slow: 1}}
+	e.stats.Runs = map[wick.RequestID]int{}
+	e.stats.RunsOn = map[string]int{}
+	e.cold()
+	e.gate = newGate(e.handle)
+	e.life, e.stop = context.WithCancel(context.Background())
+	if err := e.gate.open(cfg.Address); err != nil {
+		return nil, fmt.Errorf("engine: %w", err)
+	}
+	e.group.Go(func() error { return e.step(e.life) })
+	e.group.Go(func() error { return e.watch(e.life) })
+	return e, nil
+}
+
+// cold forgets all that an engine forgets when it restarts; e.mu is held.
+func (e *Engine) cold() {
+	e.boot++
+	e.resident = map[string]bool{}
+	e.loading = map[string]*loading{}
+	e.fenced = fence{}
+	e.waiting = nil
+	e.running = nil
+	e.prefix = newPrefixCache(e.cfg.PrefixCache)
+	e.samples = []sample{{time.Now(), e.report()}}
+}
+
+// Address returns where the engine listens.
+func (e *Engine) Address() wick.Address { return e.gate.Address() }
+
+// Close stops the engine; its requests break off.
+func (e *Engine) Close() error {
+	e.stop()
+	e.mu.Lock()
+	e.breakAll()
+	e.mu.Unlock()
+	if err := e.gate.Close(); err != nil {
+		return fmt.Errorf("engine: %w", err)
+	}
+	if err := e.group.Wait(); err != nil {
+		return fmt.Errorf("engine: %w", err)
+	}
+	return nil
+}
+
+// Stats returns what the engine has seen.
+func (e *Engine) Stats() EngineStats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.stats
+	s.Runs = copyCounts(s.Runs)
+	s.RunsOn = copyCounts(s.RunsOn)
+	return s
+}
+
+func copyCounts[K comparable](m map[K]int) map[K]int {
+	out := make(map[K]int, len(m))
+	for k, n := range m {
+		out[k] = n
+	}
+	return out
+}
+
+func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/v1/completions":
+		e.complete(ctx)
+	case "/v1/load_lora_adapter":
+		e.order(ctx, wick.OrderLoad)
+	case "/v1/unload_lora_adapter":
+		e.order(ctx, wick.OrderUnload)
+	case "/v1/report":
+		reply(ctx, e.lagged())
+	case "/health":
+		ctx.SetStatusCode(fasthttp.StatusOK)
+	case "/stats":
+		reply(ctx, e.Stats())
+	case "/control":
+		var c EngineControl
+		if decodeControl(ctx, &c) {
+			e.Control(c)
+		}
+	default:
+		refuse(ctx, fasthttp.StatusNotFound, "no such path")
+	}
+}
+
+// sample is a report and when it was made.
+type sample struct {
+	at     time.Time
+	report wick.Report
+}
+
+// sampleEvery is the time between two samples for reports.
+const sampleEvery = 20 * time.Millisecond
+
+// watch samples the load, so that reports can lag.
+func (e *Engine) watch(ctx context.Context) error {
+	t := time.NewTicker(sampleEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		e.mu.Lock()
+		e.sample()
+		e.mu.Unlock()
+	}
+}
+
+// sample adds a report, and drops those that are older than the lag but for the
+// newest of them; e.mu is held.
+func (e *Engine) sample() {
+	now := time.Now()
+	e.samples = append(e.samples, sample{now, e.report()})
+	drop := 0
+	for drop+1 < len(e.samples) && now.Sub(e.samples[drop+1].at) >= e.cfg.ReportLag.Std() {
+		drop++
+	}
+	e.samples = e.samples[drop:]
+}
+
+// report returns the state of this moment; e.mu is held.
+func (e *Engine) report() wick.Report {
+	serving := map[string]wick.Slots{}
+	for _, s := range e.waiting {
+		serving[s.model]++
+	}
+	for _, s := range e.running {
+		serving[s.model]++
+	}
+	r := wick.Report{
+		Boot:    strconv.Itoa(e.boot),
+		Running: wick.Slots(len(e.running)),
+		Waiting: wick.Slots(len(e.waiting)),
+	}
+	for name := range e.resident {
+		r.Resident = append(r.Resident, wick.Resident{Ref: parseRef(name), Serving: serving[name]})
+	}
+	return r
+}
+
+// lagged returns the newest report that is at least as old as the lag.
+func (e *Engine) lagged() wick.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.ReportLag <= 0 {
+		return e.report()
+	}
+	e.sample()
+	s := e.samples[0]
+	s.report.Age = wick.Duration(time.Since(s.at))
+	return s.report
+}
--- /dev/null
+++ b/fakes/fakes.go
@@ -0,0 +1,94 @@
+// Package fakes holds small stand-ins for what the platform and the runners
+// bring: a model engine, a plain service, the append-only log, the weight store
+// and the list of hosts. Each is a type with its own listener, so that tests
+// and the demo run them inside one process and wickfake as processes.
+//
+// The stand-ins keep the record against which promises are proved: what ran how
+// often, and on what.
+package fakes
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strconv"
+
+	"currantwick/codec"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Headers that the stand-ins read.
+const (
+	headerRequest  = "X-Request-Id"
+	headerPriority = "X-Priority"
+	headerView     = "X-Fencing-View"
+	headerSequence = "X-Fencing-Sequence"
+	headerWithin   = "X-Order-Within-Ms"
+	headerKey      = "X-Claim-Key"
+	headerLast     = "X-If-Last"
+)
+
+// reply writes v as the JSON body of a reply.
+func reply(ctx *fasthttp.RequestCtx, v any) {
+	data, err := codec.EncodeJSON(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
+
+// failure is an error as OpenAI-style servers write it.
+type failure struct {
+	Error failureText `json:"error"`
+}
+
+type failureText struct {
+	Message string `json:"message"`
+	// NotRun tells that the request never entered the batch.
+	NotRun bool `json:"not_run"`
+}
+
+func refuse(ctx *fasthttp.RequestCtx, status int, format string, args ...any) {
+	reply(ctx, failure{failureText{Message: fmt.Sprintf(format, args...), NotRun: true}})
+	ctx.SetStatusCode(status)
+}
+
+// decodeControl reads the body of a control request, or refuses it.
+func decodeControl(ctx *fasthttp.RequestCtx, v any) bool {
+	if err := codec.DecodeJSON(ctx.PostBody(), v); err != nil {
+		refuse(ctx, fasthttp.StatusBadRequest, "control: %v", err)
+		return false
+	}
+	return true
+}
+
+// decodeBody reads a body of the published interfaces, which may hold more
+// fields than the stand-ins know.
+func decodeBody(ctx *fasthttp.RequestCtx, v any) bool {
+	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
+		refuse(ctx, fasthttp.StatusBadRequest, "body: %v", err)
+		return false
+	}
+	return true
+}
+
+// headerNumber returns the number in a header, or 0.
+func headerNumber(ctx *fasthttp.RequestCtx, name string) uint64 {
+	n, err := strconv.ParseUint(string(ctx.Request.Header.Peek(name)), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// quietLogger drops what fasthttp logs: broken connections are what the
+// stand-ins are for.
+type quietLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (quietLogger) Printf(format string, args ...any) {
+	slog.Debug("server", "text", fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/fakes/hosts.go
@@ -0,0 +1,116 @@
+package fakes
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"currantwick"
+
+	"github.com/valyala/fasthttp"
+)
+
+// HostsConfig configures a Hosts.
+type HostsConfig struct {
+	// Address is where the list is served; port 0 picks one.
+	Address wick.Address `json:"Address"`
+	// Lag is how old the list is that is served.
+	Lag wick.Duration `json:"Lag,omitempty"`
+	// Hosts is the list at the start.
+	Hosts []wick.HostStatus `json:"Hosts,omitempty"`
+}
+
+// HostsControl sets the states of hosts, and adds those that are new. It takes
+// those named in Remove off the list.
+type HostsControl struct {
+	Set    []wick.HostStatus `json:"Set,omitempty"`
+	Remove []wick.HostName   `json:"Remove,omitempty"`
+	// DownFor makes the list unavailable for the time.
+	DownFor wick.Duration `json:"DownFor,omitempty"`
+}
+
+// Hosts is a stand-in for the platform's list of hosts.
+type Hosts struct {
+	cfg  HostsConfig
+	gate *gate
+
+	mu sync.Mutex
+	// lists holds the states of the list, oldest first; the first is the one
+	// served now.
+	lists []hostList
+}
+
+type hostList struct {
+	at    time.Time
+	hosts []wick.HostStatus
+}
+
+// StartHosts starts to serve a list.
+func StartHosts(cfg HostsConfig) (*Hosts, error) {
+	h := &Hosts{cfg: cfg}
+	h.lists = []hostList{{time.Now(), cfg.Hosts}}
+	h.gate = newGate(h.handle)
+	if err := h.gate.open(cfg.Address); err != nil {
+		return nil, fmt.Errorf("host list: %w", err)
+	}
+	return h, nil
+}
+
+// Address returns where the list is served.
+func (h *Hosts) Address() wick.Address { return h.gate.Address() }
+
+// Close stops to serve.
+func (h *Hosts) Close() error { return h.gate.Close() }
+
+// Control changes the list.
+func (h *Hosts) Control(c HostsControl) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.lists[len(h.lists)-1].hosts
+	drop := map[wick.HostName]bool{}
+	for _, name := range c.Remove {
+		drop[name] = true
+	}
+	for _, s := range c.Set {
+		drop[s.Host] = true
+	}
+	var hosts []wick.HostStatus
+	for _, s := range old {
+		if !drop[s.Host] {
+			hosts = append(hosts, s)
+		}
+	}
+	hosts = append(hosts, c.Set...)
+	h.lists = append(h.lists, hostList{time.Now(), hosts})
+	if c.DownFor > 0 {
+		h.gate.crash(c.DownFor.Std())
+	}
+}
+
+// list returns the list as it was before the lag.
+func (h *Hosts) list() []wick.HostStatus {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for len(h.lists) > 1 && time.Since(h.lists[1].at) >= h.cfg.Lag.Std() {
+		h.lists = h.lists[1:]
+	}
+	hosts := h.lists[0].hosts
+	if hosts == nil {
+		return []wick.HostStatus{}
+	}
+	return hosts
+}
+
+func (h *Hosts) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/hosts":
+		reply(ctx, h.list())
+	case "/control":
+		var c HostsControl
+		if decodeControl(ctx, &c) {
+			h.Control(c)
+		}
+	default:
+		refuse(ctx, fasthttp.StatusNotFound, "no such path")
+	}
+}
--- /dev/null
+++ b/httpc/httpc.go
@@ -0,0 +1,193 @@
+// Package httpc does one HTTP exchange over one fresh connection. The handshake
+// of the connection proves the path, so that a request never waits on one that
+// went silent while it was idle, and nothing is ever sent twice: a failure to
+// connect is the only one after which a request is known not to have run.
+package httpc
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"currantwick"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Defaults of the fields of Config.
+const (
+	defaultDial     = 2 * time.Second
+	defaultQuiet    = 5 * time.Second
+	defaultMaxReply = wick.Bytes(8 << 20)
+)
+
+// Config bounds exchanges. A zero field stands for its default.
+type Config struct {
+	// Dial bounds the time to connect; 2 s by default.
+	Dial wick.Duration
+	// Quiet bounds the time between two reads that bring bytes; 5 s by default.
+	Quiet wick.Duration
+	// MaxReply bounds the body of a reply that is read whole; 8 MiB by default.
+	MaxReply wick.Bytes
+}
+
+// Client does exchanges. It is safe for concurrent use and holds no
+// connections.
+type Client struct {
+	cfg Config
+}
+
+// New returns a client.
+func New(cfg Config) *Client {
+	if cfg.Dial <= 0 {
+		cfg.Dial = wick.Duration(defaultDial)
+	}
+	if cfg.Quiet <= 0 {
+		cfg.Quiet = wick.Duration(defaultQuiet)
+	}
+	if cfg.MaxReply <= 0 {
+		cfg.MaxReply = defaultMaxReply
+	}
+	return &Client{cfg}
+}
+
+// Do sends a request and reads the whole reply. A reply whose length nothing
+// tells is refused, since a cut would make it look whole.
+func (c *Client) Do(ctx context.Context, addr wick.Address, req *fasthttp.Request, resp *fasthttp.Response) error {
+	x, err := c.open(ctx, addr, req, resp)
+	if err != nil {
+		return fmt.Errorf("exchange: %w", err)
+	}
+	defer x.Close()
+	if err := x.readWhole(int(c.cfg.MaxReply)); err != nil {
+		return x.fail(err)
+	}
+	return nil
+}
+
+// Open sends a request and reads the head of the reply; the caller reads the
+// body and closes the exchange. Ending ctx closes the connection.
+func (c *Client) Open(ctx context.Context, addr wick.Address, req *fasthttp.Request, resp *fasthttp.Response) (*Exchange, error) {
+	x, err := c.open(ctx, addr, req, resp)
+	if err != nil {
+		return nil, fmt.Errorf("exchange: %w", err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		err = x.readWhole(int(c.cfg.MaxReply))
+	} else {
+		resp.StreamBody = true
+		err = resp.ReadBody(x.r, 0)
+	}
+	if err != nil {
+		err = x.fail(err)
+		x.Close()
+		return nil, err
+	}
+	return x, nil
+}
+
+func (c *Client) open(ctx context.Context, addr wick.Address, req *fasthttp.Request, resp *fasthttp.Response) (*Exchange, error) {
+	dialer := net.Dialer{Timeout: c.cfg.Dial.Std()}
+	conn, err := dialer.DialContext(ctx, "tcp", string(addr))
+	if err != nil {
+		return nil, notConnected(ctx, err)
+	}
+	x := &Exchange{ctx: ctx, conn: conn, quiet: c.cfg.Quiet.Std(), resp: resp}
+	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	x.r = bufio.NewReader(x)
+	if err := x.send(addr, req); err != nil {
+		err = x.fail(err)
+		x.Close()
+		return nil, err
+	}
+	return x, nil
+}
+
+func notConnected(ctx context.Context, err error) *wick.Error {
+	if ctx.Err() != nil {
+		return wick.NotRunf(wick.CodeCanceled, "connect: %v", ctx.Err())
+	}
+	return wick.NotRunf(wick.CodeNoEndpoint, "connect: %v", err)
+}
+
+// Exchange is a request under way. Its Read implements the bound on quiet
+// times.
+type Exchange struct {
+	ctx   context.Context
+	conn  net.Conn
+	quiet time.Duration
+	resp  *fasthttp.Response
+	r     *bufio.Reader
+	stop  func() bool
+}
+
+func (x *Exchange) send(addr wick.Address, req *fasthttp.Request) error {
+	req.SetHost(string(addr))
+	req.SetConnectionClose()
+	if err := x.conn.SetWriteDeadline(time.Now().Add(x.quiet)); err != nil {
+		return fmt.Errorf("set deadline: %w", err)
+	}
+	w := bufio.NewWriter(x.conn)
+	if err := req.Write(w); err != nil {
+		return fmt.Errorf("write request: %w", err)
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("write request: %w", err)
+	}
+	if err := x.resp.Header.Read(x.r); err != nil {
+		return fmt.Errorf("read head: %w", err)
+	}
+	return nil
+}
+
+func (x *Exchange) readWhole(limit int) error {
+	length := x.resp.Header.ContentLength()
+	status := x.resp.StatusCode()
+	if status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return nil
+	}
+	if length < -1 {
+		return errors.New("reply has no length, so that it may be cut")
+	}
+	if err := x.resp.ReadBody(x.r, limit); err != nil {
+		return fmt.Errorf("read body: %w", err)
+	}
+	if length == -1 {
+		if err := x.resp.Header.ReadTrailer(x.r); err != nil && !errors.Is(err, io.EOF) {
+			return fmt.Errorf("read trailer: %w", err)
+		}
+	}
+	return nil
+}
+
+// Read implements io.Reader on the raw connection.
+func (x *Exchange) Read(p []byte) (int, error) {
+	if err := x.conn.SetReadDeadline(time.Now().Add(x.quiet)); err != nil {
+		return 0, fmt.Errorf("set deadline: %w", err)
+	}
+	return x.conn.Read(p) // Callers compare the error with io.EOF.
+}
+
+// Body returns the body of a reply that Open left unread.
+func (x *Exchange) Body() io.Reader { return x.resp.BodyStream() }
+
+// Fail returns what is known of the request after a failure to read on: it may
+// have run.
+func (x *Exchange) Fail(err error) *wick.Error { return x.fail(err) }
+
+func (x *Exchange) fail(err error) *wick.Error {
+	if x.ctx.Err() != nil {
+		return wick.Unknownf(wick.CodeCanceled, "%v", x.ctx.Err())
+	}
+	return wick.Unknownf(wick.CodeBroken, "%v", err)
+}
+
+// Close drops the connection, which cancels the request at the other end.
+func (x *Exchange) Close() {
+	x.stop()
+	_ = x.conn.Close()
+}
