--- /dev/null
+++ b/boot/boot.go
@@ -0,0 +1,127 @@
+// Package boot builds a daemon from its settings.
+package boot
+
+import (
+	"crypto/tls"
+	"fmt"
+	"log/slog"
+
+	"currantwick"
+	"currantwick/certs"
+	"currantwick/claim"
+	"currantwick/ctrl"
+	"currantwick/engine"
+	"currantwick/evict"
+	"currantwick/hosts"
+	"currantwick/httpc"
+	"currantwick/lease"
+	"currantwick/node"
+	"currantwick/plain"
+	"currantwick/plog"
+	"currantwick/route"
+	"currantwick/sched"
+	"currantwick/setup"
+	"currantwick/stats"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// checkpointParts is how many checkpoints are written within the log's
+// retention.
+const checkpointParts = 4
+
+// Config says what to build a daemon from.
+type Config struct {
+	Settings setup.Settings
+	// Keys is the material for mutual TLS between daemons.
+	Keys *certs.Source
+	// EntryTLS is nil where callers come in plain HTTP.
+	EntryTLS *tls.Config
+	Log      *slog.Logger
+	Registry *prometheus.Registry
+}
+
+// Node opens the daemon's sockets and returns it, not running yet.
+func Node(cfg Config) (*node.Node, error) {
+	s := cfg.Settings
+	note := stats.New(stats.Config{Log: cfg.Log, Registry: cfg.Registry})
+	ends := httpc.Config{Quiet: s.Limits.Silence}
+	n, err := node.New(node.Config{
+		Self:      wick.Member{Host: s.Host, Domain: s.Domain, Peer: s.Peer.Address, Entry: s.Entry.Address},
+		EntryTLS:  cfg.EntryTLS,
+		BodyBytes: s.Limits.BodyBytes,
+		Keys:      cfg.Keys,
+		HostOf:    certs.HostOf,
+		Log:       plog.New(plog.Config{Address: s.Log.Address, HTTP: httpc.Config{Quiet: s.Log.Timeout}}),
+		Hosts:     hostList(s.Hosts),
+		Engine:    engine.New(engine.Config{HTTP: ends}),
+		Services:  plain.New(plain.Config{HTTP: ends}),
+		Lease:     leaseConfig(s),
+		Claim: claim.Config{
+			Life:  s.Claim.Life.Std(),
+			Batch: s.Claim.Batch.Std(),
+		},
+		Route:   route.Config{Policy: router(s.Policy.Router)},
+		Policy:  policies(s.Policy),
+		Retries: newRetries(),
+		Times:   times(s),
+		Control: note,
+		Traffic: note,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("daemon on %s: %w", s.Host, err)
+	}
+	return n, nil
+}
+
+func hostList(h setup.Hosts) wick.Hosts {
+	if h.Address == "" {
+		return nil
+	}
+	return hosts.New(hosts.Config{Address: h.Address, HTTP: httpc.Config{}})
+}
+
+func leaseConfig(s setup.Settings) lease.Config {
+	return lease.Config{
+		Seeds:      s.Peers,
+		TTL:        s.Lease.TTL.Std(),
+		Drift:      s.Lease.Drift.Std(),
+		Renew:      s.Lease.Renew.Std(),
+		Suspect:    s.Lease.Suspect.Std(),
+		Checkpoint: s.Log.Retention.Std() / checkpointParts,
+	}
+}
+
+func times(s setup.Settings) node.Times {
+	return node.Times{
+		Append:     s.Log.Timeout.Std(),
+		Order:      s.Limits.Silence.Std(),
+		Hosts:      s.Hosts.Every.Std(),
+		Stale:      s.Stale.Std(),
+		Checkpoint: s.Log.Retention.Std() / checkpointParts,
+		Linger:     s.Stop.Linger.Std(),
+		Grace:      s.Stop.Grace.Std(),
+	}
+}
+
+func router(c setup.Choice) wick.RoutePolicy {
+	if c == setup.Baseline {
+		return wick.RouteRoundRobin
+	}
+	return wick.RouteAffinity
+}
+
+func policies(p setup.Policy) ctrl.Policy {
+	out := ctrl.Policy{Order: sched.Shortest{}, Evict: evict.Heat{}, Admit: sched.Deadline{}}
+	if p.Order == setup.Baseline {
+		out.Order = sched.FIFO{}
+	}
+	if p.Evict == setup.Baseline {
+		out.Evict = evict.LRU{}
+	}
+	if p.Admit == setup.Baseline {
+		out.Admit = sched.Bounded{}
+	}
+	return out
+}
+
--- a/ctrl/snap.go
+++ b/ctrl/snap.go
@@ -9,7 +9,7 @@
 )
 
 // keepEntries is how long callers may keep an answer on the addresses to use.
-const keepEntries = 10 * time.Second
+const keepEntries = 5 * time.Second
 
 // Snapshot is the control state as traffic goroutines see it. It never
 // changes.
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,234 @@
+// Package demo shows the whole path inside one process: stand-ins for the
+// platform and the runners, three daemons, a published configuration, streamed
+// requests through two entries, and a command that runs once though it is sent
+// twice.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"currantwick"
+	"currantwick/boot"
+	"currantwick/certs"
+	"currantwick/fakes"
+	"currantwick/node"
+	"currantwick/setup"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	daemons = 3
+	runners = 3
+	// readyWithin bounds the wait until the daemons act together.
+	readyWithin = 20 * time.Second
+	readyCheck  = 20 * time.Millisecond
+	anyPort     = wick.Address("127.0.0.1:0")
+)
+
+// Run shows the path and writes what happened to out.
+func Run(ctx context.Context, out io.Writer) error {
+	set, err := fakes.StartSet(standIns())
+	if err != nil {
+		return fmt.Errorf("stand-ins: %w", err)
+	}
+	s := &show{out: out, set: set}
+	err = s.run(ctx)
+	return errors.Join(err, set.Close())
+}
+
+// standIns are small and fast, so that the demo is over in seconds.
+func standIns() fakes.SetConfig {
+	cfg := fakes.SetConfig{
+		Store: &fakes.StoreConfig{
+			Rate: 20, FullSpeed: 4, Knee: 16,
+			LoadTime: wick.Duration(50 * time.Millisecond),
+		},
+		Log:      &fakes.LogConfig{Address: anyPort},
+		Hosts:    &fakes.HostsConfig{Address: anyPort},
+		Services: []fakes.ServiceConfig{{Address: anyPort}},
+	}
+	for range runners {
+		cfg.Engines = append(cfg.Engines, fakes.EngineConfig{
+			Address:      anyPort,
+			Model:        modelName,
+			BatchSlots:   4,
+			AdapterSlots: 2,
+			Base:         wick.Duration(5 * time.Millisecond),
+			PerSequence:  wick.Duration(time.Millisecond),
+		})
+	}
+	return cfg
+}
+
+// show is one run of the demo.
+type show struct {
+	out   io.Writer
+	set   *fakes.Set
+	nodes []*node.Node
+}
+
+func (s *show) printf(format string, args ...any) {
+	fmt.Fprintf(s.out, format+"\n", args...)
+}
+
+func (s *show) run(ctx context.Context) error {
+	if err := s.build(); err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var group errgroup.Group
+	for _, n := range s.nodes {
+		group.Go(func() error { return n.Run(ctx) })
+	}
+	err := s.scenes(ctx)
+	stop()
+	err = errors.Join(err, group.Wait())
+	if err == nil {
+		s.printf("stopped cleanly")
+	}
+	return err
+}
+
+// build makes the daemons with keys that live in memory only.
+func (s *show) build() error {
+	authority, err := certs.NewAuthority(certs.Config{})
+	if err != nil {
+		return fmt.Errorf("authority: %w", err)
+	}
+	for i := range daemons {
+		n, err := s.daemon(authority, i)
+		if err != nil {
+			return err
+		}
+		s.nodes = append(s.nodes, n)
+	}
+	return nil
+}
+
+func (s *show) daemon(authority *certs.Authority, i int) (*node.Node, error) {
+	host := wick.HostName(fmt.Sprintf("host-%d", i+1))
+	pair, err := authority.Issue(certs.Config{}, host)
+	if err != nil {
+		return nil, fmt.Errorf("keys of %s: %w", host, err)
+	}
+	material, err := certs.NewMaterial(authority.PEM().Cert, pair)
+	if err != nil {
+		return nil, fmt.Errorf("keys of %s: %w", host, err)
+	}
+	settings := setup.Default()
+	settings.Host = host
+	settings.Domain = wick.Domain(fmt.Sprintf("domain-%d", i+1))
+	settings.Entry.Address = anyPort
+	settings.Peer.Address = anyPort
+	settings.Log.Address = s.set.Log.Address()
+	settings.Hosts.Address = s.set.Hosts.Address()
+	settings.Stop.Linger = 0
+	return boot.Node(boot.Config{
+		Settings: settings,
+		Keys:     certs.Static(material),
+		Log:      slog.New(slog.DiscardHandler),
+		Registry: prometheus.NewRegistry(),
+	})
+}
+
+// scenes shows the path step by step.
+func (s *show) scenes(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	if err := s.publish(ctx); err != nil {
+		return err
+	}
+	if err := s.ready(ctx); err != nil {
+		return err
+	}
+	c := newCaller()
+	entries, err := c.entries(s.nodes[0].Self().Entry)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries.Entries {
+		s.printf("entry %s at %s in %s", e.Host, e.Address, e.Domain)
+	}
+	if err := s.completions(c, entries.Entries); err != nil {
+		return err
+	}
+	return s.commands(c, entries.Entries)
+}
+
+func (s *show) publish(ctx context.Context) error {
+	v, err := s.nodes[0].Publish(ctx, sample(s.set.Addresses()))
+	if err != nil {
+		return fmt.Errorf("publish: %w", err)
+	}
+	if !v.Accepted() {
+		return fmt.Errorf("publish: %w", v.Violations[0])
+	}
+	s.printf("configuration accepted at offset %d", v.Offset)
+	return nil
+}
+
+// ready waits until all daemons are one view and hold the configuration.
+func (s *show) ready(ctx context.Context) error {
+	for !s.isReady() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for one view: %w", ctx.Err())
+		case <-time.After(readyCheck):
+		}
+	}
+	snap := s.nodes[0].Snapshot()
+	s.printf("view %d with %d daemons", snap.View.Number, len(snap.View.Members))
+	return nil
+}
+
+func (s *show) isReady() bool {
+	first := s.nodes[0].Snapshot()
+	for _, n := range s.nodes {
+		snap := n.Snapshot()
+		if len(snap.View.Members) != daemons || snap.View.Number != first.View.Number || snap.Offset == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// completions sends one streamed request through each of two entries.
+func (s *show) completions(c *caller, entries []wick.EntryPoint) error {
+	for i, route := range []wick.RouteName{"notices", "digests"} {
+		e := entries[i]
+		got, err := c.stream(e.Address, route, "berth twelve at noon", answerTokens)
+		if err != nil {
+			return fmt.Errorf("completion through %s: %w", e.Host, err)
+		}
+		want := fakes.Answer("berth twelve at noon", got.Ran.Ref.String(), answerTokens)
+		if got.Text != want {
+			return fmt.Errorf("completion through %s: got %q, want %q", e.Host, got.Text, want)
+		}
+		s.printf("route %s through %s: ran on %s with %s, %d tokens, whole", route, e.Host, got.Ran.Endpoint, got.Ran.Ref, got.Tokens)
+	}
+	return nil
+}
+
+// commands sends the same command through two entries.
+func (s *show) commands(c *caller, entries []wick.EntryPoint) error {
+	for _, e := range entries[:2] {
+		outcome, err := c.call(e.Address, "confirm", "demo-1", []byte(`{"Slot":12}`))
+		if err != nil {
+			return fmt.Errorf("command through %s: %w", e.Host, err)
+		}
+		s.printf("command demo-1 through %s: %s", e.Host, outcome)
+	}
+	if runs := s.set.Services[0].Stats().Runs; runs != 1 {
+		return fmt.Errorf("command ran %d times", runs)
+	}
+	s.printf("command demo-1 ran once")
+	return nil
+}
--- /dev/null
+++ b/demo/sample.go
@@ -0,0 +1,61 @@
+package demo
+
+import (
+	"fmt"
+	"time"
+
+	"currantwick"
+	"currantwick/fakes"
+)
+
+const (
+	modelName    wick.ModelName = "base"
+	answerTokens wick.Tokens    = 12
+)
+
+// sample returns a configuration for the stand-ins at the given addresses.
+func sample(at fakes.Addresses) wick.Change {
+	o := wick.Objects{
+		Models:     []wick.Model{{Name: modelName, Context: 4096}},
+		Stores:     []wick.Store{{Name: "weights", Rate: 20, FullSpeed: 4, Knee: 16}},
+		Priorities: []wick.Priority{{Name: "normal", Level: 5, Deadline: wick.Duration(10 * time.Second)}},
+		Pools: []wick.Pool{
+			{Name: "drafting", Kind: wick.RunnerEndpoint, Model: modelName, Store: "weights"},
+			{Name: "booking", Kind: wick.ServiceEndpoint},
+		},
+		Routes: []wick.Route{{
+			Name: "confirm", Pool: "booking", Priority: "normal",
+			Path: "/confirm", NonIdempotent: true,
+		}},
+	}
+	for _, name := range []string{"notices", "digests"} {
+		ref := wick.Ref{Adapter: wick.AdapterName(name), Version: "v1"}
+		o.Adapters = append(o.Adapters, wick.Adapter{Name: ref.Adapter, Model: modelName})
+		o.Versions = append(o.Versions, wick.Version{
+			Adapter: ref.Adapter, Name: ref.Version,
+			Source: "adapters/" + name + "/v1", Size: 64 << 20,
+		})
+		o.Routes = append(o.Routes, wick.Route{
+			Name: wick.RouteName(name), Pool: "drafting", Priority: "normal", Ref: ref,
+		})
+	}
+	for i, a := range at.Engines {
+		o.Endpoints = append(o.Endpoints, endpoint("runner", "drafting", i, a, 2))
+	}
+	for i, a := range at.Services {
+		o.Endpoints = append(o.Endpoints, endpoint("desk", "booking", i, a, 0))
+	}
+	return wick.Change{ID: "demo", Operator: "demo", Puts: o}
+}
+
+func endpoint(kind string, pool wick.PoolName, i int, at wick.Address, adapters wick.Slots) wick.Endpoint {
+	return wick.Endpoint{
+		Name:         wick.EndpointName(fmt.Sprintf("%s-%d", kind, i+1)),
+		Pool:         pool,
+		Host:         wick.HostName(fmt.Sprintf("%s-host-%d", kind, i+1)),
+		Domain:       wick.Domain(fmt.Sprintf("domain-%d", i+1)),
+		Address:      at,
+		BatchSlots:   4,
+		AdapterSlots: adapters,
+	}
+}
--- a/setup/check.go
+++ b/setup/check.go
@@ -134,6 +134,7 @@
 	c.span("Claim.Batch", s.Claim.Batch, time.Millisecond, time.Second)
 	c.span("Stale", s.Stale, max(time.Second, ttl), 10*time.Minute)
 	c.span("Stop.Grace", s.Stop.Grace, time.Second, 24*time.Hour)
+	c.span("Stop.Linger", s.Stop.Linger, 0, time.Hour)
 }
 
 func (s Settings) checkLimits(c *checker) {
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -158,6 +158,9 @@
 type Stop struct {
 	// Grace bounds the wait for the last stream of a stop; 1 s to 24 h.
 	Grace wick.Duration `json:"Grace"`
+	// Linger is how long a stopping daemon still serves callers that kept its
+	// address; 0 s to 1 h.
+	Linger wick.Duration `json:"Linger"`
 }
 
 // Token is the operators' secret. It does not print itself.
@@ -173,11 +176,11 @@
 		Log:    Log{Retention: hours(168), Timeout: millis(2000)},
 		Hosts:  Hosts{Every: millis(500)},
 		Lease:  Lease{TTL: millis(1500), Renew: millis(300), Suspect: millis(1000), Drift: millis(150)},
-		Claim:  Claim{Life: hours(24), Batch: millis(20)},
+		Claim:  Claim{Life: hours(24), Batch: millis(50)},
 		Stale:  millis(9000),
 		Limits: Limits{BodyBytes: 16 * mebibyte, Requests: 20_000, Connections: 20_000, Idle: millis(60_000), Silence: millis(2000)},
 		Policy: Policy{Chosen, Chosen, Chosen, Chosen, Chosen, Chosen},
-		Stop:   Stop{Grace: hours(1)},
+		Stop:   Stop{Grace: hours(1), Linger: millis(5000)},
 	}
 }
 
