Decide views, leases and owners

Package lease holds one Keeper per daemon: the fold of the view stream, renewals between members, the wait of a new owner for every earlier view that is not closed, joins, removals, closings and checkpoints.

In the root, a view carries its terms (witnesses, TTL, drift), so that a change of settings never mixes two of them; Renewal.View is the newest view known, as a member or not; Renewal gains Self, Lapsed, Silent and State, and RenewalAck gains View, Lapsed, Silent and a whole ViewState as Later; Record gains ViewState, the checkpoint of the view stream.

--- /dev/null
+++ b/lease/lease.go
@@ -0,0 +1,279 @@
+// Package lease decides which daemon owns what. Daemons agree on a view by
+// conditional records on the platform's log, keep it by renewing their leases
+// with one another, and compute owners from it.
+//
+// A member may act in a view while enough of its witnesses vouch for that
+// view. The lease runs from the moment at which the renewal was sent. A
+// witness that has adopted a later view vouches for no earlier one, so a new
+// owner knows by its own clock when the lease of an earlier owner has ended:
+// one TTL and the drift margin after it learned that too few witnesses are
+// left to vouch. See release.go for the rule and its proof.
+package lease
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"currantwick"
+)
+
+// Defaults of Config.
+const (
+	DefaultWitnesses  = 7
+	DefaultTTL        = 2 * time.Second
+	DefaultDrift      = 200 * time.Millisecond
+	DefaultRenew      = 300 * time.Millisecond
+	DefaultSuspect    = 1200 * time.Millisecond
+	DefaultOrphan     = 6 * time.Second
+	DefaultCheckpoint = 10 * time.Minute
+)
+
+// Bounds on how often the log is asked to take a record.
+const (
+	minBackoff = 200 * time.Millisecond
+	maxBackoff = time.Second
+	// appendPause is how long a record may take to be read back before it is
+	// appended again.
+	appendPause = time.Second
+	// maxOrphan bounds the backoff between joins without a quorum.
+	maxOrphan = 2 * time.Minute
+)
+
+// Config sets up a Keeper. Durations of 0 mean the defaults.
+type Config struct {
+	// Self is this daemon. Its peer address is bound before the first call and
+	// until the process ends, by this process alone.
+	Self wick.Member
+	// Seeds are where a daemon that knows no view asks for one.
+	Seeds []wick.Address
+	// Witnesses, TTL and Drift are the terms of the views proposed here.
+	Witnesses  int
+	TTL, Drift time.Duration
+	// Renew is the time between renewals, a fraction of TTL.
+	Renew time.Duration
+	// Suspect is how long a member may be silent before its removal is
+	// proposed; it spans several renewals.
+	Suspect time.Duration
+	// Orphan is how long a daemon waits for a quorum of its peers before it
+	// proposes a view without one.
+	Orphan time.Duration
+	// Checkpoint is the time between checkpoints, by the platform's clock. It
+	// must be a small fraction of the log's retention.
+	Checkpoint time.Duration
+	// Seed feeds the jitter.
+	Seed uint64
+}
+
+func orElse[T comparable](v, def T) T {
+	var zero T
+	if v == zero {
+		return def
+	}
+	return v
+}
+
+func (c Config) withDefaults() Config {
+	c.Witnesses = orElse(c.Witnesses, DefaultWitnesses)
+	c.TTL = orElse(c.TTL, DefaultTTL)
+	c.Drift = orElse(c.Drift, DefaultDrift)
+	c.Renew = orElse(c.Renew, DefaultRenew)
+	c.Suspect = orElse(c.Suspect, DefaultSuspect)
+	c.Orphan = orElse(c.Orphan, DefaultOrphan)
+	c.Checkpoint = orElse(c.Checkpoint, DefaultCheckpoint)
+	return c
+}
+
+func (c Config) terms() wick.Terms {
+	return wick.Terms{
+		Witnesses: c.Witnesses, TTL: wick.Duration(c.TTL), Drift: wick.Duration(c.Drift),
+	}
+}
+
+// Action is what the control thread has to do for a Keeper: SendRenewal,
+// Append or Changed. Actions are carried out in order.
+type Action interface{ isAction() }
+
+// SendRenewal asks to send a renewal. The answer goes to OnAck with the now of
+// the call that returned the action, or any later instant before the sending.
+type SendRenewal struct {
+	// To has only a Peer address where nothing else is known.
+	To      wick.Member
+	Renewal wick.Renewal
+}
+
+// Append asks to append a record to wick.ViewStream. A failure goes to
+// OnAppendFailed; success shows when the record is read back.
+type Append struct{ Record wick.Record }
+
+// Changed tells that a new view was adopted. Every dispatcher must have
+// stopped acting under Old before a later action, or the acknowledgement
+// returned beside it, is sent: others take the sending as a release.
+type Changed struct{ Old, New wick.View }
+
+func (SendRenewal) isAction() {}
+func (Append) isAction()      {}
+func (Changed) isAction()     {}
+
+// id names one run of a daemon.
+type id struct {
+	host        wick.HostName
+	incarnation wick.Incarnation
+}
+
+func idOf(m wick.Member) id { return id{m.Host, m.Incarnation} }
+
+// peer is what a keeper knows of one run of a daemon.
+type peer struct {
+	// member describes the run as it was last described.
+	member wick.Member
+	// adopted is the newest view the run is known to have known.
+	adopted wick.ViewNumber
+	// gone tells that the run is known to have ended.
+	gone bool
+	// heard and healthy are when any message came last, and when the last one
+	// came that told of no lapsed lease.
+	heard, healthy wick.Instant
+	// vouched is the latest sending of a renewal that this run acknowledged
+	// for the current view, if vouches is set.
+	vouched wick.Instant
+	vouches bool
+	// renewed and acked are the newest renewal from the run and the newest of
+	// self's renewals that it answered; older messages tell nothing new.
+	renewed, acked wick.Sequence
+	// silent is the run's latest report on others.
+	silent []wick.HostName
+	// joining tells that the run asked to join, when it was heard last.
+	joining bool
+	// stopping tells that the run shuts down gracefully.
+	stopping bool
+}
+
+// Keeper decides for one daemon. It is used by one goroutine.
+type Keeper struct {
+	cfg  Config
+	self id
+	rand *rand.Rand
+
+	log   reader
+	peers map[id]*peer
+	// runs lists the runs known at an address.
+	runs map[wick.Address][]id
+	// lapses caches when the leases of earlier owners were seen to run out.
+	lapses map[lapse]wick.Instant
+	// witnesses are those of self in the current view.
+	witnesses []wick.Member
+	// watched are the members of the current view that send messages to self.
+	watched []wick.Member
+
+	sequence wick.Sequence
+	// last is when Tick ran last.
+	last wick.Instant
+	// renewAt is when the next renewals are due.
+	renewAt wick.Instant
+	// suspects is how many members were silent when renewals went out last.
+	suspects int
+
+	// planned tells that a change of the view is wanted, to be proposed at
+	// proposeAt.
+	planned   bool
+	proposeAt wick.Instant
+	// closable is the newest view that can be closed, noted at closableAt.
+	closable   wick.ViewNumber
+	closableAt wick.Instant
+	// proposed, closed and stamped are the instants before which a change, a
+	// closing and a checkpoint are not appended again.
+	proposed, closed, stamped wick.Instant
+	// holdUntil is until when nothing is appended as the log took nothing, and
+	// backoff how long the next such time lasts.
+	holdUntil wick.Instant
+	backoff   time.Duration
+	// quorumAt is when self last was in touch with a quorum, and orphan how
+	// long it proposes nothing without one.
+	quorumAt wick.Instant
+	orphan   time.Duration
+	stopping bool
+}
+
+// New returns a Keeper that knows no view yet.
+func New(cfg Config) *Keeper {
+	cfg = cfg.withDefaults()
+	k := &Keeper{
+		cfg:    cfg,
+		self:   idOf(cfg.Self),
+		rand:   rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Self.Incarnation))),
+		peers:  make(map[id]*peer),
+		runs:   make(map[wick.Address][]id),
+		lapses: make(map[lapse]wick.Instant),
+		orphan: cfg.Orphan,
+	}
+	return k
+}
+
+// View returns the newest view that self has adopted.
+func (k *Keeper) View() wick.View { return k.log.state.View }
+
+// State returns all that the view stream says so far, to hand over to peers.
+func (k *Keeper) State() wick.ViewState { return k.log.state }
+
+// Offset returns the first offset of the view stream that is still to be read.
+func (k *Keeper) Offset() wick.Offset { return k.log.next() }
+
+// Member reports whether the current view names self.
+func (k *Keeper) Member() bool { return k.View().Has(k.cfg.Self) }
+
+// Owner returns the owner of key in the current view.
+func (k *Keeper) Owner(key Key) (wick.Member, bool) { return Owner(k.View(), key) }
+
+// Lease returns the instant before which self may act in the current view.
+func (k *Keeper) Lease(now wick.Instant) (until wick.Instant, ok bool) {
+	if !k.Member() {
+		return 0, false
+	}
+	ttl := k.View().Terms.TTL.Std()
+	need := leaseQuorum(len(k.witnesses))
+	if need == 0 {
+		return now.Add(ttl), true
+	}
+	var sent []wick.Instant
+	for _, w := range k.witnesses {
+		if p := k.peers[idOf(w)]; p != nil && p.vouches {
+			sent = append(sent, p.vouched)
+		}
+	}
+	from, ok := nthLatest(sent, need)
+	until = from.Add(ttl)
+	return until, ok && now < until
+}
+
+// Acts reports whether self owns key and may act on it now. Each dispatch and
+// order must be made before until, checked again immediately before it.
+func (k *Keeper) Acts(now wick.Instant, key Key) (until wick.Instant, ok bool) {
+	m, ok := k.Owner(key)
+	if !ok || idOf(m) != k.self {
+		return 0, false
+	}
+	until, ok = k.Lease(now)
+	if !ok {
+		return 0, false
+	}
+	for _, v := range k.log.state.Open {
+		if o, ok := Owner(v, key); ok && !k.ended(now, v, o) {
+			return 0, false
+		}
+	}
+	return until, true
+}
+
+// Ready returns the instant from which self may act on key as far as earlier
+// owners go, if that is known.
+func (k *Keeper) Ready(key Key) (at wick.Instant, ok bool) {
+	for _, v := range k.log.state.Open {
+		o, _ := Owner(v, key)
+		end, ok := k.endOf(v, o)
+		if !ok {
+			return 0, false
+		}
+		at = max(at, end)
+	}
+	return at, true
+}
--- /dev/null
+++ b/lease/plan.go
@@ -0,0 +1,345 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"currantwick"
+)
+
+// viewsKey is what the daemons are ranked by that close views and write
+// checkpoints.
+const viewsKey Key = "Views"
+
+// closers is how many members stand by for that.
+const closers = 3
+
+// Tick does what time asks for.
+func (k *Keeper) Tick(now wick.Instant) []Action {
+	if now.Sub(k.last) > k.cfg.Suspect/2 {
+		k.wake(now)
+	}
+	k.last = now
+	if _, ok := k.Lease(now); ok {
+		k.quorumAt, k.orphan = now, k.cfg.Orphan
+	} else if !k.Member() && k.inTouch(now) {
+		k.quorumAt = now
+	}
+	var acts []Action
+	if now >= k.renewAt || len(k.silentHosts(now)) > k.suspects {
+		acts = k.renew(now)
+	}
+	if now < k.holdUntil {
+		return acts
+	}
+	acts = append(acts, k.propose(now)...)
+	acts = append(acts, k.close(now)...)
+	return append(acts, k.checkpoint(now)...)
+}
+
+// Next returns when Tick wants to run next at the latest. It is also when Acts
+// may change by the mere passing of time.
+func (k *Keeper) Next() wick.Instant {
+	at := min(k.last.Add(k.cfg.Renew/3), k.renewAt)
+	if k.planned {
+		at = min(at, k.proposeAt)
+	}
+	for _, end := range k.lapses {
+		if end > k.last {
+			at = min(at, end)
+		}
+	}
+	return max(at, k.last.Add(time.Millisecond))
+}
+
+// Stop begins a graceful shutdown: the view without self is proposed. Self
+// acts on until it adopts that view, so that nothing waits for the log.
+func (k *Keeper) Stop(now wick.Instant) []Action {
+	k.stopping = true
+	return append(k.renew(now), k.Tick(now)...)
+}
+
+// OnAppendFailed notes that the log did not say that it took a record.
+func (k *Keeper) OnAppendFailed(now wick.Instant) []Action {
+	k.backoff = min(max(2*k.backoff, minBackoff), maxBackoff)
+	k.holdUntil = now.Add(k.backoff/2 + k.jitter(k.backoff/2))
+	k.proposed, k.closed, k.stamped = 0, 0, 0
+	return nil
+}
+
+func (k *Keeper) jitter(d time.Duration) time.Duration {
+	return time.Duration(k.rand.Int64N(int64(d) + 1))
+}
+
+// wake gives everyone time to be heard of after self was away: it was frozen,
+// or starts.
+func (k *Keeper) wake(now wick.Instant) {
+	for _, m := range k.watched {
+		p := k.peer(idOf(m))
+		p.heard, p.healthy = now, now
+	}
+	k.quorumAt = now
+	k.planned = false
+}
+
+// silent reports whether nothing healthy was heard of a member for too long.
+func (k *Keeper) silent(now wick.Instant, m wick.Member) bool {
+	p := k.peers[idOf(m)]
+	return p != nil && now.Sub(p.healthy) > k.cfg.Suspect
+}
+
+func (k *Keeper) silentHosts(now wick.Instant) []wick.HostName {
+	var out []wick.HostName
+	for _, m := range k.watched {
+		if k.silent(now, m) {
+			out = append(out, m.Host)
+		}
+	}
+	return out
+}
+
+// inTouch reports whether a quorum of self's contacts answered of late. After
+// a restart of most of a view the runs that answer are new ones, so hosts are
+// counted.
+func (k *Keeper) inTouch(now wick.Instant) bool {
+	contacts := k.contacts()
+	heard := make(map[wick.HostName]bool)
+	for n, p := range k.peers {
+		if p.acked > 0 && now.Sub(p.heard) <= k.cfg.Suspect {
+			heard[n.host] = true
+		}
+	}
+	count := 0
+	for _, m := range contacts {
+		if heard[m.Host] {
+			count++
+		}
+	}
+	return count >= leaseQuorum(len(contacts))
+}
+
+// orphaned reports whether self was without a quorum for so long that it
+// proposes a view without one.
+func (k *Keeper) orphaned(now wick.Instant) bool {
+	return now.Sub(k.quorumAt) >= k.orphan
+}
+
+// propose appends a change of the view if one is wanted and it is self's turn.
+func (k *Keeper) propose(now wick.Instant) []Action {
+	members, delay, ok := k.plan(now)
+	if !ok {
+		k.planned = false
+		return nil
+	}
+	if !k.planned {
+		k.planned, k.proposeAt = true, now.Add(delay)
+	}
+	if now < max(k.proposeAt, k.proposed) {
+		return nil
+	}
+	if k.orphaned(now) {
+		k.quorumAt, k.orphan = now, min(2*k.orphan, maxOrphan)
+	}
+	k.proposed = now.Add(appendPause)
+	return []Action{Append{wick.Record{ViewChange: &wick.ViewChange{
+		Base: k.View().Number, Members: members, Terms: k.cfg.terms(), Proposer: k.self.host,
+	}}}}
+}
+
+// plan returns the members of the view that self wants, and how long others,
+// whose turn it is before, get to propose it.
+func (k *Keeper) plan(now wick.Instant) ([]wick.Member, time.Duration, bool) {
+	v := k.View()
+	if len(k.log.gap) > 0 && v.Number == 0 {
+		return nil, 0, false // There is a view; which one is not known yet.
+	}
+	next := make(map[wick.HostName]wick.Member, len(v.Members)+1)
+	for _, m := range v.Members {
+		next[m.Host] = m
+	}
+	delay := time.Duration(-1)
+	sooner := func(d time.Duration) {
+		if delay < 0 || d < delay {
+			delay = d
+		}
+	}
+	for _, m := range v.Members {
+		if k.removable(now, m) {
+			delete(next, m.Host)
+			sooner(k.turn(now, m))
+		}
+	}
+	for _, m := range k.joiners(now) {
+		next[m.Host] = m
+		sooner(k.cfg.Renew/3 + k.turn(now, m))
+	}
+	switch {
+	case k.stopping:
+		delete(next, k.self.host)
+		sooner(0)
+	case !k.Member():
+		if !k.mayJoin(now) {
+			return nil, 0, false
+		}
+		next[k.self.host] = k.cfg.Self
+		delay = -1
+		sooner(k.joinDelay())
+	}
+	if delay < 0 || len(next) == 0 || k.stopping && !k.Member() {
+		return nil, 0, false
+	}
+	members := make([]wick.Member, 0, len(next))
+	for _, m := range next {
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b wick.Member) int { return cmp.Compare(a.Host, b.Host) })
+	return members, delay, true
+}
+
+// mayJoin reports whether self, which is no member, may propose itself: in
+// touch with a quorum, where nobody is there, or after a long wait. A daemon
+// that the others cannot reach would be thrown out at once, again and again.
+func (k *Keeper) mayJoin(now wick.Instant) bool {
+	return k.inTouch(now) || k.orphaned(now)
+}
+
+// joinDelay leaves it to the members to take self in, together with others
+// that come at the same time.
+func (k *Keeper) joinDelay() time.Duration {
+	if len(k.View().Members) == 0 {
+		return k.cfg.Renew + k.jitter(k.cfg.Renew)
+	}
+	return 3*k.cfg.Renew + k.jitter(2*k.cfg.Renew)
+}
+
+// turn is how long self leaves it to others to propose a change about m: its
+// witnesses that are not silent propose one after the other.
+func (k *Keeper) turn(now wick.Instant, m wick.Member) time.Duration {
+	rank := 0
+	for _, w := range Witnesses(k.View(), m) {
+		if idOf(w) == k.self {
+			break
+		}
+		if !k.silent(now, w) {
+			rank++
+		}
+	}
+	return time.Duration(rank) * k.cfg.Renew / 2
+}
+
+// joiners returns who asked to join of late, and knows the view it joins: that
+// it ran after that view was on the log is what others conclude from its name
+// in the next one.
+func (k *Keeper) joiners(now wick.Instant) []wick.Member {
+	v := k.View()
+	var out []wick.Member
+	for n, p := range k.peers {
+		if p.joining && p.adopted == v.Number && now.Sub(p.heard) <= k.cfg.Suspect &&
+			n != k.self && n.host != k.self.host && !v.Has(p.member) {
+			out = append(out, p.member)
+		}
+	}
+	slices.SortFunc(out, func(a, b wick.Member) int {
+		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return out
+}
+
+// removable reports whether self wants m out of the view. A member with a
+// lease removes one that fewer witnesses hear than a lease takes; so a cut
+// between two daemons removes neither. A member without a lease cannot tell a
+// cut from the loss of most of the view: it leaves the removal to others, and
+// only when nobody did that for long, it goes on with those it hears.
+func (k *Keeper) removable(now wick.Instant, m wick.Member) bool {
+	if !k.Member() || idOf(m) == k.self {
+		return false
+	}
+	p := k.peer(idOf(m))
+	if p.stopping {
+		return true
+	}
+	if !slices.ContainsFunc(k.watched, func(w wick.Member) bool { return idOf(w) == idOf(m) }) {
+		return false
+	}
+	if k.lapsed(now) {
+		return k.orphaned(now) && now.Sub(p.heard) >= k.cfg.Orphan
+	}
+	return k.silent(now, m) && k.support(now, m) < leaseQuorum(len(Witnesses(k.View(), m)))
+}
+
+// support counts the witnesses of m that may still hear it.
+func (k *Keeper) support(now wick.Instant, m wick.Member) int {
+	count := 0
+	for _, w := range Witnesses(k.View(), m) {
+		if idOf(w) == k.self {
+			continue
+		}
+		p := k.peer(idOf(w))
+		if now.Sub(p.heard) <= k.cfg.Suspect && !slices.Contains(p.silent, m.Host) {
+			count++
+		}
+	}
+	return count
+}
+
+// closer reports whether self is one of those who close views.
+func (k *Keeper) closer() bool { return k.closerRank() < closers }
+
+func (k *Keeper) closerRank() int {
+	for i, m := range Ranked(k.View(), viewsKey, closers) {
+		if idOf(m) == k.self {
+			return i
+		}
+	}
+	return closers
+}
+
+// close appends the closing of the earlier views in which nobody can act.
+func (k *Keeper) close(now wick.Instant) []Action {
+	var last wick.ViewNumber
+	if !k.closer() {
+		return nil
+	}
+	for _, v := range k.log.state.Open {
+		if !k.allEnded(now, v) {
+			break
+		}
+		last = v.Number
+	}
+	if last == 0 {
+		return nil
+	}
+	if last != k.closable {
+		k.closable, k.closableAt = last, now
+	}
+	due := k.closableAt.Add(time.Duration(k.closerRank()) * 2 * k.cfg.Renew)
+	if now < max(due, k.closed) {
+		return nil
+	}
+	k.closed = now.Add(appendPause)
+	return []Action{Append{wick.Record{ViewClosed: &wick.ViewClosed{View: last, By: k.self.host}}}}
+}
+
+func (k *Keeper) allEnded(now wick.Instant, v wick.View) bool {
+	for _, o := range v.Members {
+		if !k.ended(now, v, o) {
+			return false
+		}
+	}
+	return true
+}
+
+// checkpoint appends the state when the newest checkpoint is old.
+func (k *Keeper) checkpoint(now wick.Instant) []Action {
+	if !k.closer() || k.View().Number == 0 || now < k.stamped {
+		return nil
+	}
+	wait := k.cfg.Checkpoint * time.Duration(closers+k.closerRank()) / closers
+	if k.log.age(now) < wait {
+		return nil
+	}
+	k.stamped = now.Add(appendPause)
+	st := k.State()
+	return []Action{Append{wick.Record{ViewState: &st}}}
+}
--- /dev/null
+++ b/lease/renew.go
@@ -0,0 +1,204 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+
+	"currantwick"
+)
+
+// peer returns what is known of a run, which may be nothing yet.
+func (k *Keeper) peer(n id) *peer {
+	p := k.peers[n]
+	if p == nil {
+		p = &peer{}
+		k.peers[n] = p
+	}
+	return p
+}
+
+// describe notes where a run listens.
+func (k *Keeper) describe(m wick.Member) *peer {
+	p := k.peer(idOf(m))
+	p.member = m
+	if !slices.Contains(k.runs[m.Peer], idOf(m)) {
+		k.runs[m.Peer] = append(k.runs[m.Peer], idOf(m))
+	}
+	return p
+}
+
+// OnRenewal answers a renewal of another daemon.
+func (k *Keeper) OnRenewal(now wick.Instant, r wick.Renewal) (wick.RenewalAck, []Action) {
+	var acts []Action
+	if r.State != nil {
+		acts = k.OnLater(now, *r.State)
+	}
+	p := k.peer(id{r.From, r.Incarnation})
+	if r.Self != nil {
+		p = k.describe(*r.Self)
+	}
+	if r.Sequence > p.renewed {
+		p.renewed = r.Sequence
+		p.stopping = r.Stopping
+		p.joining = r.Self != nil && !r.Stopping
+		k.hear(now, p, r.Lapsed, r.Silent)
+	}
+	k.adopted(now, p, r.View)
+	return k.ack(now, r), acts
+}
+
+func (k *Keeper) ack(now wick.Instant, r wick.Renewal) wick.RenewalAck {
+	v := k.View()
+	a := wick.RenewalAck{
+		From: k.self.host, Incarnation: k.self.incarnation, Sequence: r.Sequence,
+		View: v.Number, Lapsed: k.lapsed(now), Silent: k.silentHosts(now),
+	}
+	if r.View == v.Number {
+		a.Vouched = v.Number
+	}
+	if r.View < v.Number {
+		st := k.State()
+		a.Later = &st
+	}
+	return a
+}
+
+// OnAck takes the answer to a renewal; sent is an instant before the renewal
+// was sent.
+func (k *Keeper) OnAck(now, sent wick.Instant, a wick.RenewalAck) []Action {
+	var acts []Action
+	if a.Later != nil {
+		acts = k.OnLater(now, *a.Later)
+	}
+	p := k.peer(id{a.From, a.Incarnation})
+	if a.Sequence > p.acked {
+		p.acked = a.Sequence
+		k.hear(now, p, a.Lapsed, a.Silent)
+	}
+	k.adopted(now, p, a.View)
+	v := k.View()
+	if a.Vouched != 0 && a.Vouched == v.Number && (!p.vouches || sent > p.vouched) {
+		p.vouched, p.vouches = sent, true
+	}
+	if a.View < v.Number && p.member.Peer != "" {
+		acts = append(acts, k.renewal(now, p.member, true))
+	}
+	return acts
+}
+
+// hear notes that a run sent something.
+func (k *Keeper) hear(now wick.Instant, p *peer, lapsed bool, silent []wick.HostName) {
+	p.heard = now
+	if !lapsed {
+		p.healthy = now
+	}
+	p.silent = silent
+}
+
+// adopted notes that a run knows a view, and what follows from that.
+func (k *Keeper) adopted(now wick.Instant, p *peer, v wick.ViewNumber) {
+	if v > p.adopted {
+		p.adopted = v
+		k.observe(now)
+	}
+}
+
+// lapsed reports whether self is a member without a lease.
+func (k *Keeper) lapsed(now wick.Instant) bool {
+	_, ok := k.Lease(now)
+	return k.Member() && !ok
+}
+
+// renew returns renewals to everyone self needs an answer of.
+func (k *Keeper) renew(now wick.Instant) []Action {
+	k.renewAt = now.Add(k.cfg.Renew)
+	k.suspects = len(k.silentHosts(now))
+	var acts []Action
+	for _, m := range k.targets(now) {
+		acts = append(acts, k.renewal(now, m, false))
+	}
+	return acts
+}
+
+// renewal returns a renewal to one daemon, with the state if it needs that.
+func (k *Keeper) renewal(now wick.Instant, to wick.Member, handOver bool) SendRenewal {
+	k.sequence++
+	r := wick.Renewal{
+		From: k.self.host, Incarnation: k.self.incarnation, View: k.View().Number,
+		Sequence: k.sequence, Stopping: k.stopping,
+		Lapsed: k.lapsed(now), Silent: k.silentHosts(now),
+	}
+	if !k.Member() {
+		self := k.cfg.Self
+		r.Self = &self
+	}
+	if handOver {
+		st := k.State()
+		r.State = &st
+	}
+	return SendRenewal{To: to, Renewal: r}
+}
+
+// targets returns whom self sends renewals: its witnesses; the witnesses of
+// members that are silent, for their opinion; and those whose adoption of a
+// later view self has to learn of.
+func (k *Keeper) targets(now wick.Instant) []wick.Member {
+	v := k.View()
+	all := make(map[id]wick.Member)
+	add := func(members ...wick.Member) {
+		for _, m := range members {
+			all[idOf(m)] = m
+		}
+	}
+	add(k.contacts()...)
+	for _, m := range k.watched {
+		if k.silent(now, m) {
+			add(Witnesses(v, m)...)
+		}
+	}
+	for _, old := range k.log.state.Open {
+		for _, o := range old.Members {
+			if !k.awaits(old, o) {
+				continue
+			}
+			add(o)
+			add(Witnesses(old, o)...)
+		}
+	}
+	delete(all, k.self)
+	out := make([]wick.Member, 0, len(all)+len(k.cfg.Seeds))
+	for _, m := range all {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b wick.Member) int {
+		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	if v.Number == 0 {
+		for _, a := range k.cfg.Seeds {
+			out = append(out, wick.Member{Peer: a})
+		}
+	}
+	return out
+}
+
+// awaits reports whether self needs to learn when o stops acting in an earlier
+// view. Rendezvous hashing moves keys only from members that left, or to ones
+// that came; so a member that was there before waits only for those that left.
+func (k *Keeper) awaits(old wick.View, o wick.Member) bool {
+	if !k.Member() {
+		return false
+	}
+	if _, known := k.endOf(old, o); known {
+		return false
+	}
+	return !old.Has(k.cfg.Self) || !k.View().Has(o) || k.closer()
+}
+
+// contacts returns the witnesses of self in the current view or, for a daemon
+// that is no member, those it would have.
+func (k *Keeper) contacts() []wick.Member {
+	if k.Member() {
+		return k.witnesses
+	}
+	return Witnesses(k.View(), k.cfg.Self)
+}
--- /dev/null
+++ b/lease/view.go
@@ -0,0 +1,131 @@
+package lease
+
+import (
+	"slices"
+
+	"currantwick"
+)
+
+// OnEntry takes an entry of wick.ViewStream. Entries come in the order of
+// their offsets; ones that were seen before are ignored.
+func (k *Keeper) OnEntry(now wick.Instant, e wick.Entry) []Action {
+	before := k.log.state.View
+	k.backoff = 0 // The log can be read, and may take records again.
+	if !k.log.read(now, e) {
+		return nil
+	}
+	return k.after(now, before)
+}
+
+// OnLater takes a state that a peer handed over. A state that is not newer
+// than the own one is ignored.
+func (k *Keeper) OnLater(now wick.Instant, st wick.ViewState) []Action {
+	before := k.log.state.View
+	if !k.log.load(st) {
+		return nil
+	}
+	return k.after(now, before)
+}
+
+// OnGone takes the word of somebody who knows that hosts exist no more: their
+// daemons that are named by any view so far act and vouch no longer. It is the
+// way back when most of a view is lost for good.
+func (k *Keeper) OnGone(now wick.Instant, hosts []wick.HostName) []Action {
+	for _, v := range append(slices.Clip(k.log.state.Open), k.View()) {
+		for _, h := range hosts {
+			if m, ok := v.Member(h); ok && idOf(m) != k.self {
+				k.describe(m).gone = true
+			}
+		}
+	}
+	k.observe(now)
+	return nil
+}
+
+// after draws the conclusions from a state that may have changed.
+func (k *Keeper) after(now wick.Instant, before wick.View) []Action {
+	k.forget()
+	v := k.View()
+	if v.Number == before.Number {
+		return nil
+	}
+	k.learn()
+	for _, p := range k.peers {
+		p.vouches = false
+	}
+	k.witnesses, k.watched = nil, nil
+	if k.Member() {
+		k.witnesses = Witnesses(v, k.cfg.Self)
+		k.watched = k.watch(v)
+	}
+	for _, m := range k.watched {
+		k.freshen(now, m, before)
+	}
+	k.planned, k.proposed = false, 0
+	k.observe(now)
+	k.drop()
+	return append([]Action{Changed{Old: before, New: v}}, k.renew(now)...)
+}
+
+// freshen gives a member that is new to self the time to be heard of.
+func (k *Keeper) freshen(now wick.Instant, m wick.Member, before wick.View) {
+	p := k.peer(idOf(m))
+	if !before.Has(m) || !before.Has(k.cfg.Self) {
+		p.heard, p.healthy = now, now
+		p.silent = nil
+	}
+	p.joining = false
+}
+
+// learn notes what the views say of their members: where they listen, and that
+// a member which came with a view ran after the view before was on the log.
+func (k *Keeper) learn() {
+	views := append(slices.Clip(k.log.state.Open), k.View())
+	for i, v := range views {
+		for _, m := range v.Members {
+			p := k.describe(m)
+			if i > 0 && !views[i-1].Has(m) {
+				p.adopted = max(p.adopted, views[i-1].Number)
+			}
+		}
+	}
+	k.peer(k.self).adopted = k.View().Number
+}
+
+// watch returns the members of v that self expects messages of: its witnesses
+// and those it is a witness of.
+func (k *Keeper) watch(v wick.View) []wick.Member {
+	var out []wick.Member
+	for _, m := range v.Members {
+		if idOf(m) == k.self {
+			continue
+		}
+		isSelf := func(o wick.Member) bool { return idOf(o) == k.self }
+		isM := func(o wick.Member) bool { return idOf(o) == idOf(m) }
+		if slices.ContainsFunc(k.witnesses, isM) || slices.ContainsFunc(Witnesses(v, m), isSelf) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// drop removes the runs that no open view names and nobody heard of lately.
+func (k *Keeper) drop() {
+	named := map[id]bool{k.self: true}
+	for _, v := range append(slices.Clip(k.log.state.Open), k.View()) {
+		for _, m := range v.Members {
+			named[idOf(m)] = true
+		}
+	}
+	for n, p := range k.peers {
+		if named[n] || p.joining {
+			continue
+		}
+		delete(k.peers, n)
+		a := p.member.Peer
+		k.runs[a] = slices.DeleteFunc(k.runs[a], func(o id) bool { return o == n })
+		if len(k.runs[a]) == 0 {
+			delete(k.runs, a)
+		}
+	}
+}
--- a/peer.go
+++ b/peer.go
@@ -9,8 +9,19 @@
 type Renewal struct {
 	From        HostName    `json:"From"`
 	Incarnation Incarnation `json:"Incarnation"`
-	// View is the view the sender acts in; 0 while it is no member yet.
+	// View is the newest view the sender has adopted, as a member or not; 0
+	// while it knows none. The sender acts in no earlier view any more.
 	View ViewNumber `json:"View"`
+	// Self describes a sender that its View does not name: it wants to join,
+	// or it has left.
+	Self *Member `json:"Self,omitempty"`
+	// Lapsed tells that the sender is a member without a lease.
+	Lapsed bool `json:"Lapsed,omitempty"`
+	// Silent are the members of View that the sender has not heard from for
+	// too long, or that have told of no lease for as long.
+	Silent []HostName `json:"Silent,omitempty"`
+	// State is set for a receiver that is known to be behind.
+	State *ViewState `json:"State,omitempty"`
 	// Sequence numbers the renewals of one incarnation; it rises.
 	Sequence Sequence `json:"Sequence"`
 	// Config and Claims are the newest offsets the sender has applied.
@@ -30,6 +41,19 @@
 	if r.Incarnation == 0 {
 		return badField("Incarnation", "must not be 0")
 	}
+	if r.Self != nil {
+		if err := r.Self.Check(); err != nil {
+			return fmt.Errorf("self: %w", err)
+		}
+		if r.Self.Host != r.From || r.Self.Incarnation != r.Incarnation {
+			return badField("Self", "must be the sender")
+		}
+	}
+	if r.State != nil {
+		if err := r.State.Check(); err != nil {
+			return fmt.Errorf("state: %w", err)
+		}
+	}
 	for _, d := range r.Digests {
 		if err := d.Check(); err != nil {
 			return fmt.Errorf("digest of %s: %w", d.Endpoint, err)
@@ -47,8 +71,15 @@
 	// Vouched is the view for which the witness vouches; it equals the
 	// renewal's view, or is 0 if the witness has adopted a later one.
 	Vouched ViewNumber `json:"Vouched,omitempty"`
-	// Later is the newest view of the witness, if later than the sender's.
-	Later *View `json:"Later,omitempty"`
+	// View is the newest view the witness has adopted.
+	View ViewNumber `json:"View"`
+	// Later is the state of the witness, if its view is later than the
+	// sender's.
+	Later *ViewState `json:"Later,omitempty"`
+	// Lapsed tells that the witness is a member without a lease.
+	Lapsed bool `json:"Lapsed,omitempty"`
+	// Silent are the members of View that the witness has not heard from.
+	Silent []HostName `json:"Silent,omitempty"`
 	// Config and Claims are the newest offsets of the witness.
 	Config Offset `json:"Config"`
 	Claims Offset `json:"Claims"`
@@ -62,6 +93,11 @@
 	if a.Incarnation == 0 {
 		return badField("Incarnation", "must not be 0")
 	}
+	if a.Later != nil {
+		if err := a.Later.Check(); err != nil {
+			return fmt.Errorf("later state: %w", err)
+		}
+	}
 	return nil
 }
 
--- a/record.go
+++ b/record.go
@@ -8,7 +8,7 @@
 const (
 	// ConfigStream holds changes and checkpoints of the configuration.
 	ConfigStream StreamName = "Config"
-	// ViewStream holds view changes and closings.
+	// ViewStream holds view changes, closings and checkpoints of both.
 	ViewStream StreamName = "Views"
 	// ClaimStream holds claims on commands.
 	ClaimStream StreamName = "Claims"
@@ -84,6 +84,7 @@
 	Checkpoint *Checkpoint `json:"Checkpoint,omitempty"`
 	ViewChange *ViewChange `json:"ViewChange,omitempty"`
 	ViewClosed *ViewClosed `json:"ViewClosed,omitempty"`
+	ViewState  *ViewState  `json:"ViewState,omitempty"`
 	Claims     *Claims     `json:"Claims,omitempty"`
 	Verdict    *Verdict    `json:"Verdict,omitempty"`
 }
@@ -104,6 +105,9 @@
 	if r.ViewClosed != nil {
 		set, err = set+1, r.ViewClosed.Check()
 	}
+	if r.ViewState != nil {
+		set, err = set+1, r.ViewState.Check()
+	}
 	if r.Claims != nil {
 		set, err = set+1, r.Claims.Check()
 	}
--- a/view.go
+++ b/view.go
@@ -1,7 +1,10 @@
 package wick
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
+	"time"
 )
 
 // Member is one daemon of a view.
@@ -35,31 +38,72 @@
 	return nil
 }
 
+// Terms are what all members of a view have to agree on for its leases to be
+// safe. They are part of the view, so that a change of settings, rolled out
+// daemon by daemon, never mixes two of them.
+type Terms struct {
+	// Witnesses bounds how many other members vouch for a member's lease.
+	Witnesses int `json:"Witnesses"`
+	// TTL is how long a lease lasts from the sending of its renewal.
+	TTL Duration `json:"TTL"`
+	// Drift is how much longer than TTL others wait, which covers clocks that
+	// run at different rates.
+	Drift Duration `json:"Drift"`
+}
+
+// Check implements Checker.
+func (t Terms) Check() error {
+	if t.Witnesses < 1 {
+		return badField("Witnesses", "must be positive")
+	}
+	if t.TTL <= 0 || t.Drift <= 0 {
+		return badField("TTL, Drift", "must be positive")
+	}
+	return nil
+}
+
+// Wait is how long after the last renewal was vouched for a lease has ended by
+// everybody's clock.
+func (t Terms) Wait() time.Duration { return (t.TTL + t.Drift).Std() }
+
 // ViewChange proposes the next view. It takes effect if it is the first on the
 // log to name the then current view as its base.
 type ViewChange struct {
 	// Base is the view the proposer saw; 0 before the first view.
 	Base ViewNumber `json:"Base"`
-	// Members is sorted by host and names each host once.
+	// Members is sorted by host and names each host once. A member that the
+	// base does not name ran after the base was on the log.
 	Members []Member `json:"Members"`
+	// Terms hold for the new view.
+	Terms Terms `json:"Terms"`
 	// Proposer is the host that wrote the record.
 	Proposer HostName `json:"Proposer"`
 }
 
 // Check implements Checker.
 func (c ViewChange) Check() error {
-	if len(c.Members) == 0 {
+	if err := checkMembers(c.Members); err != nil {
+		return err
+	}
+	if err := c.Terms.Check(); err != nil {
+		return fmt.Errorf("terms: %w", err)
+	}
+	return checkName("Proposer", c.Proposer)
+}
+
+func checkMembers(members []Member) error {
+	if len(members) == 0 {
 		return badField("Members", "must not be empty")
 	}
-	for i, m := range c.Members {
+	for i, m := range members {
 		if err := m.Check(); err != nil {
 			return fmt.Errorf("member %s: %w", m.Host, err)
 		}
-		if i > 0 && c.Members[i-1].Host >= m.Host {
+		if i > 0 && members[i-1].Host >= m.Host {
 			return badField("Members", "must be sorted by host, each once")
 		}
 	}
-	return checkName("Proposer", c.Proposer)
+	return nil
 }
 
 // ViewClosed tells that no member of the view, nor of any view before it, can
@@ -83,14 +127,69 @@
 	Number ViewNumber `json:"Number"`
 	// Members is sorted by host and names each host once.
 	Members []Member `json:"Members"`
+	// Terms hold for all members.
+	Terms Terms `json:"Terms"`
+}
+
+// Check implements Checker.
+func (v View) Check() error {
+	if v.Number == 0 {
+		return badField("Number", "must not be 0")
+	}
+	if err := checkMembers(v.Members); err != nil {
+		return err
+	}
+	if err := v.Terms.Check(); err != nil {
+		return fmt.Errorf("terms: %w", err)
+	}
+	return nil
+}
+
+// Has reports whether v names this very incarnation of m's host.
+func (v View) Has(m Member) bool {
+	n, ok := v.Member(m.Host)
+	return ok && n.Incarnation == m.Incarnation
 }
 
 // Member returns the member on the named host.
 func (v View) Member(host HostName) (Member, bool) {
-	for _, m := range v.Members {
-		if m.Host == host {
-			return m, true
+	i, ok := slices.BinarySearchFunc(v.Members, host, func(m Member, h HostName) int {
+		return cmp.Compare(m.Host, h)
+	})
+	if !ok {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// ViewState is all that the records of the view stream up to an offset say. It
+// stands on the log as a checkpoint, and peers hand it to each other.
+type ViewState struct {
+	// AsOf is the offset of the last record that the state includes.
+	AsOf Offset `json:"AsOf"`
+	// View is the current view.
+	View View `json:"View"`
+	// Open are the earlier views that are not closed, oldest first.
+	Open []View `json:"Open,omitempty"`
+}
+
+// Check implements Checker.
+func (s ViewState) Check() error {
+	if err := s.View.Check(); err != nil {
+		return fmt.Errorf("view: %w", err)
+	}
+	if Offset(s.View.Number) > s.AsOf {
+		return badField("AsOf", "must not be before the view")
+	}
+	last := ViewNumber(0)
+	for _, v := range s.Open {
+		if err := v.Check(); err != nil {
+			return fmt.Errorf("open view: %w", err)
 		}
+		if v.Number <= last || v.Number >= s.View.Number {
+			return badField("Open", "must rise and stay below the view")
+		}
+		last = v.Number
 	}
-	return Member{}, false
+	return nil
 }
