--- a/ctrl/event.go
+++ b/ctrl/event.go
@@ -131,3 +131,12 @@
 
 // Forgotten ends an Awaited whose verdict nobody waits for any more.
 type Forgotten struct{ Change wick.ChangeID }
+
+// apply implements Event.
+func (e Asked) apply(s *state, _ wick.Instant) { e.Reply <- e.Grant }
+
+// apply implements Event.
+func (e Granted) apply(*state, wick.Instant) {}
+
+// apply implements Event.
+func (e Suspected) apply(*state, wick.Instant) {}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -28,6 +28,8 @@
 	runners = 3
 	// readyWithin bounds the wait until the daemons act together.
 	readyWithin = 20 * time.Second
+	// keyLife is how long the keys of the demo hold.
+	keyLife     = time.Hour
 	readyCheck  = 20 * time.Millisecond
 	anyPort     = wick.Address("127.0.0.1:0")
 )
@@ -99,7 +101,7 @@
 
 // build makes the daemons with keys that live in memory only.
 func (s *show) build() error {
-	authority, err := certs.NewAuthority(certs.Config{})
+	authority, err := certs.NewAuthority(certs.Config{Life: keyLife})
 	if err != nil {
 		return fmt.Errorf("authority: %w", err)
 	}
@@ -115,7 +117,7 @@
 
 func (s *show) daemon(authority *certs.Authority, i int) (*node.Node, error) {
 	host := wick.HostName(fmt.Sprintf("host-%d", i+1))
-	pair, err := authority.Issue(certs.Config{}, host)
+	pair, err := authority.Issue(certs.Config{Life: keyLife}, host)
 	if err != nil {
 		return nil, fmt.Errorf("keys of %s: %w", host, err)
 	}
--- /dev/null
+++ b/verbs/serve.go
@@ -0,0 +1,112 @@
+package verbs
+
+import (
+	"context"
+	"crypto/tls"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"currantwick/boot"
+	"currantwick/certs"
+	"currantwick/codec"
+	"currantwick/setup"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+)
+
+var serveVerb = verb{
+	name:    "serve",
+	short:   "run a daemon",
+	example: "currantwick serve -settings host-1.json",
+	run:     runServe,
+}
+
+func runServe(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+	file := flags.String("settings", "", "file with the daemon's settings, in JSON")
+	defaults := flags.Bool("print-defaults", false, "print the default settings and exit")
+	if err := flags.Parse(args); err != nil {
+		return Usage, err
+	}
+	if *defaults {
+		return printDefaults(env)
+	}
+	settings, err := setup.Load(*file)
+	if err != nil {
+		return Usage, fmt.Errorf("settings: %w", err)
+	}
+	if err := serve(ctx, env, settings); err != nil {
+		return Failed, err
+	}
+	return Done, nil
+}
+
+func printDefaults(env Env) (Code, error) {
+	data, err := codec.EncodeJSON(setup.Default())
+	if err != nil {
+		return Failed, fmt.Errorf("print defaults: %w", err)
+	}
+	fmt.Fprintf(env.Out, "%s\n", data)
+	return Done, nil
+}
+
+// serve runs a daemon until ctx ends and it has stopped gracefully. SIGHUP
+// makes it read its keys again.
+func serve(ctx context.Context, env Env, settings setup.Settings) error {
+	log := slog.New(slog.NewJSONHandler(env.Err, nil))
+	keys, err := certs.NewSource(certs.Files(settings.Keys).Load)
+	if err != nil {
+		return fmt.Errorf("keys: %w", err)
+	}
+	n, err := boot.Node(boot.Config{
+		Settings: settings,
+		Keys:     keys,
+		EntryTLS: entryTLS(settings.Entry.TLS),
+		Log:      log,
+		Registry: prometheus.NewRegistry(),
+	})
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	log.Info("daemon started", "host", settings.Host, "entry", n.Self().Entry, "peer", n.Self().Peer)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group errgroup.Group
+	group.Go(func() error {
+		reload(ctx, keys, log)
+		return nil
+	})
+	group.Go(func() error {
+		defer cancel()
+		return n.Run(ctx)
+	})
+	err = group.Wait()
+	log.Info("daemon stopped", "host", settings.Host)
+	return err
+}
+
+// reload reads the keys again at each SIGHUP. Keys that can't be used leave
+// the old ones in force.
+func reload(ctx context.Context, keys *certs.Source, log *slog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		if err := keys.Reload(); err != nil {
+			log.Error("keys not reloaded", "error", err)
+			continue
+		}
+		log.Info("keys reloaded", "expires", keys.Expires())
+	}
+}
+
+func entryTLS(*setup.Pair) *tls.Config { return nil }
