Test the endpoint with an adversarial engine

A state machine (rapid) drives one endpoint through lost, late, doubled and delayed orders, failed loads, cold restarts with and without notice, stale reports, takeovers and releases, and checks that no adapter is evicted under a request, that nothing is sent to an adapter that is not resident unless the engine restarted, that the slots are kept, and that every request ends once.

Found by it: a report made at the very instant of a change was taken to show it (now it must be made later), and an engine that restarted unseen stayed believed until the next request failed (now a report is read every 2 s).

Run: go test ./sched -rapid.checks=20000 -rapid.steps=100: ok.

--- a/sched/adapter.go
+++ b/sched/adapter.go
@@ -48,7 +48,7 @@
 	// order is the last order; answers to any other are ignored.
 	order wick.Order
 	// until is the time after which no order whose answer was lost can still
-	// take effect. The adapter is not unloaded before.
+	// take effect. An unknown adapter stays so until a report made later.
 	until wick.Instant
 	// pins counts the requests in flight on the adapter. It is 0 whenever
 	// state is closing.
@@ -187,6 +187,8 @@
 		e.empty(now, a)
 	case err.Outcome == wick.Unknown:
 		e.lose(now, a)
+	case err.Code == wick.CodeNotOwner:
+		e.lose(now, a)
 	case o.Kind == wick.OrderLoad:
 		out = e.loadFailed(now, a, err, out)
 	case err.Outcome == wick.NotRun:
@@ -217,9 +219,12 @@
 }
 
 // loadFailed makes the slot free and lets those who wait go elsewhere after a
-// few tries.
+// few tries. The engine may have refused because it holds more than is known
+// here, so its report is read.
 func (e *Endpoint) loadFailed(now wick.Instant, a *adapter, err *wick.Error, out []Action) []Action {
 	e.empty(now, a)
+	e.asked = now
+	out = append(out, ReadReport{})
 	a.tries++
 	pause := min(retryMost, retryFirst<<min(a.tries-1, 16))
 	a.retry = now.Add(pause)
--- /dev/null
+++ b/sched/machine_test.go
@@ -0,0 +1,495 @@
+package sched
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"currantwick"
+)
+
+const (
+	simWithin = time.Second
+	simSlots  = 2
+	simBatch  = 4
+)
+
+// message is an order or a request on its way to the engine.
+type message struct {
+	order    *wick.Order
+	request  wick.RequestID
+	ref      wick.Ref
+	deadline wick.Instant
+	// quiet tells that the answer is lost already.
+	quiet bool
+	// from is the owner that sent it; answers go to no other.
+	from *Endpoint
+}
+
+// run is a request in the engine's batch.
+type run struct {
+	ref  wick.Ref
+	from *Endpoint
+}
+
+// snapshot is what the engine reports once its lag has passed.
+type snapshot struct {
+	at     wick.Instant
+	report wick.Report
+}
+
+// sim is an engine, its network and a number of owners, one after another.
+type sim struct {
+	t     *rapid.T
+	now   wick.Instant
+	e     *Endpoint
+	owned bool
+
+	boot     int
+	resident map[wick.Ref]bool
+	running  map[wick.RequestID]run
+	history  []snapshot
+	network  []message
+	// answers are deferred calls of the owner.
+	answers []func()
+	asked   map[wick.Ref]bool
+	reading bool
+
+	next int
+	view wick.ViewNumber
+	// open holds the requests handed to the owner that have not ended, and
+	// whether they were dispatched; past holds those of earlier owners.
+	open map[wick.RequestID]bool
+	past map[*Endpoint]map[wick.RequestID]bool
+}
+
+func newSim(t *rapid.T) *sim {
+	s := &sim{t: t, now: sec, resident: map[wick.Ref]bool{}, running: map[wick.RequestID]run{}, asked: map[wick.Ref]bool{}}
+	s.past = map[*Endpoint]map[wick.RequestID]bool{}
+	s.boot = 1
+	s.record()
+	s.takeover()
+	for range 8 {
+		s.flow()
+	}
+	return s
+}
+
+// takeover starts a new owner that knows nothing of the one before.
+func (s *sim) takeover() {
+	if s.e != nil {
+		s.do(s.e.Release(s.now))
+		s.past[s.e] = s.open
+	}
+	s.e = newRunner(simBatch, simSlots)
+	s.open = map[wick.RequestID]bool{}
+	s.asked = map[wick.Ref]bool{}
+	s.view++
+	s.owned = true
+	s.do(s.e.Takeover(s.now, s.view))
+}
+
+// do carries out actions and checks them.
+func (s *sim) do(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Dispatch:
+			s.dispatch(a)
+		case Refuse:
+			if sent, ok := s.open[a.Request]; !ok || sent {
+				s.t.Fatalf("%v: refused %s, which is not queued", s.now, a.Request)
+			}
+			if a.Err.Outcome != wick.NotRun {
+				s.t.Fatalf("refusal with outcome %s", a.Err.Outcome)
+			}
+			delete(s.open, a.Request)
+		case Order:
+			s.orderSent(a.Order)
+		case WantLoad:
+			s.asked[a.Ref] = true
+		case Forgo:
+			delete(s.asked, a.Ref)
+		case ReadReport:
+			s.reading = true
+		}
+	}
+}
+
+func (s *sim) dispatch(a Dispatch) {
+	id := a.Sub.Request
+	if sent, ok := s.open[id]; !ok || sent {
+		s.t.Fatalf("%v: dispatched %s, which is not queued", s.now, id)
+	}
+	s.open[id] = true
+	ref := a.Sub.Work.Ref
+	if !ref.IsBase() && s.e.adapters[ref].state != ready {
+		s.t.Fatalf("%v: dispatched %s on %s, which is %d", s.now, id, ref, s.e.adapters[ref].state)
+	}
+	if len(s.e.flying) > simBatch {
+		s.t.Fatalf("%v: %d in flight", s.now, len(s.e.flying))
+	}
+	if x := s.e.flying[id]; x.suspect && len(s.e.flying) > 1 || !x.suspect && s.e.alone {
+		s.t.Fatalf("%v: a suspect is not alone", s.now)
+	}
+	s.network = append(s.network, message{request: id, ref: ref, deadline: s.now.Add(simWithin), from: s.e})
+}
+
+func (s *sim) orderSent(o wick.Order) {
+	if o.Token.View != s.view {
+		s.t.Fatalf("order of view %d in view %d", o.Token.View, s.view)
+	}
+	if !s.owned {
+		s.t.Fatalf("%v: order %s of %s after the release", s.now, o.Kind, o.Ref)
+	}
+	if o.Kind == wick.OrderUnload && s.e.adapters[o.Ref].pins > 0 {
+		s.t.Fatalf("%v: unload of %s, which is pinned", s.now, o.Ref)
+	}
+	if o.Kind == wick.OrderLoad && len(s.e.held) > simSlots {
+		s.t.Fatalf("%v: load of %s into slot %d of %d", s.now, o.Ref, len(s.e.held), simSlots)
+	}
+	s.network = append(s.network, message{order: &o, deadline: s.now.Add(simWithin), from: s.e})
+}
+
+// arrive delivers the message at i to the engine, or drops it.
+func (s *sim) arrive(i int, drop bool) {
+	m := s.network[i]
+	s.network = slices.Delete(s.network, i, i+1)
+	switch {
+	case m.order != nil:
+		s.obey(m, drop)
+	case drop:
+		s.end(m, wick.Unknownf(wick.CodeBroken, "dropped"))
+	case !m.ref.IsBase() && !s.resident[m.ref]:
+		if m.from == s.e && s.boot == 1 {
+			s.t.Fatalf("%v: %s sent to %s, which is not resident", s.now, m.request, m.ref)
+		}
+		s.end(m, wick.NotRunf(wick.CodeLoadFailed, "not resident"))
+	default:
+		s.running[m.request] = run{m.ref, m.from}
+		s.record()
+	}
+}
+
+func (s *sim) obey(m message, drop bool) {
+	o := *m.order
+	fails := o.Kind == wick.OrderLoad && rapid.IntRange(0, 7).Draw(s.t, "fails") == 0
+	if o.Kind == wick.OrderLoad && !drop && len(s.resident) >= simSlots && !s.resident[o.Ref] {
+		if s.boot == 1 && s.view == 1 {
+			s.t.Fatalf("%v: load of %s into a full engine", s.now, o.Ref)
+		}
+		fails = true
+	}
+	if !drop && !fails {
+		s.effect(o)
+		s.record()
+	}
+	answer := func(err *wick.Error) {
+		s.answers = append(s.answers, func() {
+			if m.from == s.e {
+				s.do(s.e.OrderDone(s.now, o, err))
+			}
+		})
+	}
+	if m.quiet && rapid.Bool().Draw(s.t, "never") {
+		return
+	}
+	if drop || rapid.IntRange(0, 3).Draw(s.t, "lost") == 0 {
+		answer(wick.Unknownf(wick.CodeBroken, "lost"))
+	}
+	double := rapid.IntRange(0, 5).Draw(s.t, "double") == 0
+	for i := 0; i < 2 && (i == 0 || double); i++ {
+		switch {
+		case drop:
+		case fails:
+			answer(wick.NotRunf(wick.CodeLoadFailed, "failed"))
+		default:
+			answer(nil)
+		}
+	}
+}
+
+// lose tells the owner that the answer to an order is lost, while the order
+// itself is still under way.
+func (s *sim) lose(i int) {
+	m := s.network[i]
+	if m.order == nil || m.quiet {
+		return
+	}
+	s.network[i].quiet = true
+	s.answers = append(s.answers, func() {
+		if m.from == s.e {
+			s.do(s.e.OrderDone(s.now, *m.order, wick.Unknownf(wick.CodeBroken, "lost")))
+		}
+	})
+}
+
+// effect does what an order says.
+func (s *sim) effect(o wick.Order) {
+	if o.Kind == wick.OrderLoad {
+		s.resident[o.Ref] = true
+		return
+	}
+	for id, r := range s.running {
+		if r.ref == o.Ref {
+			s.t.Fatalf("%v: %s evicted under %s", s.now, o.Ref, id)
+		}
+	}
+	delete(s.resident, o.Ref)
+}
+
+// end answers a request.
+func (s *sim) end(m message, err *wick.Error) {
+	s.answers = append(s.answers, func() {
+		if m.from != s.e {
+			delete(s.past[m.from], m.request)
+			m.from.Done(s.now, m.request, Result{Tokens: 5, Err: err})
+			return
+		}
+		if !s.open[m.request] {
+			s.t.Fatalf("%s ended, which was not dispatched", m.request)
+		}
+		delete(s.open, m.request)
+		s.do(s.e.Done(s.now, m.request, Result{Tokens: 5, Err: err}))
+	})
+}
+
+func (s *sim) finish(id wick.RequestID, err *wick.Error) {
+	r := s.running[id]
+	delete(s.running, id)
+	s.record()
+	s.end(message{request: id, from: r.from}, err)
+}
+
+// restart brings the engine back cold.
+func (s *sim) restart() {
+	s.boot++
+	s.resident = map[wick.Ref]bool{}
+	for _, id := range slices.Sorted(maps.Keys(s.running)) {
+		s.finish(id, wick.Unknownf(wick.CodeBroken, "crashed"))
+	}
+	s.history = nil
+	s.record()
+}
+
+func (s *sim) record() {
+	r := wick.Report{Boot: fmt.Sprint(s.boot), Running: wick.Slots(len(s.running))}
+	for _, ref := range sortedRefs(s.resident) {
+		x := wick.Resident{Ref: ref}
+		for _, run := range s.running {
+			if run.ref == ref {
+				x.Serving++
+			}
+		}
+		r.Resident = append(r.Resident, x)
+	}
+	s.history = append(s.history, snapshot{s.now, r})
+}
+
+// report hands in the state of the engine as it was a time ago.
+func (s *sim) report(lag wick.Instant) {
+	s.reading = false
+	i := len(s.history) - 1
+	for i > 0 && s.history[i].at > s.now-lag {
+		i--
+	}
+	r := s.history[i].report
+	r.Age = wick.Duration(min(lag, s.now-s.history[i].at))
+	sent := s.now
+	s.answers = append(s.answers, func() { s.do(s.e.Report(s.now, sent, r)) })
+}
+
+// pass lets time pass; messages that are too old are dropped.
+func (s *sim) pass(d wick.Instant) {
+	for end := s.now + d; s.now < end; {
+		s.now = min(end, s.now+100*ms)
+		for i := 0; i < len(s.network); {
+			if s.network[i].deadline <= s.now {
+				s.arrive(i, !s.network[i].quiet || rapid.Bool().Draw(s.t, "too late"))
+				continue
+			}
+			i++
+		}
+		if s.now >= s.e.Next() {
+			s.do(s.e.Tick(s.now))
+		}
+	}
+}
+
+func (s *sim) answer(i int) {
+	f := s.answers[i]
+	s.answers = slices.Delete(s.answers, i, i+1)
+	f()
+}
+
+func (s *sim) submit() {
+	s.next++
+	it := work(fmt.Sprint("q", s.next), rapid.IntRange(0, 4).Draw(s.t, "adapter"), 10)
+	it.Sub.Within = wick.Duration(time.Duration(rapid.IntRange(1, 8).Draw(s.t, "within")) * time.Second)
+	it.Sub.Level = wick.Level(rapid.IntRange(0, 2).Draw(s.t, "level"))
+	it.Sub.Sheddable = rapid.Bool().Draw(s.t, "sheddable")
+	it.Suspect = rapid.IntRange(0, 9).Draw(s.t, "suspect") == 0
+	s.open[it.Sub.Request] = false
+	s.do(s.e.Submit(s.now, it))
+}
+
+// pick draws one of xs and hands it to f, if there is any.
+func pick[T any](t *rapid.T, xs []T, f func(i int, x T)) {
+	if len(xs) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(xs)-1).Draw(t, "pick")
+	f(i, xs[i])
+}
+
+func (s *sim) runningIDs() []wick.RequestID { return slices.Sorted(maps.Keys(s.running)) }
+
+func sortedRefs(m map[wick.Ref]bool) []wick.Ref {
+	return slices.SortedFunc(maps.Keys(m), func(a, b wick.Ref) int {
+		return strings.Compare(a.String(), b.String())
+	})
+}
+
+func (s *sim) grant(t *rapid.T) {
+	pick(t, sortedRefs(s.asked), func(_ int, ref wick.Ref) {
+		delete(s.asked, ref)
+		if rapid.IntRange(0, 4).Draw(t, "deny") == 0 {
+			s.do(s.e.Denied(s.now, ref))
+			return
+		}
+		s.do(s.e.Granted(s.now, ref))
+	})
+}
+
+// check holds after each step.
+func (s *sim) check(t *rapid.T) {
+	queued := 0
+	for _, sent := range s.open {
+		if !sent {
+			queued++
+		}
+	}
+	if queued != len(s.e.queue) {
+		t.Fatalf("%d requests queued, want %d", len(s.e.queue), queued)
+	}
+	for _, a := range s.e.held {
+		if a.state == absent {
+			t.Fatalf("%s is absent and takes a slot", a.ref)
+		}
+		if a.state == closing && a.pins > 0 {
+			t.Fatalf("%s is closing with %d pins", a.ref, a.pins)
+		}
+	}
+}
+
+// flow lets all that is under way happen, but for delayed orders and the ends
+// of requests.
+func (s *sim) flow() {
+	for i := 0; i < len(s.network); {
+		if s.network[i].quiet {
+			i++
+			continue
+		}
+		s.arrive(i, false)
+	}
+	for len(s.answers) > 0 {
+		s.answer(0)
+	}
+	for _, ref := range sortedRefs(s.asked) {
+		delete(s.asked, ref)
+		s.do(s.e.Granted(s.now, ref))
+	}
+	if s.reading {
+		s.report(0)
+	}
+	s.pass(250 * ms)
+}
+
+// upset restarts the engine or changes its owner, now and then.
+func (s *sim) upset(t *rapid.T) {
+	switch rapid.IntRange(0, 9).Draw(t, "upset") {
+	case 0:
+		s.restart()
+	case 1:
+		s.restart()
+		s.do(s.e.Lost(s.now, ""))
+	case 2:
+		s.takeover()
+	case 3:
+		s.do(s.e.Release(s.now))
+		s.asked = map[wick.Ref]bool{}
+		s.view++
+		s.do(s.e.Takeover(s.now, s.view))
+	}
+}
+
+// quiesce lets all messages arrive and checks that every request has ended.
+func (s *sim) quiesce() {
+	for range 100 {
+		s.flow()
+		for _, id := range s.runningIDs() {
+			s.finish(id, nil)
+		}
+	}
+	if len(s.open) > 0 || len(s.e.queue) > 0 || len(s.e.flying) > 0 {
+		s.t.Fatalf("not ended: %v, %d queued, %d in flight", s.open, len(s.e.queue), len(s.e.flying))
+	}
+	if s.e.foreign != 0 || s.e.blind {
+		s.t.Fatalf("still in doubt: foreign %d, blind %v", s.e.foreign, s.e.blind)
+	}
+	for _, a := range s.e.held {
+		if a.state != ready || !s.resident[a.ref] {
+			s.t.Fatalf("%s is %d, resident %v", a.ref, a.state, s.resident[a.ref])
+		}
+	}
+}
+
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(*rapid.T) { s.submit() },
+			"more":   func(*rapid.T) { s.submit() },
+			"cancel": func(t *rapid.T) {
+				pick(t, slices.Sorted(maps.Keys(s.open)), func(_ int, id wick.RequestID) {
+					s.do(s.e.Cancel(s.now, id))
+				})
+			},
+			"arrive": func(t *rapid.T) {
+				pick(t, s.network, func(i int, _ message) { s.arrive(i, false) })
+			},
+			"drop": func(t *rapid.T) {
+				pick(t, s.network, func(i int, _ message) { s.arrive(i, true) })
+			},
+			"lose": func(t *rapid.T) {
+				pick(t, s.network, func(i int, _ message) { s.lose(i) })
+			},
+			"answer": func(t *rapid.T) {
+				pick(t, s.answers, func(i int, _ func()) { s.answer(i) })
+			},
+			"progress": func(t *rapid.T) {
+				pick(t, s.runningIDs(), func(_ int, id wick.RequestID) { s.e.Progress(s.now, id, 3) })
+			},
+			"finish": func(t *rapid.T) {
+				pick(t, s.runningIDs(), func(_ int, id wick.RequestID) { s.finish(id, nil) })
+			},
+			"grant": s.grant,
+			"prefetch": func(t *rapid.T) {
+				s.do(s.e.Prefetch(s.now, ref(rapid.IntRange(1, 4).Draw(t, "adapter")), "w"))
+			},
+			"report": func(t *rapid.T) {
+				s.report(wick.Instant(rapid.IntRange(0, 1500).Draw(t, "lag")) * ms)
+			},
+			"wait":   func(t *rapid.T) { s.pass(wick.Instant(rapid.IntRange(1, 900).Draw(t, "ms")) * ms) },
+			"flow":   func(*rapid.T) { s.flow() },
+			"settle": func(*rapid.T) { s.flow() },
+			"upset":  s.upset,
+			"":       s.check,
+		})
+		s.quiesce()
+	})
+}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -149,15 +149,15 @@
 }
 
 // idleNow reports whether the adapter may be unloaded.
-func (a *adapter) idleNow(now wick.Instant) bool {
-	return a.state == ready && a.pins == 0 && a.queued == 0 && a.proved && now >= a.until
+func (a *adapter) idleNow() bool {
+	return a.state == ready && a.pins == 0 && a.queued == 0 && a.proved
 }
 
 // gatherIdle fills idle and returns its length.
 func (e *Endpoint) gatherIdle(now wick.Instant) int {
 	e.idle = e.idle[:0]
 	for _, a := range e.held {
-		if a.idleNow(now) {
+		if a.idleNow() {
 			e.idle = append(e.idle, wick.Holding{Ref: a.ref, Heat: a.warmth(now), Used: a.used})
 		}
 	}
--- a/sched/report.go
+++ b/sched/report.go
@@ -73,11 +73,11 @@
 	for _, a := range slices.Clone(e.held) {
 		i := slices.IndexFunc(r.Resident, func(x wick.Resident) bool { return x.Ref == a.ref })
 		switch {
-		case a.state == ready && made >= a.since && i < 0:
+		case a.state == ready && made > a.since && i < 0:
 			e.empty(now, a)
-		case a.state == ready && made >= a.since:
+		case a.state == ready && made > a.since:
 			e.prove(made, a, r.Resident[i].Serving)
-		case a.state == unknown && made >= a.until && made >= a.since:
+		case a.state == unknown && made > a.until && made > a.since:
 			e.resolve(now, made, a, r.Resident, i)
 		}
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -30,6 +30,8 @@
 	// ReportEvery is the pause between two reports while the engine's state is
 	// in doubt; 0 means 200 ms.
 	ReportEvery time.Duration
+	// ReportIdle is the pause between two reports otherwise; 0 means 2 s.
+	ReportIdle time.Duration
 	// AskEvery is the pause before a denied load is asked for again; 0 means
 	// 100 ms.
 	AskEvery time.Duration
@@ -46,6 +48,7 @@
 const (
 	defaultOrderWithin = time.Second
 	defaultReportEvery = 200 * time.Millisecond
+	defaultReportIdle  = 2 * time.Second
 	defaultAskEvery    = 100 * time.Millisecond
 	defaultLoadTries   = 2
 	defaultPrompt      = 100 * time.Microsecond
@@ -55,6 +58,7 @@
 func (c *Config) setDefaults() {
 	c.OrderWithin = durationOr(c.OrderWithin, defaultOrderWithin)
 	c.ReportEvery = durationOr(c.ReportEvery, defaultReportEvery)
+	c.ReportIdle = durationOr(c.ReportIdle, defaultReportIdle)
 	c.AskEvery = durationOr(c.AskEvery, defaultAskEvery)
 	c.Prompt = durationOr(c.Prompt, defaultPrompt)
 	c.Answer = durationOr(c.Answer, defaultAnswer)
--- a/sched/timer.go
+++ b/sched/timer.go
@@ -65,13 +65,13 @@
 	return due
 }
 
-// reportDue returns when the next report is to be read, which is only while
-// something is in doubt.
+// reportDue returns when the next report is to be read: soon while something
+// is in doubt, and else now and then, since an engine may restart unseen.
 func (e *Endpoint) reportDue() wick.Instant {
-	due := Never
 	if !e.owner || e.cfg.Kind != wick.RunnerEndpoint {
-		return due
+		return Never
 	}
+	due := e.asked.Add(e.cfg.ReportIdle)
 	if e.blind || e.foreign > 0 {
 		due = e.taken
 	}
@@ -83,9 +83,6 @@
 			due = min(due, e.clear)
 		}
 	}
-	if due == Never {
-		return due
-	}
 	return max(due, e.asked.Add(e.cfg.ReportEvery))
 }
 
