--- a/peer.go
+++ b/peer.go
@@ -145,8 +145,22 @@
 	Print Fingerprint `json:"Print"`
 	// Crashes is how many crashes the request was suspected of; positive.
 	Crashes int `json:"Crashes"`
-	// Alone tells that it was the only request in flight at the last one.
+	// Alone tells that it was the only request in flight at one of them. With
+	// two crashes the request is stopped.
 	Alone bool `json:"Alone,omitempty"`
+	// Age is how long ago the last crash was, or the last try once stopped.
+	Age Duration `json:"Age,omitempty"`
+}
+
+// Check implements Checker.
+func (s Suspect) Check() error {
+	if s.Crashes <= 0 {
+		return badField("Crashes", "must be positive")
+	}
+	if s.Age < 0 {
+		return badField("Age", "must not be negative")
+	}
+	return nil
 }
 
 // PeerMessage is one control message between daemons, question or answer.
@@ -181,7 +195,7 @@
 		set, err = set+1, m.Grant.Check()
 	}
 	if m.Suspects != nil {
-		set++
+		set, err = set+1, checkSuspects(m.Suspects)
 	}
 	if m.Error != nil {
 		set, err = set+1, m.Error.Check()
@@ -191,3 +205,12 @@
 	}
 	return err
 }
+
+func checkSuspects(all []Suspect) error {
+	for _, s := range all {
+		if err := s.Check(); err != nil {
+			return fmt.Errorf("suspect: %w", err)
+		}
+	}
+	return nil
+}
