--- /dev/null
+++ b/evict/trace_test.go
@@ -0,0 +1,144 @@
+package evict
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"currantwick"
+)
+
+// use is one request of a trace.
+type use struct {
+	at      wick.Instant
+	adapter int
+}
+
+// drifting returns a trace of Zipf popularity over adapters, a rate a second.
+// Every so often one adapter among the most popular changes places with any
+// other.
+func drifting(seed uint64, n, adapters int, skew, perSecond float64, every int) []use {
+	r := rand.New(rand.NewPCG(seed, 1))
+	sums := make([]float64, adapters)
+	sum := 0.0
+	for i := range sums {
+		sum += math.Pow(float64(i+1), -skew)
+		sums[i] = sum
+	}
+	names := r.Perm(adapters)
+	out := make([]use, n)
+	now := 0.0
+	for i := range out {
+		now += r.ExpFloat64() / perSecond
+		if i%every == 0 {
+			a, b := r.IntN(adapters/10), r.IntN(adapters)
+			names[a], names[b] = names[b], names[a]
+		}
+		x := r.Float64() * sum
+		lo, hi := 0, adapters-1
+		for lo < hi {
+			if mid := (lo + hi) / 2; sums[mid] < x {
+				lo = mid + 1
+			} else {
+				hi = mid
+			}
+		}
+		out[i] = use{wick.Instant(now * float64(time.Second)), names[lo]}
+	}
+	return out
+}
+
+// loadsOf counts the loads of a cache of so many slots under a policy.
+func loadsOf(policy wick.Evictor, trace []use, slots int) int {
+	counters := map[int]*Counter{}
+	clock := NewClock(wick.Slots(slots))
+	var held []int
+	var idle []wick.Holding
+	in := map[int]bool{}
+	loads := 0
+	for _, u := range trace {
+		c := counters[u.adapter]
+		if c == nil {
+			c = &Counter{}
+			counters[u.adapter] = c
+		}
+		clock.Touch(c, u.at)
+		if in[u.adapter] {
+			continue
+		}
+		loads++
+		in[u.adapter] = true
+		if len(held) < slots {
+			held = append(held, u.adapter)
+			continue
+		}
+		idle = idle[:0]
+		for _, a := range held {
+			idle = append(idle, wick.Holding{Heat: clock.Heat(counters[a]), Used: counters[a].Last()})
+		}
+		v := policy.Victim(u.at, wick.Holding{Heat: clock.Heat(c), Used: u.at, Urgency: 1}, idle)
+		delete(in, held[v])
+		held[v] = u.adapter
+	}
+	return loads
+}
+
+// clairvoyant counts the loads of a cache that knows the whole trace.
+func clairvoyant(trace []use, slots int) int {
+	next := make([]int, len(trace))
+	seen := map[int]int{}
+	for i := len(trace) - 1; i >= 0; i-- {
+		next[i] = len(trace)
+		if j, ok := seen[trace[i].adapter]; ok {
+			next[i] = j
+		}
+		seen[trace[i].adapter] = i
+	}
+	until := map[int]int{}
+	loads := 0
+	for i, u := range trace {
+		if _, ok := until[u.adapter]; !ok {
+			loads++
+			if len(until) == slots {
+				worst, far := -1, -1
+				for a, n := range until {
+					if n > far {
+						worst, far = a, n
+					}
+				}
+				delete(until, worst)
+			}
+		}
+		until[u.adapter] = next[i]
+	}
+	return loads
+}
+
+func TestLoadsBesideClairvoyant(t *testing.T) {
+	tests := []struct {
+		skew  float64
+		slots int
+		// atMost bounds the loads of Heat as a share of those of LRU.
+		atMost float64
+	}{
+		{0.8, 96, 0.9},
+		{1.0, 96, 0.9},
+		{1.0, 192, 0.9},
+		{1.2, 96, 0.9},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("skew=%v/slots=%d", tt.skew, tt.slots), func(t *testing.T) {
+			trace := drifting(1, 24000, 3000, tt.skew, 40, 50)
+			best := float64(clairvoyant(trace, tt.slots))
+			lru := float64(loadsOf(LRU{}, trace, tt.slots))
+			heat := float64(loadsOf(Heat{}, trace, tt.slots))
+			t.Logf("loads a request: clairvoyant %.3f; LRU %.2f times, Heat %.2f times that; Heat/LRU %.2f",
+				best/float64(len(trace)), lru/best, heat/best, heat/lru)
+			if heat > tt.atMost*lru {
+				t.Errorf("Heat loads %.2f times as often as LRU", heat/lru)
+			}
+		})
+	}
+}
--- a/sched/adapter.go
+++ b/sched/adapter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/evict"
 )
 
 // state is the state of an adapter at the engine.
@@ -60,10 +61,8 @@
 	queued int
 	cost   wick.Cost
 
-	// heat is the number of requests as of used, the time of the last one;
-	// each counts half after the half-life.
-	heat float64
-	used wick.Instant
+	// uses counts the requests for the adapter.
+	uses evict.Counter
 
 	// listed tells that the adapter is in Endpoint.wanted.
 	listed bool
@@ -82,8 +81,6 @@
 }
 
 const (
-	// halfLife is the time after which a request counts half for heat.
-	halfLife = 2 * time.Minute
 	// orderSlack is added to an order's Within for its way to the engine.
 	orderSlack = 250 * time.Millisecond
 	// grantKeep is how long a leave is kept that can't be used.
@@ -109,22 +106,14 @@
 	return a
 }
 
-// touch counts a request for the adapter.
-func (a *adapter) touch(now wick.Instant) {
-	a.heat = a.warmth(now) + 1
-	a.used = now
-}
-
-// warmth returns the heat as of now.
-func (a *adapter) warmth(now wick.Instant) float64 {
-	if a.heat == 0 {
-		return 0
-	}
-	return a.heat * math.Exp2(-float64(now.Sub(a.used))/float64(halfLife))
-}
-
 // enter changes the state.
 func (e *Endpoint) enter(now wick.Instant, a *adapter, s state) {
+	if a.state == closing {
+		e.closing--
+	}
+	if s == closing {
+		e.closing++
+	}
 	if (a.state == absent) != (s == absent) {
 		if s == absent {
 			e.held = slices.DeleteFunc(e.held, func(b *adapter) bool { return b == a })
@@ -289,7 +278,7 @@
 func (e *Endpoint) forgetBelow(now wick.Instant, heat float64) {
 	for ref, a := range e.adapters {
 		idle := a.state == absent && a.queued == 0 && a.pins == 0 && !a.listed
-		if idle && now.Sub(a.since) > prefetchKeep && now >= a.retry && a.warmth(now) < heat {
+		if idle && now.Sub(a.since) > prefetchKeep && now >= a.retry && e.clock.Heat(&a.uses) < heat {
 			delete(e.adapters, ref)
 		}
 	}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -59,7 +59,7 @@
 // is none it unloads an adapter, unless one is closing already.
 func (e *Endpoint) start(now wick.Instant, out []Action) []Action {
 	free := int(e.end.AdapterSlots) - len(e.held)
-	leaving := e.count(closing)
+	leaving := e.closing
 	for _, a := range e.wanted {
 		if a.want != wantGranted {
 			continue
@@ -81,7 +81,7 @@
 
 // ask asks for as many loads as could start.
 func (e *Endpoint) ask(now wick.Instant, out []Action) []Action {
-	room := int(e.end.AdapterSlots) - len(e.held) + e.count(closing)
+	room := int(e.end.AdapterSlots) - len(e.held) + e.closing
 	idle := -1
 	for _, a := range e.wanted {
 		if a.state != absent || now < a.retry {
@@ -127,7 +127,7 @@
 // shrink unloads what exceeds the slots, which happens when they were lowered
 // or when the engine turned out to hold more than was thought.
 func (e *Endpoint) shrink(now wick.Instant, out []Action) []Action {
-	over := len(e.held) - e.count(closing) - int(e.end.AdapterSlots)
+	over := len(e.held) - e.closing - int(e.end.AdapterSlots)
 	for ; over > 0; over-- {
 		v := e.victim(now, wick.Holding{Urgency: 1})
 		if v == nil {
@@ -138,16 +138,6 @@
 	return out
 }
 
-func (e *Endpoint) count(s state) int {
-	n := 0
-	for _, a := range e.held {
-		if a.state == s {
-			n++
-		}
-	}
-	return n
-}
-
 // idleNow reports whether the adapter may be unloaded.
 func (a *adapter) idleNow() bool {
 	return a.state == ready && a.pins == 0 && a.queued == 0 && a.proved
@@ -158,7 +148,7 @@
 	e.idle = e.idle[:0]
 	for _, a := range e.held {
 		if a.idleNow() {
-			e.idle = append(e.idle, wick.Holding{Ref: a.ref, Heat: a.warmth(now), Used: a.used})
+			e.idle = append(e.idle, wick.Holding{Ref: a.ref, Heat: e.clock.Heat(&a.uses), Used: a.uses.Last()})
 		}
 	}
 	return len(e.idle)
@@ -178,7 +168,7 @@
 
 // holding describes an adapter that is wanted.
 func (e *Endpoint) holding(now wick.Instant, a *adapter) wick.Holding {
-	h := wick.Holding{Ref: a.ref, Heat: a.warmth(now), Used: a.used}
+	h := wick.Holding{Ref: a.ref, Heat: e.clock.Heat(&a.uses), Used: a.uses.Last()}
 	for _, t := range e.queue {
 		if t.adapter == a {
 			share := float64(now.Sub(t.Arrived)) / float64(max(1, t.Due.Sub(t.Arrived)))
--- a/sched/report.go
+++ b/sched/report.go
@@ -156,11 +156,12 @@
 	e.newest = now - 1
 	e.asked = now - wick.Instant(e.cfg.ReportEvery)
 	for _, a := range e.adapters {
-		a.state, a.since, a.proved = absent, -1, false
+		e.enter(-1, a, absent)
+		a.proved = false
 		a.want, a.listed = wantNone, false
 		a.order = wick.Order{}
 	}
-	e.held, e.wanted = e.held[:0], e.wanted[:0]
+	e.wanted = nil
 	if e.cfg.Kind == wick.RunnerEndpoint {
 		e.blind = true
 		e.foreign = e.end.BatchSlots
@@ -206,6 +207,9 @@
 
 // Update takes in a changed configuration of the endpoint.
 func (e *Endpoint) Update(now wick.Instant, end wick.Endpoint) []Action {
+	if end.AdapterSlots != e.end.AdapterSlots {
+		e.clock.Resize(end.AdapterSlots)
+	}
 	e.end = end
 	if out := e.turnAway(now); out != nil {
 		return out
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/evict"
 )
 
 // Config says what an Endpoint schedules and by which policies.
@@ -101,6 +102,10 @@
 	adapters map[wick.Ref]*adapter
 	held     []*adapter
 	wanted   []*adapter
+	// closing counts the adapters of held that are being unloaded.
+	closing int
+	// clock counts the requests for adapters.
+	clock evict.Clock
 
 	// blind tells that no report made after clear was seen since the takeover
 	// at taken. No adapter is touched while blind.
@@ -134,6 +139,7 @@
 		prefixes: map[wick.Fingerprint]*prefix{},
 		costs:    newCosts(cfg),
 		newest:   -1,
+		clock:    evict.NewClock(cfg.Endpoint.AdapterSlots),
 	}
 }
 
@@ -149,7 +155,7 @@
 	}
 	t := e.newItem(now, it)
 	if t.adapter != nil {
-		t.adapter.touch(now)
+		e.clock.Touch(&t.adapter.uses, now)
 	}
 	var out []Action
 	switch b := e.backlog(now, t); e.cfg.Admit.Admit(b, &t.Queued) {
