Keep room in the batch for the short requests that are usually there

A fixed share for long work either starved it or let it fill the batch before a burst of short requests. The room kept is now the recent average of short requests plus two standard deviations, and gives way to long requests as they use up half their time to the first token.

--- a/policy_sched.go
+++ b/policy_sched.go
@@ -33,6 +33,9 @@
 	// ShortWaiting counts the short requests in the queue, whether or not
 	// their adapter is resident.
 	ShortWaiting Slots
+	// ShortMean is the recent average number of short requests, waiting and
+	// running.
+	ShortMean float64
 }
 
 // Orderer chooses what an endpoint runs next. Implementations are pure.
--- a/sched/cost.go
+++ b/sched/cost.go
@@ -41,7 +41,8 @@
 	learnRate = 0.15
 	// longFactor is how many times the usual cost makes a request long.
 	longFactor = 4
-	// usualRate is the weight of the newest request in the usual cost.
+	// usualRate is the weight of the newest request in the usual cost, once
+	// enough have come.
 	usualRate = 0.01
 	// maxKeys bounds the keys of one generation of averages.
 	maxKeys = 4096
@@ -61,8 +62,10 @@
 	token  wick.Cost
 	// speed is the ratio of measured to estimated time; 1 at first.
 	speed float64
-	// usual is the logarithm of the usual cost; NaN before the first request.
+	// usual is the average logarithm of the cost of requests, of which seen
+	// have been dispatched.
 	usual float64
+	seen  float64
 	// load is the average time from the first request for an adapter until it
 	// was resident.
 	load wick.Cost
@@ -79,7 +82,6 @@
 		prompt: wick.Cost(cfg.Prompt.Seconds()),
 		token:  wick.Cost(cfg.Answer.Seconds()),
 		speed:  1,
-		usual:  math.NaN(),
 		load:   firstLoad,
 		young:  map[costKey]float64{},
 	}
@@ -159,16 +161,14 @@
 
 // started takes in the cost of a request as it is dispatched.
 func (c *costs) started(cost wick.Cost) {
-	l := math.Log(float64(cost))
-	if math.IsNaN(c.usual) {
-		c.usual = l
-	}
-	c.usual += usualRate * (l - c.usual)
+	c.seen++
+	c.usual += max(usualRate, 1/c.seen) * (math.Log(float64(cost)) - c.usual)
+	c.running += cost
 }
 
 // isLong reports whether a cost is many times the usual one.
 func (c *costs) isLong(cost wick.Cost) bool {
-	return !math.IsNaN(c.usual) && math.Log(float64(cost)) > c.usual+math.Log(longFactor)
+	return c.seen > 0 && math.Log(float64(cost)) > c.usual+math.Log(longFactor)
 }
 
 // wait estimates how long a batch of so many slots takes over work.
--- a/sched/order.go
+++ b/sched/order.go
@@ -1,6 +1,10 @@
 package sched
 
-import "currantwick"
+import (
+	"math"
+
+	"currantwick"
+)
 
 // FIFO runs requests in order of arrival. It is the baseline.
 type FIFO struct{}
@@ -16,20 +20,28 @@
 // Shortest runs the highest level first and the cheapest request within a
 // level. A request's cost counts for less the longer it waits, and for nothing
 // once half its time to the first token is used up, so that no request of a
-// level is passed over for ever. Long requests fill what short ones leave.
+// level is passed over for ever.
+//
+// Long requests fill what short ones leave: part of the batch is kept free for
+// the short ones that are usually there, and some more for a burst of them. A
+// long request that waits gets into that part bit by bit, until at half its
+// time to the first token only Reserve is left.
 type Shortest struct {
-	// LongShare is the share of the batch that long requests may take while
-	// short ones wait; 0 to 1. At least one long request may always run.
+	// LongShare is the share of the batch that long requests may always take;
+	// 0 to 1, 0 meaning a quarter. At least one long request may always run.
 	LongShare float64
-	// Reserve is the share of the batch that long requests leave free for
-	// short ones that are yet to come; 0 to 1.
+	// Reserve is the share of the batch that is always kept free of long
+	// requests, unless LongShare is more; 0 to 1, 0 meaning an eighth.
 	Reserve float64
 }
 
 // Defaults of a zero Shortest, and the weights of what makes a request cheap.
 const (
-	defaultLongShare = 0.5
+	defaultLongShare = 0.25
 	defaultReserve   = 0.125
+	// burst is how many standard deviations above the average number of short
+	// requests the batch has room for.
+	burst = 2
 	// aged is the share of the time to the first token after which cost no
 	// longer counts.
 	aged = 0.5
@@ -41,7 +53,7 @@
 
 // Next implements wick.Orderer.
 func (o Shortest) Next(b wick.Batch, runnable []*wick.Queued) int {
-	long := b.Long < o.longSlots(b)
+	long := o.longMayRun(b, runnable)
 	best, bestScore := -1, 0.0
 	for i, q := range runnable {
 		if q.Long && !long {
@@ -58,20 +70,35 @@
 	return best
 }
 
-// longSlots returns how many long requests the batch may hold now.
-func (o Shortest) longSlots(b wick.Batch) wick.Slots {
-	share := 1 - orDefault(o.Reserve, defaultReserve)
-	if b.ShortWaiting > 0 {
-		share = min(share, orDefault(o.LongShare, defaultLongShare))
+// longMayRun reports whether the batch may take one more long request.
+func (o Shortest) longMayRun(b wick.Batch, runnable []*wick.Queued) bool {
+	pressed := -1.0
+	for _, q := range runnable {
+		if q.Long {
+			pressed = max(pressed, min(1, patience(b.Now, q)))
+		}
 	}
-	return max(1, wick.Slots(share*float64(b.Slots)))
+	if pressed < 0 {
+		return false
+	}
+	slots := float64(b.Slots)
+	least := orDefault(o.Reserve, defaultReserve) * slots
+	usual := max(least, b.ShortMean+burst*math.Sqrt(b.ShortMean))
+	kept := usual + pressed*(least-usual)
+	most := max(1, slots-kept, orDefault(o.LongShare, defaultLongShare)*slots)
+	return b.Long+1 <= wick.Slots(most)
+}
+
+// patience returns how much of the patience of a request is used up; 1 and more
+// if all of it is.
+func patience(now wick.Instant, q *wick.Queued) float64 {
+	return float64(now.Sub(q.Arrived)) / max(1, aged*float64(q.Due.Sub(q.Arrived)))
 }
 
 // score is the cost that is left after the time already waited; lower runs
 // first.
 func score(now wick.Instant, q *wick.Queued) float64 {
-	patience := aged * float64(q.Due.Sub(q.Arrived))
-	s := float64(q.Cost) * max(0, 1-float64(now.Sub(q.Arrived))/max(1, patience))
+	s := float64(q.Cost) * max(0, 1-patience(now, q))
 	if q.Grouped {
 		s *= groupedWeight
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -119,6 +119,10 @@
 	boot   string
 	// last is when step last ran; Next lies after it.
 	last wick.Instant
+	// short is the number of short requests since the last step, and shortMean
+	// its recent average.
+	short     float64
+	shortMean float64
 
 	prefixes map[wick.Fingerprint]*prefix
 	costs    costs
--- a/sched/step.go
+++ b/sched/step.go
@@ -1,14 +1,17 @@
 package sched
 
 import (
+	"math"
 	"slices"
+	"time"
 
 	"currantwick"
 )
 
 // step does all that can be done now.
 func (e *Endpoint) step(now wick.Instant, out []Action) []Action {
-	e.last = now
+	e.average(now)
+	defer e.countShort()
 	out = e.expire(now, out)
 	for _, t := range e.queue {
 		if t.adapter != nil && t.adapter.state == absent {
@@ -16,8 +19,29 @@
 		}
 	}
 	out = e.plan(now, out)
-	out = e.fill(now, out)
-	return out
+	return e.fill(now, out)
+}
+
+// shortFade is the time constant of the average number of short requests.
+const shortFade = 10 * time.Second
+
+// average brings the average number of short requests up to now. The number
+// has not changed since the last step.
+func (e *Endpoint) average(now wick.Instant) {
+	keep := math.Exp(-float64(now.Sub(e.last)) / float64(shortFade))
+	e.shortMean = keep*e.shortMean + (1-keep)*e.short
+	e.last = now
+}
+
+// countShort counts the short requests, for the next average.
+func (e *Endpoint) countShort() {
+	n := wick.Slots(len(e.flying)) - e.long
+	for _, t := range e.queue {
+		if !t.Long {
+			n++
+		}
+	}
+	e.short = float64(n)
 }
 
 // expire refuses the requests whose time has passed.
@@ -80,6 +104,7 @@
 		Running:      wick.Slots(len(e.flying)) + e.foreign,
 		Long:         e.long,
 		ShortWaiting: short,
+		ShortMean:    e.shortMean,
 	}
 }
 
@@ -149,6 +174,5 @@
 		t.prefix.used = now
 	}
 	e.costs.started(t.Cost)
-	e.costs.running += t.Cost
 	return append(out, Dispatch{t.sub, t.Due})
 }
