Share a weight store's budget, and bound retries and hedges

A store's rate and knee hold for all daemons together, and the daemon that gives the budget away can change at any time. Weighed: static shares alone (with 4 loads a second and 7 daemons each would have 0.6 a second, wherever the work is), and grants without a share to fall back on (no load starts while the owner can't be reached). Taken: an eighth as static shares that need no grant, the rest granted by the owner, one token at a time in proportion to the work that waits. Prefetch gets what nobody waits for, and only while the store runs at full speed.

The question for a grant carries its view, run and sequence: without them an overtaken question hides loads in flight.

--- /dev/null
+++ b/limit/retry_test.go
@@ -0,0 +1,112 @@
+package limit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"currantwick"
+)
+
+func TestRetryBudget(t *testing.T) {
+	tests := []struct {
+		name       string
+		policy     wick.RetryPolicy
+		each       int // one in so many requests succeeds, 0 none
+		least, top int // retries in 1,000 requests within 10 s
+	}{
+		{"all fail", "", 0, 9, 11},
+		{"half fail", "", 2, 50, 61},
+		{"one in ten succeeds", "", 10, 18, 21},
+		{"unlimited", wick.RetryUnlimited, 0, 1000, 1000},
+	}
+	for _, tt := range tests {
+		r, err := NewRetrier(RetryConfig{Policy: tt.policy})
+		if err != nil {
+			t.Fatal(err)
+		}
+		retries := 0
+		for i := range 1000 {
+			now := wick.Instant(time.Duration(i) * 10 * time.Millisecond)
+			if tt.each > 0 && i%tt.each == 0 {
+				r.Succeeded()
+			} else if r.Retry(now) {
+				retries++
+			}
+		}
+		if retries < tt.least || retries > tt.top {
+			t.Errorf("%s: %d retries, want %d to %d", tt.name, retries, tt.least, tt.top)
+		}
+	}
+}
+
+// The delay learns the percentile, and hedges keep to their part of requests
+// also while everything is slow.
+func TestHedges(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name       string
+		policy     wick.HedgePolicy
+		slow       float64 // the part of tries that take 20 times longer
+		delay      [2]time.Duration
+		part       float64 // of requests that are hedged, at most
+		hedgesSlow float64 // of slow tries that are hedged, at least
+	}{
+		{"ordinary", "", 0, [2]time.Duration{12 * ms, 26 * ms}, 0.055, 0},
+		{"few slow", "", 0.02, [2]time.Duration{12 * ms, 30 * ms}, 0.055, 0.5},
+		{"many slow", "", 0.5, [2]time.Duration{200 * ms, 520 * ms}, 0.055, 0},
+		{"median", "", 0.02, [2]time.Duration{10 * ms, 15 * ms}, 0.055, 0},
+		{"none", wick.HedgeNone, 0.02, [2]time.Duration{}, 0, 0},
+	}
+	for _, tt := range tests {
+		cfg := HedgeConfig{Policy: tt.policy}
+		if tt.name == "median" {
+			cfg.Percentile = 0.5
+		}
+		h, err := NewHedger(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := rand.New(rand.NewPCG(1, 2))
+		hedges, slow, slowHedged := 0, 0, 0
+		const n = 20000
+		for range n {
+			h.Began()
+			took := time.Duration((5 + 15*r.Float64()) * float64(ms))
+			late := r.Float64() < tt.slow
+			if late {
+				took *= 20
+				slow++
+			}
+			if d, ok := h.Delay(); ok && took > d && h.Hedge() {
+				hedges++
+				if late {
+					slowHedged++
+				}
+			}
+			h.Took(took)
+		}
+		if d, _ := h.Delay(); d < tt.delay[0] || d > tt.delay[1] {
+			t.Errorf("%s: delay %v, want %v", tt.name, d, tt.delay)
+		}
+		if part := float64(hedges) / n; part > tt.part {
+			t.Errorf("%s: %.3f of requests hedged, want at most %.3f", tt.name, part, tt.part)
+		}
+		if part := float64(slowHedged) / max(float64(slow), 1); part < tt.hedgesSlow {
+			t.Errorf("%s: %.2f of slow tries hedged, want %.2f", tt.name, part, tt.hedgesSlow)
+		}
+	}
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	for _, cfg := range []RetryConfig{{Policy: "x"}, {Part: 1}, {Least: -1}, {Burst: -1}} {
+		if _, err := NewRetrier(cfg); err == nil {
+			t.Errorf("%+v is taken", cfg)
+		}
+	}
+	for _, cfg := range []HedgeConfig{{Policy: "x"}, {Part: 1}, {Percentile: 2}, {Most: time.Millisecond}} {
+		if _, err := NewHedger(cfg); err == nil {
+			t.Errorf("%+v is taken", cfg)
+		}
+	}
+}
--- /dev/null
+++ b/limit/share.go
@@ -0,0 +1,119 @@
+package limit
+
+import (
+	"time"
+
+	"currantwick"
+)
+
+// fallbackPart is the part of a store's limits, as a divisor, that members hold
+// as static shares and the owner of the budget never gives away.
+const fallbackPart = 8
+
+// Share is a part of a store's limits.
+type Share struct {
+	// Rate is how many loads may start a second.
+	Rate wick.PerSecond
+	// Slots is how many may be in flight.
+	Slots wick.Slots
+}
+
+// fallback returns the part of a store's limits that is shared statically.
+func fallback(s wick.Store) Share {
+	return Share{Rate: s.Rate / fallbackPart, Slots: s.Knee / fallbackPart}
+}
+
+// granted returns the part that the owner of the budget gives away.
+func granted(s wick.Store) Share {
+	f := fallback(s)
+	return Share{Rate: s.Rate - f.Rate, Slots: s.Knee - f.Slots}
+}
+
+// StaticShare returns the share of one of n members, which are ranked from 0 in
+// an order that all agree on. Slots are whole, so in a large view only the
+// first members have one; the sum over all members is within the limits. The
+// share is for use at all times, before any grant: where it is not wanted it is
+// lost, which is the price of needing no agreement.
+func StaticShare(s wick.Store, rank, n int) Share {
+	f := fallback(s)
+	if rank < 0 || rank >= n || f.Slots == 0 {
+		return Share{}
+	}
+	holders := min(n, int(f.Slots))
+	if rank >= holders {
+		return Share{}
+	}
+	slots := int(f.Slots) / holders
+	if rank < int(f.Slots)%holders {
+		slots++
+	}
+	return Share{Rate: f.Rate / wick.PerSecond(holders), Slots: wick.Slots(slots)}
+}
+
+// LeastShare returns what a member may use while several views may still have
+// members that act under them: the least of its shares in each. A member that
+// is not in one of them has no share yet.
+func LeastShare(shares ...Share) Share {
+	if len(shares) == 0 {
+		return Share{}
+	}
+	least := shares[0]
+	for _, s := range shares[1:] {
+		least.Rate = min(least.Rate, s.Rate)
+		least.Slots = min(least.Slots, s.Slots)
+	}
+	return least
+}
+
+// bucket is a token bucket. The zero bucket is empty.
+type bucket struct {
+	tokens float64
+	at     wick.Instant
+}
+
+// fill adds what came in since the last call, up to a bound.
+func (b *bucket) fill(now wick.Instant, rate wick.PerSecond, burst float64) {
+	if now > b.at {
+		b.tokens += float64(rate) * now.Sub(b.at).Seconds()
+		b.at = now
+	}
+	b.tokens = min(b.tokens, burst)
+}
+
+// take removes one token, if there is one.
+func (b *bucket) take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// StoreConfig holds the settings of a store's budget.
+type StoreConfig struct {
+	Store wick.Store
+	// TTL is how long a grant is good for, counted from when it was asked for.
+	// Zero means a second.
+	TTL time.Duration
+	// LoadTime is how long a load may be in flight after it was last reported.
+	// Zero means five seconds.
+	LoadTime time.Duration
+}
+
+const (
+	defaultTTL      = time.Second
+	defaultLoadTime = 5 * time.Second
+)
+
+func (c StoreConfig) withDefaults() StoreConfig {
+	if c.TTL == 0 {
+		c.TTL = defaultTTL
+	}
+	if c.LoadTime == 0 {
+		c.LoadTime = defaultLoadTime
+	}
+	return c
+}
+
+// hold is how long after an asker was last heard its loads may be in flight.
+func (c StoreConfig) hold() time.Duration { return c.TTL + c.LoadTime }
--- /dev/null
+++ b/limit/store_test.go
@@ -0,0 +1,372 @@
+package limit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"currantwick"
+)
+
+var abay = wick.Store{Name: "s", Rate: 4, FullSpeed: 2, Knee: 16}
+
+func TestStaticShare(t *testing.T) {
+	big := wick.Store{Name: "s", Rate: 300, FullSpeed: 100, Knee: 2000}
+	tests := []struct {
+		store   wick.Store
+		n       int
+		holders int
+	}{
+		{abay, 1, 1},
+		{abay, 3, 2},
+		{abay, 7, 2},
+		{abay, 920, 2},
+		{big, 7, 7},
+		{big, 200, 200},
+		{big, 920, 250},
+		{wick.Store{Rate: 1, FullSpeed: 1, Knee: 1}, 5, 0},
+	}
+	for _, tt := range tests {
+		var sum Share
+		holders := 0
+		for i := range tt.n {
+			s := StaticShare(tt.store, i, tt.n)
+			sum.Rate += s.Rate
+			sum.Slots += s.Slots
+			if s.Slots > 0 {
+				holders++
+			}
+		}
+		g := granted(tt.store)
+		if holders != tt.holders || sum.Slots+g.Slots > tt.store.Knee || sum.Rate+g.Rate > tt.store.Rate*1.0001 {
+			t.Errorf("%d members of %+v: %d holders, %+v static and %+v granted", tt.n, tt.store, holders, sum, g)
+		}
+	}
+	if s := StaticShare(abay, 7, 7); s != (Share{}) {
+		t.Errorf("share of no member: %+v", s)
+	}
+}
+
+// While views overlap, members of each act on the least of their shares, which
+// keeps the sum within the limits of one view.
+func TestLeastShareInOverlap(t *testing.T) {
+	tests := []struct{ before, after []int }{
+		{[]int{0, 1, 2}, []int{0}},
+		{[]int{0}, []int{0, 1, 2}},
+		{[]int{0, 1}, []int{2, 3}},
+		{[]int{0, 1, 2, 3}, []int{1, 2, 3, 4}},
+	}
+	share := func(view []int, m int) Share {
+		for rank, v := range view {
+			if v == m {
+				return StaticShare(abay, rank, len(view))
+			}
+		}
+		return Share{}
+	}
+	for _, tt := range tests {
+		sum := wick.Slots(0)
+		for m := range 5 {
+			// Members of both views have adopted the later one, the rest
+			// of the earlier view still acts in it.
+			s := LeastShare(share(tt.before, m), share(tt.after, m))
+			if share(tt.after, m) == (Share{}) {
+				s = share(tt.before, m)
+			}
+			sum += s.Slots
+		}
+		if sum > fallback(abay).Slots {
+			t.Errorf("%v to %v: %d slots of %d", tt.before, tt.after, sum, fallback(abay).Slots)
+		}
+	}
+}
+
+// daemon is one member of the simulated site.
+type daemon struct {
+	host   wick.HostName
+	loads  *Loads
+	budget *Budget
+	member wick.Member
+}
+
+// message is a question or an answer on its way.
+type message struct {
+	at    int // step of arrival
+	to    int // index of the daemon
+	back  int // index of the asker, for a question
+	grant wick.Grant
+	reply bool
+}
+
+// running is a load in flight.
+type running struct {
+	daemon int
+	run    wick.Incarnation
+	pass   Pass
+	until  int
+}
+
+// site is several daemons and a store, in steps of 50 ms.
+type site struct {
+	cfg     StoreConfig
+	daemons []*daemon
+	view    wick.ViewNumber
+	owner   int
+	wire    []message
+	loads   []running
+	starts  []int
+	peak    int
+	given   map[wick.HostName]int
+	runs    wick.Incarnation
+}
+
+const step = 50 * time.Millisecond
+
+func instant(i int) wick.Instant { return wick.Instant(time.Duration(i) * step) }
+
+func newSite(cfg StoreConfig, n int) *site {
+	s := &site{cfg: cfg, given: make(map[wick.HostName]int)}
+	for i := range n {
+		s.daemons = append(s.daemons, &daemon{host: wick.HostName(fmt.Sprint("h", i))})
+	}
+	for i := range n {
+		s.boot(0, i)
+	}
+	s.own(0, 0, nil)
+	return s
+}
+
+func (s *site) boot(now, i int) {
+	d := s.daemons[i]
+	s.runs++
+	d.member = wick.Member{Host: d.host, Incarnation: s.runs}
+	d.budget = NewBudget(s.cfg)
+	d.loads = NewLoads(s.cfg, d.host, s.runs)
+	d.loads.SetStatic(instant(now), StaticShare(s.cfg.Store, i, len(s.daemons)))
+}
+
+// own moves the budget. gone are members of the view before that are no more.
+func (s *site) own(now, to int, gone []wick.Member) {
+	s.daemons[s.owner].budget.Disown()
+	s.view++
+	s.owner = to
+	members := gone
+	for _, d := range s.daemons {
+		members = append(members, d.member)
+	}
+	s.daemons[to].budget.Own(instant(now), s.view, members)
+}
+
+// restart replaces daemon i; its loads run on.
+func (s *site) restart(now, i int) {
+	gone := []wick.Member{s.daemons[i].member}
+	wasOwner := s.owner == i
+	s.boot(now, i)
+	if wasOwner {
+		s.own(now, (i+1)%len(s.daemons), gone)
+	}
+}
+
+// ask lets daemon i send its question.
+func (s *site) ask(now, i int, w Want, delay int, lost bool) {
+	g, ok := s.daemons[i].loads.Ask(instant(now), s.view, s.daemons[s.owner].host, w)
+	if ok && !lost {
+		s.wire = append(s.wire, message{at: now + delay, to: s.owner, back: i, grant: g})
+	}
+}
+
+// deliver hands over what arrives now; answers take delay.
+func (s *site) deliver(now, delay int) {
+	wire := s.wire
+	s.wire = nil
+	for _, m := range wire {
+		switch {
+		case m.at > now:
+			s.wire = append(s.wire, m)
+		case m.reply:
+			s.daemons[m.to].loads.Answer(m.grant)
+		default:
+			if g, ok := s.daemons[m.to].budget.Ask(instant(now), m.grant); ok {
+				s.wire = append(s.wire, message{at: now + delay, to: m.back, grant: g, reply: true})
+			}
+		}
+	}
+}
+
+// start starts as many loads of daemon i as it may.
+func (s *site) start(now, i, most, steps int) {
+	for range most {
+		d := s.daemons[i]
+		p := d.loads.Start(instant(now))
+		if p == PassNone {
+			return
+		}
+		s.given[d.host]++
+		s.starts = append(s.starts, now)
+		s.loads = append(s.loads, running{i, d.member.Incarnation, p, now + steps})
+		s.peak = max(s.peak, len(s.loads))
+	}
+}
+
+// end ends what is due.
+func (s *site) end(now int) {
+	loads := s.loads
+	s.loads = nil
+	for _, r := range loads {
+		d := s.daemons[r.daemon]
+		switch {
+		case r.until > now:
+			s.loads = append(s.loads, r)
+		case d.member.Incarnation == r.run:
+			d.loads.End(r.pass)
+		}
+	}
+}
+
+// over returns the largest excess of loads started within any time over what
+// the rate allows in it.
+func (s *site) over(slack time.Duration) float64 {
+	worst := 0.0
+	for i, from := range s.starts {
+		for j := i; j < len(s.starts); j++ {
+			span := time.Duration(s.starts[j]-from)*step + slack
+			worst = max(worst, float64(j-i+1)-float64(s.cfg.Store.Rate)*span.Seconds())
+		}
+	}
+	return worst
+}
+
+// The limits hold while questions and answers are late, lost and overtaken,
+// daemons restart with loads in flight, and ownership moves.
+func TestBudgetHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := wick.Store{
+			Name:      "s",
+			Rate:      wick.PerSecond(rapid.IntRange(1, 60).Draw(t, "rate")),
+			FullSpeed: wick.Slots(rapid.IntRange(1, 4).Draw(t, "full")),
+		}
+		store.Knee = store.FullSpeed + wick.Slots(rapid.IntRange(0, 8).Draw(t, "knee"))
+		cfg := StoreConfig{Store: store, TTL: 500 * time.Millisecond, LoadTime: time.Second}
+		s := newSite(cfg, 4)
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		moves := rapid.IntRange(1, 100).Draw(t, "moves")
+		var paused [4]bool
+		for now := range 600 {
+			s.end(now)
+			s.deliver(now, r.IntN(3)*r.IntN(10))
+			switch r.IntN(2 * moves) {
+			case 0:
+				s.own(now, r.IntN(4), nil)
+			case 1:
+				s.restart(now, r.IntN(4))
+			}
+			for i := range s.daemons {
+				// Now and then a daemon pauses.
+				if paused[i] = paused[i] != (r.IntN(40) == 0); paused[i] {
+					continue
+				}
+				if r.IntN(3) > 0 {
+					s.start(now, i, 1+r.IntN(4), 1+r.IntN(int(cfg.LoadTime/step)))
+				}
+				if r.IntN(3) == 0 {
+					w := Want{Cost: 1, Loads: wick.Slots(r.IntN(6)), Prefetch: wick.Slots(r.IntN(2))}
+					s.ask(now, i, w, r.IntN(3)*r.IntN(25), r.IntN(5) == 0)
+				}
+			}
+			if s.peak > int(store.Knee) {
+				t.Fatalf("%d loads in flight, at most %d may be", s.peak, store.Knee)
+			}
+		}
+		most := int(store.FullSpeed + fallback(store).Slots)
+		if over := s.over(cfg.TTL); over > float64(most)+1e-6 {
+			t.Fatalf("%.2f loads over the rate, at most %d may be", over, most)
+		}
+	})
+}
+
+// A question is answered once, by the owner of its time.
+func TestAskOnce(t *testing.T) {
+	b := NewBudget(StoreConfig{Store: abay})
+	tests := []struct {
+		name     string
+		own      wick.ViewNumber // 0: as before
+		disown   bool
+		view     wick.ViewNumber
+		run      wick.Incarnation
+		sequence wick.Sequence
+		want     bool
+	}{
+		{name: "not owned", view: 1, run: 1, sequence: 1},
+		{name: "first", own: 1, view: 1, run: 1, sequence: 1, want: true},
+		{name: "doubled", view: 1, run: 1, sequence: 1},
+		{name: "overtaken", view: 1, run: 1, sequence: 0},
+		{name: "later view", view: 2, run: 1, sequence: 2, want: true},
+		{name: "restarted asker", view: 2, run: 2, sequence: 1, want: true},
+		{name: "disowned", disown: true, view: 2, run: 2, sequence: 2},
+		{name: "from before it was owned again", own: 4, view: 2, run: 2, sequence: 3},
+		{name: "owned again", view: 4, run: 2, sequence: 4, want: true},
+	}
+	for _, tt := range tests {
+		if tt.own != 0 {
+			b.Own(0, tt.own, nil)
+		}
+		if tt.disown {
+			b.Disown()
+		}
+		g := wick.Grant{Store: "s", From: "h", Incarnation: tt.run, View: tt.view, Sequence: tt.sequence}
+		if _, got := b.Ask(0, g); got != tt.want {
+			t.Errorf("%s: answered %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Without faults the whole rate is used, in proportion to what waits.
+func TestBudgetIsUsed(t *testing.T) {
+	tests := []struct {
+		name  string
+		wants []Want
+		load  int // steps
+		cut   bool
+		rate  [2]float64 // loads a second, least and most
+		part  []float64  // of daemon 0 to all, least and most
+	}{
+		{"one wants", []Want{{1, 1, 0}, {}, {}}, 5, false, [2]float64{3.6, 4.2}, []float64{1, 1}},
+		{"nine to one", []Want{{}, {}, {9, 4, 0}, {1, 4, 0}}, 5, false, [2]float64{3.3, 4.2}, []float64{0, 0}},
+		{"slow store", []Want{{1, 9, 0}, {1, 9, 0}, {}}, 60, false, [2]float64{3.6, 4.2}, []float64{0.4, 0.7}},
+		{"very slow store", []Want{{1, 9, 0}, {1, 9, 0}, {}}, 200, false, [2]float64{1.2, 1.8}, []float64{0.4, 0.7}},
+		{"prefetch alone", []Want{{0, 0, 2}, {}, {}}, 5, false, [2]float64{3.3, 4.2}, []float64{1, 1}},
+		{"prefetch beside work", []Want{{0, 0, 2}, {}, {}, {1, 4, 0}}, 5, false, [2]float64{3.6, 4.2}, []float64{0, 0.1}},
+		{"owner cut off", []Want{{1, 4, 0}, {1, 4, 0}, {1, 4, 0}}, 5, true, [2]float64{0.4, 0.6}, []float64{0.4, 0.6}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cfg := StoreConfig{Store: abay, LoadTime: 20 * time.Second}
+			s := newSite(cfg, len(tt.wants))
+			const steps = 1200
+			for now := range steps {
+				s.end(now)
+				s.deliver(now, 0)
+				for i, w := range tt.wants {
+					s.start(now, i, int(w.Loads+w.Prefetch), tt.load)
+					if now%2 == 0 {
+						s.ask(now, i, w, 0, tt.cut)
+					}
+				}
+			}
+			secs := (steps * step).Seconds()
+			rate := float64(len(s.starts)) / secs
+			part := float64(s.given["h0"]) / float64(len(s.starts))
+			if rate < tt.rate[0] || rate > tt.rate[1] || part < tt.part[0] || part > tt.part[1] {
+				t.Errorf("%.2f loads a second, want %v; part of the first %.2f, want %v", rate, tt.rate, part, tt.part)
+			}
+			if tt.name == "nine to one" {
+				if q := float64(s.given["h2"]) / float64(s.given["h3"]); q < 6 || q > 10 {
+					t.Errorf("%d to %d loads, want about nine to one", s.given["h2"], s.given["h3"])
+				}
+			}
+		})
+	}
+}
--- a/peer.go
+++ b/peer.go
@@ -112,23 +112,34 @@
 }
 
 // Grant is the share of a store's load budget that its owner gives to another
-// owner of runners, and the question for it.
+// owner of runners, and the question for it. A question ends what earlier
+// answers to the same asker left unused.
 type Grant struct {
 	Store StoreName `json:"Store"`
-	// From is who asks.
-	From HostName `json:"From"`
+	// From and Incarnation are who asks.
+	From        HostName    `json:"From"`
+	Incarnation Incarnation `json:"Incarnation"`
+	// View is the view in which the asker computed the owner of the budget.
+	View ViewNumber `json:"View"`
+	// Sequence numbers the questions of one incarnation; it rises. The answer
+	// echoes it.
+	Sequence Sequence `json:"Sequence"`
 	// Wanted is the cost of the work that waits for loads, at the asker.
 	Wanted Cost `json:"Wanted"`
-	// Loading is how many loads the asker has in flight.
-	Loading Slots `json:"Loading"`
+	// Loads is how many loads the asker would start at once for that work, and
+	// Prefetch how many besides for work that is only expected.
+	Loads    Slots `json:"Loads,omitempty"`
+	Prefetch Slots `json:"Prefetch,omitempty"`
+	// Loading is how many granted loads the asker has in flight.
+	Loading Slots `json:"Loading,omitempty"`
 	// Given is how many loads may start, in the answer.
 	Given Slots `json:"Given,omitempty"`
 }
 
 // Check implements Checker.
 func (g Grant) Check() error {
-	if g.Wanted < 0 || g.Loading < 0 || g.Given < 0 {
-		return badField("Wanted, Loading, Given", "must not be negative")
+	if g.Wanted < 0 || min(g.Loads, g.Prefetch, g.Loading, g.Given) < 0 {
+		return badField("Wanted, Loads, Prefetch, Loading, Given", "must not be negative")
 	}
 	return checkName("Store", g.Store)
 }
--- a/policy_route.go
+++ b/policy_route.go
@@ -1,5 +1,7 @@
 package wick
 
+import "time"
+
 // EndpointIndex is the place of an endpoint in a router's table. It stays the
 // same for as long as the endpoint is configured.
 type EndpointIndex int32
@@ -66,3 +68,48 @@
 	// RouteRoundRobin takes endpoints in turn.
 	RouteRoundRobin RoutePolicy = "RoundRobin"
 )
+
+// Retrier decides whether a failed try may be repeated, so that retries do not
+// add to the overload that made them necessary.
+type Retrier interface {
+	// Succeeded notes a request that needed no further try.
+	Succeeded()
+	// Retry reports whether one more try may start now, and counts it.
+	Retry(now Instant) bool
+}
+
+// RetryPolicy names an implementation of Retrier in the settings.
+type RetryPolicy string
+
+// The implementations of Retrier.
+const (
+	// RetryBudget allows retries for a part of the successes.
+	RetryBudget RetryPolicy = "Budget"
+	// RetryUnlimited allows every retry.
+	RetryUnlimited RetryPolicy = "Unlimited"
+)
+
+// Hedger decides whether a second try of short idempotent work starts beside
+// the first. Whichever answers first wins, and the other one is cancelled.
+type Hedger interface {
+	// Began notes a request that could be hedged.
+	Began()
+	// Took notes how long one try took until its first token or reply.
+	Took(d time.Duration)
+	// Delay returns how long to wait for the first try, or false if there is
+	// to be no second one.
+	Delay() (time.Duration, bool)
+	// Hedge reports whether a second try may start now, and counts it.
+	Hedge() bool
+}
+
+// HedgePolicy names an implementation of Hedger in the settings.
+type HedgePolicy string
+
+// The implementations of Hedger.
+const (
+	// HedgePercentile hedges after a learned percentile.
+	HedgePercentile HedgePolicy = "Percentile"
+	// HedgeNone never hedges.
+	HedgeNone HedgePolicy = "None"
+)
