Compare endpoints with their peers, shift work early and eject outliers

Load reports show a straggler late, but its owner sees each token. The pace is a quotient of sums, so a stalled stream counts as soon as its wait is noted; the verdict is relative to the pool's median, so a pool that is slow as a whole ejects nobody. Most owners have one or two endpoints in a small site: the pace itself travels in the digest, and each owner takes the median over what it heard.

A few short idempotent requests probe the ejected; of what nothing is seen comes back after a rest that doubles.

Shown failing: no floor, digests not heard, the fastest peer in place of the median, verdicts on less evidence, and probes by any request.

--- /dev/null
+++ b/eject/eject_test.go
@@ -0,0 +1,258 @@
+package eject
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"currantwick"
+)
+
+const (
+	tick = 20 * time.Millisecond
+	// token is the ordinary time per token.
+	token = 20 * time.Millisecond
+)
+
+func name(i int) wick.EndpointName { return wick.EndpointName(fmt.Sprint("e", i)) }
+
+func at(i int) wick.Instant { return wick.Instant(time.Duration(i) * tick) }
+
+func watch(t testing.TB, n int) wick.Ejector {
+	w, err := New(Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range n {
+		w.Put(name(i), "p")
+	}
+	return w
+}
+
+// work notes one tick of a few streams at an endpoint that is slow times slower
+// than ordinary, with noise.
+func work(w wick.Ejector, r *rand.Rand, now, i int, slow, noise float64) {
+	for range 1 + r.IntN(6) {
+		pace := float64(token) * slow * max(0.1, 1+noise*r.NormFloat64())
+		w.Progress(at(now), name(i), 1, time.Duration(pace))
+	}
+}
+
+func TestJudge(t *testing.T) {
+	// Each case has six endpoints and two phases of 5 s.
+	tests := []struct {
+		name         string
+		first, then  []float64 // slowness; 0 means that nothing is seen
+		ejects, stay []int     // ejected after the first and the second
+		shifted      []int     // slow after the first
+	}{
+		{"ordinary", []float64{1, 1, 1, 1, 1, 1}, []float64{1, 1, 1, 1, 1, 1}, nil, nil, nil},
+		{"one straggler recovers", []float64{1, 1, 10, 1, 1, 1}, []float64{1, 1, 1, 1, 1, 1}, []int{2}, nil, []int{2}},
+		{"straggler stays", []float64{1, 1, 10, 1, 1, 1}, []float64{1, 1, 8, 1, 1, 1}, []int{2}, []int{2}, []int{2}},
+		{"a little slow", []float64{1, 1, 2, 1, 1, 1}, []float64{1, 1, 1, 1, 1, 1}, nil, nil, []int{2}},
+		{"all slow", []float64{9, 9, 9, 9, 9, 9}, []float64{1, 1, 1, 1, 1, 1}, nil, nil, nil},
+		{"the rested comes back", []float64{10, 1, 1, 1, 1, 1}, []float64{0, 1, 1, 1, 1, 1}, []int{0}, nil, []int{0}},
+		{"idle is no fault", []float64{0, 1, 1, 1, 1, 1}, []float64{0, 1, 1, 1, 1, 1}, nil, nil, nil},
+		{"too few to compare", []float64{9, 1, 0, 0, 0, 0}, []float64{9, 1, 0, 0, 0, 0}, nil, nil, nil},
+		{"floor", []float64{10, 10, 10, 1, 1, 1}, []float64{1, 1, 1, 1, 1, 1}, []int{0, 1}, nil, []int{0, 1, 2}},
+	}
+	const phase = int(5 * time.Second / tick)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := watch(t, 6)
+			r := rand.New(rand.NewPCG(1, 2))
+			for now := range 2 * phase {
+				slow := tt.first
+				if now >= phase {
+					slow = tt.then
+				}
+				var out, shifted []int
+				for i, s := range slow {
+					if s > 0 {
+						work(w, r, now, i, s, 0.3)
+					}
+					h := w.Judge(at(now), name(i))
+					if h.Ejected {
+						out = append(out, i)
+					}
+					if h.Slow > 1 {
+						shifted = append(shifted, i)
+					}
+				}
+				if now == phase-1 && fmt.Sprint(out, shifted) != fmt.Sprint(tt.ejects, tt.shifted) {
+					t.Errorf("after the first phase ejected %v, want %v; slow %v, want %v", out, tt.ejects, shifted, tt.shifted)
+				}
+				if now == 2*phase-1 && fmt.Sprint(out) != fmt.Sprint(tt.stay) {
+					t.Errorf("at the end ejected %v, want %v", out, tt.stay)
+				}
+			}
+		})
+	}
+}
+
+// A straggler is noticed within half a second, also one that stalls.
+func TestNoticedSoon(t *testing.T) {
+	for _, slow := range []float64{5, 10, 1000} {
+		w := watch(t, 18)
+		r := rand.New(rand.NewPCG(1, 2))
+		noticed := time.Duration(-1)
+		for now := range 150 {
+			for i := range 18 {
+				if i == 7 && now >= 100 {
+					// Three streams, noted each tick, make a token now and then.
+					for range 3 {
+						tokens := 0
+						if r.Float64() < float64(tick)/float64(token)/slow {
+							tokens = 1
+						}
+						w.Progress(at(now), name(i), wick.Tokens(tokens), tick)
+					}
+				} else {
+					work(w, r, now, i, 1, 0.3)
+				}
+			}
+			if w.Judge(at(now), name(7)).Ejected {
+				noticed = at(now).Sub(at(100))
+				break
+			}
+		}
+		if noticed < 0 || noticed > 500*time.Millisecond {
+			t.Errorf("%v times slower: noticed after %v", slow, noticed)
+		}
+		t.Logf("%v times slower: ejected after %v", slow, noticed)
+	}
+}
+
+// Noise alone ejects nobody, whatever the number of peers and streams.
+func TestNoiseEjectsNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 30).Draw(t, "endpoints")
+		noise := rapid.Float64Range(0, 0.7).Draw(t, "noise")
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		w, _ := New(Config{})
+		batch := make([]float64, n)
+		for i := range n {
+			w.Put(name(i), "p")
+			batch[i] = 1 + r.Float64()/2
+		}
+		for now := range 300 {
+			for i := range n {
+				if r.IntN(3) == 0 {
+					work(w, r, now, i, batch[i], noise)
+				}
+				if w.Judge(at(now), name(i)).Ejected {
+					t.Fatalf("ejected %s of %d at %v", name(i), n, at(now))
+				}
+			}
+		}
+	})
+}
+
+// Whatever is seen, heard, added and removed, no more than a third of the pool
+// is ejected by one owner.
+func TestFloorHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w, _ := New(Config{})
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		n := rapid.IntRange(1, 20).Draw(t, "endpoints")
+		slow := make([]float64, n)
+		for i := range n {
+			w.Put(name(i), "p")
+			slow[i] = 1
+		}
+		for now := range 400 {
+			if r.IntN(10) == 0 {
+				slow[r.IntN(n)] = []float64{1, 1, 5, 20}[r.IntN(4)]
+			}
+			if r.IntN(100) == 0 {
+				w.Put(name(n), "p")
+			}
+			out := 0
+			for i := range n {
+				work(w, r, now, i, slow[i], 0.5)
+				if w.Judge(at(now), name(i)).Ejected {
+					out++
+				}
+			}
+			if 3*out > n+1 {
+				t.Fatalf("%d of %d ejected", out, n)
+			}
+		}
+	})
+}
+
+// Owners that each have one endpoint tell one another.
+func TestOwnersCompare(t *testing.T) {
+	const n = 12
+	var owners []wick.Ejector
+	for range n {
+		owners = append(owners, watch(t, n))
+	}
+	r := rand.New(rand.NewPCG(1, 2))
+	out := make([]bool, n)
+	for now := range 200 {
+		for i, w := range owners {
+			slow := 1.0
+			if i == 3 || i == 8 {
+				slow = 10
+			}
+			work(w, r, now, i, slow, 0.3)
+			h := w.Judge(at(now), name(i))
+			out[i] = h.Ejected
+			if now%15 != i {
+				continue
+			}
+			for k, o := range owners {
+				if k != i {
+					o.Heard(at(now), wick.Digest{Endpoint: name(i), Pace: h.Pace, Slow: h.Slow, Ejected: h.Ejected})
+				}
+			}
+		}
+	}
+	for i, o := range out {
+		if want := i == 3 || i == 8; o != want {
+			t.Errorf("%s ejected: %v, want %v", name(i), o, want)
+		}
+	}
+}
+
+func TestNone(t *testing.T) {
+	w, err := New(Config{Policy: wick.EjectNone})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if h := w.Judge(0, name(0)); h.Ejected || h.Slow != 1 {
+		t.Errorf("baseline judged %+v", h)
+	}
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	for _, cfg := range []Config{{Policy: "x"}, {Shift: 0.5}, {Back: 9}, {Floor: 1}, {Rest: -1}} {
+		if _, err := New(cfg); err == nil {
+			t.Errorf("%+v is taken", cfg)
+		}
+	}
+}
+
+// BenchmarkJudge measures one note of progress and one verdict beside so many
+// peers.
+func BenchmarkJudge(b *testing.B) {
+	for _, n := range []int{12, 1000, 10000} {
+		b.Run(fmt.Sprint("endpoints=", n), func(b *testing.B) {
+			w := watch(b, n)
+			for i := range n {
+				w.Heard(0, wick.Digest{Endpoint: name(i), Pace: wick.Duration(token)})
+			}
+			e := name(3)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now := wick.Instant(time.Duration(i) * time.Millisecond)
+				w.Progress(now, e, 1, token)
+				w.Judge(now, e)
+			}
+		})
+	}
+}
--- a/peer.go
+++ b/peer.go
@@ -72,8 +72,11 @@
 	Queued Cost `json:"Queued"`
 	// Running counts the requests in the batch.
 	Running Slots `json:"Running"`
-	// Slow is the time per token relative to the endpoint's peers; 1 is
-	// ordinary and 0 means not known.
+	// Pace is the endpoint's time per token, or per call of a plain service;
+	// 0 means not known. Owners compare it with that of their own endpoints.
+	Pace Duration `json:"Pace,omitempty"`
+	// Slow is the pace relative to the endpoint's peers; 1 is ordinary and 0
+	// means not known.
 	Slow float64 `json:"Slow,omitempty"`
 	// Ejected tells that the endpoint gets no ordinary work for now.
 	Ejected bool `json:"Ejected,omitempty"`
@@ -83,8 +86,8 @@
 
 // Check implements Checker.
 func (d Digest) Check() error {
-	if d.Queued < 0 || d.Running < 0 || d.Slow < 0 {
-		return badField("Queued, Running, Slow", "must not be negative")
+	if d.Queued < 0 || d.Running < 0 || d.Pace < 0 || d.Slow < 0 {
+		return badField("Queued, Running, Pace, Slow", "must not be negative")
 	}
 	return checkName("Endpoint", d.Endpoint)
 }
--- a/policy_route.go
+++ b/policy_route.go
@@ -18,6 +18,9 @@
 	// it can share an endpoint's prefix cache; 0 means none.
 	Prefix Fingerprint
 	Cost   Cost
+	// Probe tells that the request is short and idempotent, so that it may try
+	// out an ejected endpoint.
+	Probe bool
 	// Random is drawn afresh for each request.
 	Random uint64
 	// Turn counts the requests of this daemon.
@@ -113,3 +116,39 @@
 	// HedgeNone never hedges.
 	HedgeNone HedgePolicy = "None"
 )
+
+// Health is how an endpoint does beside its peers.
+type Health struct {
+	// Pace, Slow and Ejected are those of Digest.
+	Pace    Duration
+	Slow    float64
+	Ejected bool
+}
+
+// Ejector compares endpoints with their peers as they are now.
+type Ejector interface {
+	// Put adds an endpoint of this daemon or of another one, or moves it to
+	// another pool.
+	Put(e EndpointName, pool PoolName)
+	// Remove forgets an endpoint.
+	Remove(e EndpointName)
+	// Progress notes that one request at an endpoint made so many tokens in
+	// the time since it was last noted; none if it stalls. A call of a plain
+	// service is one token.
+	Progress(now Instant, e EndpointName, tokens Tokens, took time.Duration)
+	// Heard takes in what another owner says about its endpoint.
+	Heard(now Instant, d Digest)
+	// Judge returns how an endpoint of this daemon does.
+	Judge(now Instant, e EndpointName) Health
+}
+
+// EjectPolicy names an implementation of Ejector in the settings.
+type EjectPolicy string
+
+// The implementations of Ejector.
+const (
+	// EjectOutliers shifts work away from slow endpoints and ejects outliers.
+	EjectOutliers EjectPolicy = "Outliers"
+	// EjectNone takes every endpoint for ordinary.
+	EjectNone EjectPolicy = "None"
+)
--- a/route/build.go
+++ b/route/build.go
@@ -26,6 +26,8 @@
 	LoadCost wick.Cost
 	// PrefixGain is what a cached prompt prefix is worth, in load.
 	PrefixGain wick.Cost
+	// Probes is the part of the requests that may probe which do; 0 to 1.
+	Probes float64
 }
 
 const (
@@ -34,6 +36,7 @@
 	defaultRunningCost = wick.Cost(1)
 	defaultLoadCost    = wick.Cost(1)
 	defaultPrefixGain  = wick.Cost(0.1)
+	defaultProbes      = 0.02
 )
 
 // Check reports settings that cannot work.
@@ -49,6 +52,9 @@
 	if min(c.Slack, c.RunningCost, c.LoadCost, c.PrefixGain) < 0 {
 		return fmt.Errorf("costs must not be negative")
 	}
+	if c.Probes < 0 || c.Probes > 1 {
+		return fmt.Errorf("probes: %v is not 0 to 1", c.Probes)
+	}
 	return nil
 }
 
@@ -71,6 +77,9 @@
 	if c.PrefixGain == 0 {
 		c.PrefixGain = defaultPrefixGain
 	}
+	if c.Probes == 0 {
+		c.Probes = defaultProbes
+	}
 	return c
 }
 
@@ -361,12 +370,15 @@
 // sift lists the members that are not ejected.
 func (b *Builder) sift(p *pool) {
 	live := make([]int32, 0, len(p.members))
+	var ejected []int32
 	for _, i := range p.members {
-		if !b.table.states.at(int(i)).ejected {
+		if b.table.states.at(int(i)).ejected {
+			ejected = append(ejected, i)
+		} else {
 			live = append(live, i)
 		}
 	}
-	p.live = live
+	p.live, p.ejected = live, ejected
 }
 
 // with returns a sorted copy of list that holds i.
--- a/route/pick.go
+++ b/route/pick.go
@@ -117,8 +117,10 @@
 	if !ok {
 		return wick.Target{}, false
 	}
-	var c choice
-	ready := false
+	c, ready := a.probe(&s), false
+	if c.ok {
+		return a.Table.found(&s, c)
+	}
 	if in.Ref.IsBase() {
 		c = a.base(&s)
 	} else {
@@ -130,6 +132,24 @@
 	return a.Table.target(c.node, ready), true
 }
 
+// probe sends a few short idempotent requests to ejected endpoints, so that
+// their owners see when they are ordinary again.
+func (a *Affinity) probe(s *search) choice {
+	const parts = 1 << 20
+	n := uint64(len(s.pool.ejected))
+	if !s.in.Probe || n == 0 || s.ejected {
+		return choice{}
+	}
+	random := mix(s.in.Random + 2)
+	if random%parts >= uint64(a.Config.Probes*parts) {
+		return choice{}
+	}
+	s.ejected = true
+	c := s.choose(s.pool.ejected[random/parts%n])
+	s.ejected = false
+	return c
+}
+
 // base spreads requests that any endpoint can take. One that shares the start
 // of its prompt with others follows them while that costs little.
 func (a *Affinity) base(s *search) choice {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -152,6 +152,27 @@
 	}
 }
 
+// Of the requests that may probe, and of them alone, a few go to an ejected
+// endpoint.
+func TestProbes(t *testing.T) {
+	b := build(t, Config{}, nil, 4)
+	b.Digest(wick.Digest{Endpoint: name(2), Ejected: true, Slow: 9})
+	r := b.Publish()
+	tests := []struct {
+		probe      bool
+		least, top int
+	}{
+		{false, 0, 0},
+		{true, 100, 300},
+	}
+	for _, tt := range tests {
+		got := shares(r, wick.RouteInput{Pool: "p", Probe: tt.probe, Cost: 1}, 10000)[name(2)]
+		if got < tt.least || got > tt.top {
+			t.Errorf("probe %v: %d of 10000, want %d to %d", tt.probe, got, tt.least, tt.top)
+		}
+	}
+}
+
 func TestPickUnknownPool(t *testing.T) {
 	r := build(t, Config{}, nil, 1).Publish()
 	if _, ok := r.Pick(&wick.RouteInput{Pool: "q"}); ok {
--- a/route/table.go
+++ b/route/table.go
@@ -52,9 +52,11 @@
 type pool struct {
 	name wick.PoolName
 	// members are the endpoints that are not leaving, live those of them that
-	// are not ejected. Both are sorted, and replaced, never changed.
+	// are not ejected, and ejected the others. All are sorted, and replaced,
+	// never changed.
 	members []int32
 	live    []int32
+	ejected []int32
 	ring    ring
 	// work and slots are the sums over the members.
 	work  wick.Cost
