Judge an endpoint on more evidence, so that pauses eject nobody

The noise of the tests was too tame: with one note in a hundred taking five times longer, 1 of 3,000 checks ejected an ordinary endpoint 160 ms after the start, on 4 notes. Raising the evidence to 6 and waiting 100 ms for a confirmation still failed 1 of 5,000. With 10 notes, and weights that halve in 10, it held 15,000 checks without any confirmation, which was taken out again. 16 notes held too, but a straggler 5 times slower was ejected only after 960 ms; now 600, 460 and 380 ms for 5, 10 and 1,000 times, and work shifts after 140, 120 and 100 ms.

Weights that halve in 2 notes are still not shown failing.

--- a/eject/eject.go
+++ b/eject/eject.go
@@ -44,12 +44,12 @@
 	// halfLife is the time in which what was seen loses half its weight; where
 	// little is seen, it takes halfNotes notes of progress instead.
 	halfLife  = 200 * time.Millisecond
-	halfNotes = 8
+	halfNotes = 10
 	// seenFor is how long the last note counts.
 	seenFor = 3 * time.Second
 	// leastSeen is the weight of what was seen, in notes of progress, from
 	// which an endpoint is judged.
-	leastSeen = 4.0
+	leastSeen = 10.0
 	// heardFor is how long the digest of another owner counts.
 	heardFor = 5 * time.Second
 	// forget is the time in which a verdict without new evidence loses half
