--- a/policy_route.go
+++ b/policy_route.go
@@ -72,28 +72,31 @@
 	RouteRoundRobin RoutePolicy = "RoundRobin"
 )
 
-// Retrier decides whether a failed try may be repeated, so that retries do not
-// add to the overload that made them necessary.
-type Retrier interface {
-	// Succeeded notes a request that needed no further try.
-	Succeeded()
-	// Retry reports whether one more try may start now, and counts it.
-	Retry(now Instant) bool
+// RetryBudget bounds retries to a share of the requests, so that they do not
+// add to the overload that made them necessary. The implementations below
+// limit leave the locking to package tally; all others are safe for concurrent
+// use.
+type RetryBudget interface {
+	// Earn counts a first try.
+	Earn()
+	// Spend reports whether one more retry may be made.
+	Spend() bool
 }
 
-// RetryPolicy names an implementation of Retrier in the settings.
+// RetryPolicy names an implementation of RetryBudget in the settings.
 type RetryPolicy string
 
-// The implementations of Retrier.
+// The implementations of RetryBudget.
 const (
-	// RetryBudget allows retries for a part of the successes.
-	RetryBudget RetryPolicy = "Budget"
+	// RetryShare allows retries for a share of the first tries.
+	RetryShare RetryPolicy = "Share"
 	// RetryUnlimited allows every retry.
 	RetryUnlimited RetryPolicy = "Unlimited"
 )
 
 // Hedger decides whether a second try of short idempotent work starts beside
-// the first. Whichever answers first wins, and the other one is cancelled.
+// the first. Whichever answers first wins, and the other one is cancelled. The
+// implementations below limit leave the locking to package tally.
 type Hedger interface {
 	// Began notes a request that could be hedged.
 	Began()
