--- a/fakes/complete.go
+++ b/fakes/complete.go
@@ -77,10 +77,10 @@
 		return
 	}
 	if req.Stream {
-		e.stream(ctx, s)
+		e.stream(ctx, s, req.HaveTokens)
 		return
 	}
-	e.whole(ctx, s)
+	e.whole(ctx, s, req.HaveTokens)
 }
 
 func (e *Engine) checkResume(req completionRequest) {
@@ -106,8 +106,7 @@
 }
 
 // whole answers a request in one piece.
-func (e *Engine) whole(ctx *fasthttp.RequestCtx, s *sequence) {
-	from := s.ready
+func (e *Engine) whole(ctx *fasthttp.RequestCtx, s *sequence, from wick.Tokens) {
 	for {
 		<-s.changed
 		p := e.progress(s)
@@ -130,10 +129,9 @@
 }
 
 // stream answers a request in events, one a step.
-func (e *Engine) stream(ctx *fasthttp.RequestCtx, s *sequence) {
+func (e *Engine) stream(ctx *fasthttp.RequestCtx, s *sequence, from wick.Tokens) {
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.ImmediateHeaderFlush = true
-	from := s.ready
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		if err := e.send(w, s, from); err != nil {
 			e.cancel(s)
