--- /dev/null
+++ b/plain/plain_test.go
@@ -0,0 +1,152 @@
+package plain_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/fakes"
+	"currantwick/httpc"
+	"currantwick/plain"
+)
+
+var command = wick.Call{Path: "/switch", Body: []byte(`{"Lane":3}`), Key: "k1", NonIdempotent: true}
+
+func newClient() *plain.Client {
+	return plain.New(plain.Config{HTTP: httpc.Config{Quiet: wick.Duration(300 * time.Millisecond)}})
+}
+
+func deadline(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// TestNeverTwice holds that a call is sent once, whatever becomes of the
+// connection, also where earlier calls left connections that have closed since.
+func TestNeverTwice(t *testing.T) {
+	one := 1
+	long := wick.Duration(time.Second)
+	tests := []struct {
+		name    string
+		before  fakes.ServiceControl // between two good calls and the one tested
+		outcome wick.Outcome
+		runs    int // at most; -1 for exactly none
+	}{
+		{"answered", fakes.ServiceControl{}, wick.Answered, 1},
+		{"answer lost", fakes.ServiceControl{LoseAnswers: &one}, wick.Unknown, 1},
+		{"crash before the answer", fakes.ServiceControl{CrashAfter: true, DownFor: wick.Duration(time.Millisecond)}, wick.Unknown, 1},
+		{"old connections silent", fakes.ServiceControl{Silence: true}, wick.Answered, 1},
+		{"too slow", fakes.ServiceControl{Time: &long}, wick.Unknown, 1},
+		{"down", fakes.ServiceControl{CrashNow: true, DownFor: wick.Duration(time.Hour)}, wick.NotRun, -1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s, err := fakes.StartService(fakes.ServiceConfig{Address: "127.0.0.1:0"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			c := newClient()
+			for range 2 {
+				if _, err := c.Invoke(deadline(t), s.Address(), "q0", wick.Call{Path: "/status"}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			s.Control(test.before)
+			r, err := c.Invoke(deadline(t), s.Address(), "q1", command)
+			got := wick.Answered
+			if err != nil {
+				got = wick.AsError(err).Outcome
+			}
+			if got != test.outcome {
+				t.Errorf("got %s (%v), want %s", got, err, test.outcome)
+			}
+			if err == nil && (r.Status != 200 || !strings.Contains(string(r.Body), `"Key":"k1"`)) {
+				t.Errorf("reply %d %s", r.Status, r.Body)
+			}
+			runs := s.Stats().RunsOf["k1"]
+			if runs > max(test.runs, 0) {
+				t.Errorf("ran %d times", runs)
+			}
+		})
+	}
+}
+
+// TestSentOnce counts connections and requests at a server that breaks each
+// call in its own way. A client with retries would come back.
+func TestSentOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+		whole  bool
+	}{
+		{"closed without a byte", "", false},
+		{"half a head", "HTTP/1.1 200 OK\r\nContent-Le", false},
+		{"half a body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", false},
+		{"half a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nA\r\nhalf", false},
+		{"no last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\nhalf", false},
+		{"no HTTP", "hello\r\n\r\n", false},
+		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull", true},
+		{"whole, chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n", true},
+		{"empty", "HTTP/1.1 204 No Content\r\n\r\n", true},
+		{"error status", "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nfull", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			addr, seen := breakingServer(t, test.answer)
+			_, err := newClient().Invoke(deadline(t), addr, "q1", command)
+			if test.whole != (err == nil) {
+				t.Errorf("got %v, whole is %t", err, test.whole)
+			}
+			if err != nil && wick.AsError(err).Outcome != wick.Unknown {
+				t.Errorf("outcome of %v", err)
+			}
+			if n := seen.Load(); n != 1 {
+				t.Errorf("sent %d times", n)
+			}
+		})
+	}
+}
+
+// breakingServer reads each request, writes the answer and closes.
+func breakingServer(t *testing.T, answer string) (wick.Address, *atomic.Int64) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	var seen atomic.Int64
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			seen.Add(1)
+			readRequest(c)
+			fmt.Fprint(c, answer)
+			c.Close()
+		}
+	}()
+	return wick.Address(ln.Addr().String()), &seen
+}
+
+func readRequest(c net.Conn) {
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil || line == "\r\n" {
+			break
+		}
+	}
+	_, _ = r.Discard(len(command.Body))
+}
