--- a/cmd/wickfake/main.go
+++ b/cmd/wickfake/main.go
@@ -15,6 +15,7 @@
 
 	"currantwick/codec"
 	"currantwick/fakes"
+	"currantwick/fault"
 )
 
 func main() {
@@ -63,6 +64,9 @@
 }
 
 func start(verb string, data []byte) (running, error) {
+	if verb == "proxy" {
+		return startProxy(data)
+	}
 	cfg, err := decode(verb, data)
 	if err != nil {
 		return running{}, fmt.Errorf("settings of %s: %w", verb, err)
@@ -74,6 +78,18 @@
 	return running{s, s.Addresses()}, nil
 }
 
+func startProxy(data []byte) (running, error) {
+	var cfg fault.Config
+	if err := codec.DecodeJSON(data, &cfg); err != nil {
+		return running{}, fmt.Errorf("settings of proxy: %w", err)
+	}
+	p, err := fault.Start(cfg)
+	if err != nil {
+		return running{}, fmt.Errorf("proxy: %w", err)
+	}
+	return running{p, p.Addresses()}, nil
+}
+
 // decode reads the settings of a verb as those of a set.
 func decode(verb string, data []byte) (fakes.SetConfig, error) {
 	var cfg fakes.SetConfig
