Show the lease rules failing first, and come back after the loss of most of a view

The model draws plans evenly as well, with blind nodes and larger lags, and runs with planted faults.

Seen on the way: a lone member that was cut off proposed a view of itself as soon as the log was back, and then died for good, which nobody could wait out. A member without a quorum now starts its wait anew when the log fails, and shrinks a view to itself only where the view was a pair. Hosts that the platform says are gone count as ended (OnGone), and are removed at once.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -24,7 +24,7 @@
 	DefaultDrift      = 200 * time.Millisecond
 	DefaultRenew      = 300 * time.Millisecond
 	DefaultSuspect    = 1200 * time.Millisecond
-	DefaultOrphan     = 6 * time.Second
+	DefaultOrphan     = 4 * time.Second
 	DefaultCheckpoint = 10 * time.Minute
 )
 
@@ -187,8 +187,9 @@
 	// backoff how long the next such time lasts.
 	holdUntil wick.Instant
 	backoff   time.Duration
-	// quorumAt is when self last was in touch with a quorum, and orphan how
-	// long it proposes nothing without one.
+	// quorumAt is when self last was in touch with a quorum, or proposed
+	// without one. orphan is how long it then waits to join; it doubles until
+	// self gets a lease.
 	quorumAt wick.Instant
 	orphan   time.Duration
 	stopping bool
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -19,13 +19,14 @@
 
 const (
 	crash faultKind = iota // restart after the fault's duration
-	kill                   // restart after all faults have ended
+	kill                   // for good, and only ever of the first host
 	freeze
 	cut     // messages from node to other are lost, one way
 	isolate // messages from and to node are lost
 	logDown // the log is down for all
 	logCut  // the log is out of reach for node
 	stop    // graceful, restart later
+	blind   // the log and messages to node are lost, so it learns of nothing
 	lossy   // messages are lost or late all over
 	kinds
 )
@@ -41,7 +42,8 @@
 	nodes   int
 	seed    uint64
 	faults  []fault
-	limit   int // of witnesses
+	limit   int           // of witnesses
+	lag     time.Duration // of messages, at most
 	maximum time.Duration
 }
 
@@ -108,6 +110,7 @@
 	nodes  []*node // the latest run on each host
 	log    []wick.Entry
 	keys   []Key
+	killed bool
 	broken string
 	runs   uint64
 	views  int
@@ -130,9 +133,16 @@
 func (m *model) schedule(f fault) {
 	end := f.at + f.last
 	switch f.kind {
-	case crash, kill:
+	case crash:
 		m.at(f.at, nil, func() { m.die(m.nodes[f.node]) })
 		m.at(end, nil, func() { m.start(f.node) })
+	case kill:
+		m.at(end, nil, func() {
+			m.killed = m.plan.nodes > 1
+			m.die(m.nodes[0])
+			m.start(0)
+			m.at(end+listLag, nil, m.list)
+		})
 	case freeze:
 		m.at(f.at, nil, func() { m.nodes[f.node].frozen = end })
 	case stop:
@@ -141,6 +151,17 @@
 	}
 }
 
+// listLag is how late the platform's list shows that a host is gone.
+const listLag = 3 * time.Second
+
+// list tells all runs, again and again, that the first host is gone.
+func (m *model) list() {
+	for _, n := range m.nodes {
+		m.run(n, func(k *Keeper, t wick.Instant) []Action { return k.OnGone(t, []wick.HostName{"h0"}) })
+	}
+	m.at(m.now+time.Second, nil, m.list)
+}
+
 func (m *model) member(i int) wick.Member {
 	m.runs++
 	return wick.Member{
@@ -157,7 +178,7 @@
 }
 
 func (m *model) start(i int) {
-	if old := m.nodes[i]; old != nil && !old.dead {
+	if old := m.nodes[i]; old != nil && !old.dead || i == 0 && m.killed {
 		return
 	}
 	cfg := Config{Self: m.member(i), Witnesses: m.plan.limit, Seed: m.plan.seed}
@@ -165,7 +186,7 @@
 		cfg.Seeds = append(cfg.Seeds, address(j))
 	}
 	n := &node{index: i, keeper: New(cfg), born: m.now, acts: make(map[Key]time.Duration)}
-	n.rate = 1 + 0.04*(2*m.rand.Float64()-1)
+	n.rate = 1 + 0.045*float64(m.rand.IntN(3)-1)
 	m.nodes[i] = n
 	m.tick(n)
 	m.poll(n)
@@ -184,14 +205,16 @@
 
 func (m *model) logOK(n *node) bool {
 	return !m.active(logDown, func(fault) bool { return true }) &&
-		!m.active(logCut, func(f fault) bool { return f.node == n.index })
+		!m.active(logCut, func(f fault) bool { return f.node == n.index }) &&
+		!m.active(blind, func(f fault) bool { return f.node == n.index })
 }
 
 // delay draws how long a message takes, or that it is lost.
 func (m *model) delay(from, to int) (time.Duration, bool) {
 	lost := m.active(cut, func(f fault) bool { return f.node == from && f.other == to }) ||
-		m.active(isolate, func(f fault) bool { return f.node == from || f.node == to })
-	d := time.Duration(1+m.rand.IntN(5)) * time.Millisecond
+		m.active(isolate, func(f fault) bool { return f.node == from || f.node == to }) ||
+		m.active(blind, func(f fault) bool { return f.node == to && f.other != from })
+	d := time.Duration(1 + m.rand.Int64N(int64(m.plan.lag)))
 	if m.active(lossy, func(fault) bool { return true }) {
 		lost = lost || m.rand.IntN(3) == 0
 		if m.rand.IntN(3) == 0 {
@@ -218,7 +241,7 @@
 
 // run lets a keeper decide, notes what it may act on, then does what it asks.
 func (m *model) run(n *node, f func(*Keeper, wick.Instant) []Action) {
-	if n.dead {
+	if n == nil || n.dead {
 		return
 	}
 	now := n.local(m.now)
@@ -294,7 +317,7 @@
 	m.run(to, func(k *Keeper, t wick.Instant) []Action {
 		ack, acts := k.OnRenewal(t, r)
 		if m.plant == vouchAlways {
-			ack.Vouched = r.View
+			ack.Vouched, ack.Later = r.View, nil
 		}
 		d, ok := m.delay(to.index, from.index)
 		if !ok {
--- a/lease/plan.go
+++ b/lease/plan.go
@@ -64,6 +64,9 @@
 func (k *Keeper) OnAppendFailed(now wick.Instant) []Action {
 	k.backoff = min(max(2*k.backoff, minBackoff), maxBackoff)
 	k.holdUntil = now.Add(k.backoff/2 + k.jitter(k.backoff/2))
+	if k.orphaned(now) {
+		k.quorumAt = now // When the log is back, those with a quorum go first.
+	}
 	k.proposed, k.closed, k.stamped = 0, 0, 0
 	return nil
 }
@@ -122,7 +125,11 @@
 // orphaned reports whether self was without a quorum for so long that it
 // proposes a view without one.
 func (k *Keeper) orphaned(now wick.Instant) bool {
-	return now.Sub(k.quorumAt) >= k.orphan
+	wait := k.orphan
+	if k.Member() {
+		wait = k.cfg.Orphan
+	}
+	return now.Sub(k.quorumAt) >= wait
 }
 
 // propose appends a change of the view if one is wanted and it is self's turn.
@@ -139,7 +146,10 @@
 		return nil
 	}
 	if k.orphaned(now) {
-		k.quorumAt, k.orphan = now, min(2*k.orphan, maxOrphan)
+		k.quorumAt = now
+		if !k.Member() {
+			k.orphan = min(2*k.orphan, maxOrphan)
+		}
 	}
 	k.proposed = now.Add(appendPause)
 	return []Action{Append{wick.Record{ViewChange: &wick.ViewChange{
@@ -256,18 +266,26 @@
 		return false
 	}
 	p := k.peer(idOf(m))
-	if p.stopping {
+	if p.stopping || p.gone {
 		return true
 	}
 	if !slices.ContainsFunc(k.watched, func(w wick.Member) bool { return idOf(w) == idOf(m) }) {
 		return false
 	}
 	if k.lapsed(now) {
-		return k.orphaned(now) && now.Sub(p.heard) >= k.cfg.Orphan
+		return k.orphaned(now) && k.companion(now) && now.Sub(p.heard) >= k.cfg.Orphan
 	}
 	return k.silent(now, m) && k.support(now, m) < leaseQuorum(len(Witnesses(k.View(), m)))
 }
 
+// companion reports whether a view without those who are not heard would have
+// a witness, or is all that is left of a pair. The lease of a member without a
+// witness cannot be waited out, so it is the last resort.
+func (k *Keeper) companion(now wick.Instant) bool {
+	heard := func(m wick.Member) bool { return now.Sub(k.peer(idOf(m)).heard) < k.cfg.Orphan }
+	return len(k.View().Members) == 2 || slices.ContainsFunc(k.watched, heard)
+}
+
 // support counts the witnesses of m that may still hear it.
 func (k *Keeper) support(now wick.Instant, m wick.Member) int {
 	count := 0
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -200,5 +200,7 @@
 	if k.Member() {
 		return k.witnesses
 	}
-	return Witnesses(k.View(), k.cfg.Self)
+	return slices.DeleteFunc(Witnesses(k.View(), k.cfg.Self), func(m wick.Member) bool {
+		return k.peer(idOf(m)).gone
+	})
 }
--- a/lease/view.go
+++ b/lease/view.go
@@ -29,9 +29,10 @@
 
 // OnGone takes the word of somebody who knows that hosts exist no more: their
 // daemons that are named by any view so far act and vouch no longer. It is the
-// way back when most of a view is lost for good.
+// way back when most of a view is lost for good. It has to be told again when
+// the view has changed.
 func (k *Keeper) OnGone(now wick.Instant, hosts []wick.HostName) []Action {
-	for _, v := range append(slices.Clip(k.log.state.Open), k.View()) {
+	for _, v := range k.views() {
 		for _, h := range hosts {
 			if m, ok := v.Member(h); ok && idOf(m) != k.self {
 				k.describe(m).gone = true
@@ -77,10 +78,15 @@
 	p.joining = false
 }
 
+// views returns the views that are not closed, the current one last.
+func (k *Keeper) views() []wick.View {
+	return append(slices.Clip(k.log.state.Open), k.View())
+}
+
 // learn notes what the views say of their members: where they listen, and that
 // a member which came with a view ran after the view before was on the log.
 func (k *Keeper) learn() {
-	views := append(slices.Clip(k.log.state.Open), k.View())
+	views := k.views()
 	for i, v := range views {
 		for _, m := range v.Members {
 			p := k.describe(m)
@@ -112,7 +118,7 @@
 // drop removes the runs that no open view names and nobody heard of lately.
 func (k *Keeper) drop() {
 	named := map[id]bool{k.self: true}
-	for _, v := range append(slices.Clip(k.log.state.Open), k.View()) {
+	for _, v := range k.views() {
 		for _, m := range v.Members {
 			named[idOf(m)] = true
 		}
