--- a/boot/boot.go
+++ b/boot/boot.go
@@ -124,4 +124,3 @@
 	}
 	return out
 }
-
--- a/ctrl/claims.go
+++ b/ctrl/claims.go
@@ -23,39 +23,22 @@
 // claim asks for the claim on the key of a non-idempotent call. The call is
 // queued only once the claim was read back from the log.
 func (s *state) claim(now wick.Instant, r *Run) {
-	key := r.Sub.Call.Key
-	if s.claiming[key] != nil {
-		r.refuse(wick.Unknownf(wick.CodeClaimed, "another try with key %s is under way", key))
-		return
-	}
-	s.claiming[key] = r
+	s.claiming[r.Sub.Request] = r
 	s.claims(now, s.book.Want(now, wick.Claim{
-		Step:        wick.ClaimTaken,
-		Key:         key,
-		Request:     r.Sub.Request,
-		Holder:      s.cfg.Lease.Self.Host,
-		Incarnation: s.cfg.Lease.Self.Incarnation,
-		Print:       r.Sub.Print,
+		Key:     r.Sub.Call.Key,
+		Request: r.Sub.Request,
+		Print:   r.Sub.Print,
 	}))
 }
 
-// waiting returns the run that waits for a claim and forgets that it waits.
-func (s *state) waiting(key wick.ClaimKey, request wick.RequestID) *Run {
-	r := s.claiming[key]
-	if r == nil || r.Sub.Request != request {
-		return nil
-	}
-	delete(s.claiming, key)
-	return r
-}
-
 func (s *state) granted(now wick.Instant, g claim.Granted) {
-	r := s.waiting(g.Key, g.Request)
+	r := s.claiming[g.Request]
+	delete(s.claiming, g.Request)
 	if r == nil || r.settled {
 		s.claims(now, s.book.Release(now, g.Key, g.Request))
 		return
 	}
-	r.claimed = true
+	r.claimed, r.claimUntil = true, g.Until
 	o := s.owned[r.Sub.Endpoint]
 	if o == nil || !o.acting {
 		fail := wick.NotRunf(wick.CodeNotOwner, "the lease on %s has ended", r.Sub.Endpoint)
@@ -67,24 +50,23 @@
 }
 
 func (s *state) denied(d claim.Refused) {
-	if r := s.waiting(d.Key, d.Request); r != nil {
+	r := s.claiming[d.Request]
+	delete(s.claiming, d.Request)
+	if r != nil {
 		r.refuse(d.Err)
 	}
 }
 
-// unclaim gives the claim of a run back that was never sent to its endpoint.
+// unclaim gives up the claim, or the wait for it, of a run that is never sent
+// to its endpoint.
 func (s *state) unclaim(now wick.Instant, r *Run) {
-	if r.Sub.Call == nil || r.dispatched {
+	waits := s.claiming[r.Sub.Request] == r
+	if !waits && !r.claimed || r.dispatched {
 		return
 	}
-	if s.claiming[r.Sub.Call.Key] == r {
-		delete(s.claiming, r.Sub.Call.Key)
-		s.claims(now, s.book.Release(now, r.Sub.Call.Key, r.Sub.Request))
-	}
-	if r.claimed {
-		r.claimed = false
-		s.claims(now, s.book.Release(now, r.Sub.Call.Key, r.Sub.Request))
-	}
+	delete(s.claiming, r.Sub.Request)
+	r.claimed = false
+	s.claims(now, s.book.Release(now, r.Sub.Call.Key, r.Sub.Request))
 }
 
 // claimEnded notes on the log how a claimed call ended. One whose outcome is
@@ -94,10 +76,13 @@
 		return
 	}
 	r.claimed = false
+	key, request := r.Sub.Call.Key, r.Sub.Request
 	switch {
 	case res.Err == nil:
-		s.claims(now, s.book.Answered(now, r.Sub.Call.Key, r.Sub.Request))
+		s.claims(now, s.book.Answered(now, key, request))
 	case res.Err.Outcome == wick.NotRun:
-		s.claims(now, s.book.Release(now, r.Sub.Call.Key, r.Sub.Request))
+		s.claims(now, s.book.Release(now, key, request))
+	default:
+		s.book.Lost(key, request)
 	}
 }
--- a/ctrl/owned.go
+++ b/ctrl/owned.go
@@ -118,6 +118,9 @@
 		}
 		return o.sched.Done(now, a.Sub.Request, sched.Result{Err: fail})
 	}
+	if r.claimed {
+		until = min(until, r.claimUntil)
+	}
 	r.settle(Decision{Endpoint: o.end, Until: until, view: s.keeper.View().Number, gate: s.gate})
 	return nil
 }
--- a/ctrl/run.go
+++ b/ctrl/run.go
@@ -42,6 +42,8 @@
 	dispatched bool
 	// claimed tells that the daemon holds the claim on the run's key.
 	claimed bool
+	// claimUntil is the instant before which a claimed run must be sent.
+	claimUntil wick.Instant
 	// parked is when the run began to wait for the configuration.
 	parked wick.Instant
 }
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -66,7 +66,7 @@
 	// parked are runs that wait for the configuration.
 	parked []*Run
 	// claiming are runs that wait for a claim on their key.
-	claiming map[wick.ClaimKey]*Run
+	claiming map[wick.RequestID]*Run
 	awaited  map[wick.ChangeID]chan<- wick.Verdict
 	// recent are the newest entries of the configuration, for peers.
 	recent []wick.Entry
@@ -108,7 +108,7 @@
 		routes:   routes,
 		owned:    make(map[wick.EndpointName]*owned),
 		known:    make(map[wick.EndpointName]wick.Endpoint),
-		claiming: make(map[wick.ClaimKey]*Run),
+		claiming: make(map[wick.RequestID]*Run),
 		awaited:  make(map[wick.ChangeID]chan<- wick.Verdict),
 		hosts:    make(map[wick.HostName]bool),
 		loads:    newLoads(),
@@ -141,6 +141,7 @@
 		}
 	}
 	s.unpark(now)
+	s.book.SetWriter(s.audits())
 	s.checkpoint(now)
 	if s.loadsLook(now) {
 		s.moved = true
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -29,9 +29,9 @@
 	// readyWithin bounds the wait until the daemons act together.
 	readyWithin = 20 * time.Second
 	// keyLife is how long the keys of the demo hold.
-	keyLife     = time.Hour
-	readyCheck  = 20 * time.Millisecond
-	anyPort     = wick.Address("127.0.0.1:0")
+	keyLife    = time.Hour
+	readyCheck = 20 * time.Millisecond
+	anyPort    = wick.Address("127.0.0.1:0")
 )
 
 // Run shows the path and writes what happened to out.
@@ -162,7 +162,7 @@
 	if err := s.completions(c, entries.Entries); err != nil {
 		return err
 	}
-	return s.commands(c, entries.Entries)
+	return s.commands(ctx, c, entries.Entries)
 }
 
 func (s *show) publish(ctx context.Context) error {
@@ -220,9 +220,9 @@
 }
 
 // commands sends the same command through two entries.
-func (s *show) commands(c *caller, entries []wick.EntryPoint) error {
+func (s *show) commands(ctx context.Context, c *caller, entries []wick.EntryPoint) error {
 	for _, e := range entries[:2] {
-		outcome, err := c.call(e.Address, "confirm", "demo-1", []byte(`{"Slot":12}`))
+		outcome, err := s.command(ctx, c, e)
 		if err != nil {
 			return fmt.Errorf("command through %s: %w", e.Host, err)
 		}
@@ -234,3 +234,19 @@
 	s.printf("command demo-1 ran once")
 	return nil
 }
+
+// command sends a command until its outcome is on the log, which follows the
+// answer by a moment.
+func (s *show) command(ctx context.Context, c *caller, e wick.EntryPoint) (wick.Outcome, error) {
+	for {
+		outcome, err := c.call(e.Address, "confirm", "demo-1", []byte(`{"Slot":12}`))
+		if outcome != wick.Unknown {
+			return outcome, err
+		}
+		select {
+		case <-ctx.Done():
+			return outcome, errors.Join(err, ctx.Err())
+		case <-time.After(readyCheck):
+		}
+	}
+}
--- a/plog/plog_test.go
+++ b/plog/plog_test.go
@@ -39,7 +39,7 @@
 
 func claim(key wick.ClaimKey) wick.Record {
 	return wick.Record{Claims: &wick.Claims{Steps: []wick.Claim{
-		{Step: wick.ClaimTaken, Key: key, Request: "q1", Holder: "h1", Incarnation: 1},
+		{Step: wick.ClaimTaken, Key: key, Request: "q1", Holder: "h1", Incarnation: 1, Life: wick.Duration(time.Minute)},
 	}}}
 }
 
