--- a/ids.go
+++ b/ids.go
@@ -36,6 +36,13 @@
 	OperatorName string
 )
 
+// Check reports a name that is empty, too long, or holds anything but letters,
+// digits, '-', '_', '.' and ':'.
+func (h HostName) Check() error { return checkName("host", h) }
+
+// Check reports a name as HostName.Check does.
+func (d Domain) Check() error { return checkName("failure domain", d) }
+
 // Ids that the system assigns.
 type (
 	// Incarnation tells two runs of a daemon on one host apart. It is drawn at
@@ -126,3 +133,9 @@
 	}
 	return r == '-' || r == '_' || r == '.' || r == ':'
 }
+
+// Check reports a request id that is no name.
+func (r RequestID) Check() error { return checkName("RequestID", r) }
+
+// Check reports a key that is no name.
+func (k ClaimKey) Check() error { return checkName("ClaimKey", k) }
--- a/peer.go
+++ b/peer.go
@@ -9,8 +9,19 @@
 type Renewal struct {
 	From        HostName    `json:"From"`
 	Incarnation Incarnation `json:"Incarnation"`
-	// View is the view the sender acts in; 0 while it is no member yet.
+	// View is the newest view the sender has adopted, as a member or not; 0
+	// while it knows none. The sender acts in no earlier view any more.
 	View ViewNumber `json:"View"`
+	// Self describes a sender that its View does not name: it wants to join,
+	// or it has left.
+	Self *Member `json:"Self,omitempty"`
+	// Lapsed tells that the sender is a member without a lease.
+	Lapsed bool `json:"Lapsed,omitempty"`
+	// Silent are the members of View that the sender has not heard from for
+	// too long, or that have told of no lease for as long.
+	Silent []HostName `json:"Silent,omitempty"`
+	// State is set for a receiver that is known to be behind.
+	State *ViewState `json:"State,omitempty"`
 	// Sequence numbers the renewals of one incarnation; it rises.
 	Sequence Sequence `json:"Sequence"`
 	// Config and Claims are the newest offsets the sender has applied.
@@ -30,6 +41,19 @@
 	if r.Incarnation == 0 {
 		return badField("Incarnation", "must not be 0")
 	}
+	if r.Self != nil {
+		if err := r.Self.Check(); err != nil {
+			return fmt.Errorf("self: %w", err)
+		}
+		if r.Self.Host != r.From || r.Self.Incarnation != r.Incarnation {
+			return badField("Self", "must be the sender")
+		}
+	}
+	if r.State != nil {
+		if err := r.State.Check(); err != nil {
+			return fmt.Errorf("state: %w", err)
+		}
+	}
 	for _, d := range r.Digests {
 		if err := d.Check(); err != nil {
 			return fmt.Errorf("digest of %s: %w", d.Endpoint, err)
@@ -47,8 +71,15 @@
 	// Vouched is the view for which the witness vouches; it equals the
 	// renewal's view, or is 0 if the witness has adopted a later one.
 	Vouched ViewNumber `json:"Vouched,omitempty"`
-	// Later is the newest view of the witness, if later than the sender's.
-	Later *View `json:"Later,omitempty"`
+	// View is the newest view the witness has adopted.
+	View ViewNumber `json:"View"`
+	// Later is the state of the witness, if its view is later than the
+	// sender's.
+	Later *ViewState `json:"Later,omitempty"`
+	// Lapsed tells that the witness is a member without a lease.
+	Lapsed bool `json:"Lapsed,omitempty"`
+	// Silent are the members of View that the witness has not heard from.
+	Silent []HostName `json:"Silent,omitempty"`
 	// Config and Claims are the newest offsets of the witness.
 	Config Offset `json:"Config"`
 	Claims Offset `json:"Claims"`
@@ -62,6 +93,11 @@
 	if a.Incarnation == 0 {
 		return badField("Incarnation", "must not be 0")
 	}
+	if a.Later != nil {
+		if err := a.Later.Check(); err != nil {
+			return fmt.Errorf("later state: %w", err)
+		}
+	}
 	return nil
 }
 
@@ -72,8 +108,11 @@
 	Queued Cost `json:"Queued"`
 	// Running counts the requests in the batch.
 	Running Slots `json:"Running"`
-	// Slow is the time per token relative to the endpoint's peers; 1 is
-	// ordinary and 0 means not known.
+	// Pace is the endpoint's time per token, or per call of a plain service;
+	// 0 means not known. Owners compare it with that of their own endpoints.
+	Pace Duration `json:"Pace,omitempty"`
+	// Slow is the pace relative to the endpoint's peers; 1 is ordinary and 0
+	// means not known.
 	Slow float64 `json:"Slow,omitempty"`
 	// Ejected tells that the endpoint gets no ordinary work for now.
 	Ejected bool `json:"Ejected,omitempty"`
@@ -83,8 +122,8 @@
 
 // Check implements Checker.
 func (d Digest) Check() error {
-	if d.Queued < 0 || d.Running < 0 || d.Slow < 0 {
-		return badField("Queued, Running, Slow", "must not be negative")
+	if d.Queued < 0 || d.Running < 0 || d.Pace < 0 || d.Slow < 0 {
+		return badField("Queued, Running, Pace, Slow", "must not be negative")
 	}
 	return checkName("Endpoint", d.Endpoint)
 }
@@ -112,23 +151,34 @@
 }
 
 // Grant is the share of a store's load budget that its owner gives to another
-// owner of runners, and the question for it.
+// owner of runners, and the question for it. A question ends what earlier
+// answers to the same asker left unused.
 type Grant struct {
 	Store StoreName `json:"Store"`
-	// From is who asks.
-	From HostName `json:"From"`
+	// From and Incarnation are who asks.
+	From        HostName    `json:"From"`
+	Incarnation Incarnation `json:"Incarnation"`
+	// View is the view in which the asker computed the owner of the budget.
+	View ViewNumber `json:"View"`
+	// Sequence numbers the questions of one incarnation; it rises. The answer
+	// echoes it.
+	Sequence Sequence `json:"Sequence"`
 	// Wanted is the cost of the work that waits for loads, at the asker.
 	Wanted Cost `json:"Wanted"`
-	// Loading is how many loads the asker has in flight.
-	Loading Slots `json:"Loading"`
+	// Loads is how many loads the asker would start at once for that work, and
+	// Prefetch how many besides for work that is only expected.
+	Loads    Slots `json:"Loads,omitempty"`
+	Prefetch Slots `json:"Prefetch,omitempty"`
+	// Loading is how many granted loads the asker has in flight.
+	Loading Slots `json:"Loading,omitempty"`
 	// Given is how many loads may start, in the answer.
 	Given Slots `json:"Given,omitempty"`
 }
 
 // Check implements Checker.
 func (g Grant) Check() error {
-	if g.Wanted < 0 || g.Loading < 0 || g.Given < 0 {
-		return badField("Wanted, Loading, Given", "must not be negative")
+	if g.Wanted < 0 || min(g.Loads, g.Prefetch, g.Loading, g.Given) < 0 {
+		return badField("Wanted, Loads, Prefetch, Loading, Given", "must not be negative")
 	}
 	return checkName("Store", g.Store)
 }
@@ -145,8 +195,22 @@
 	Print Fingerprint `json:"Print"`
 	// Crashes is how many crashes the request was suspected of; positive.
 	Crashes int `json:"Crashes"`
-	// Alone tells that it was the only request in flight at the last one.
+	// Alone tells that it was the only request in flight at one of them. With
+	// two crashes the request is stopped.
 	Alone bool `json:"Alone,omitempty"`
+	// Age is how long ago the last crash was, or the last try once stopped.
+	Age Duration `json:"Age,omitempty"`
+}
+
+// Check implements Checker.
+func (s Suspect) Check() error {
+	if s.Crashes <= 0 {
+		return badField("Crashes", "must be positive")
+	}
+	if s.Age < 0 {
+		return badField("Age", "must not be negative")
+	}
+	return nil
 }
 
 // PeerMessage is one control message between daemons, question or answer.
@@ -181,7 +245,7 @@
 		set, err = set+1, m.Grant.Check()
 	}
 	if m.Suspects != nil {
-		set++
+		set, err = set+1, checkSuspects(m.Suspects)
 	}
 	if m.Error != nil {
 		set, err = set+1, m.Error.Check()
@@ -191,3 +255,12 @@
 	}
 	return err
 }
+
+func checkSuspects(all []Suspect) error {
+	for _, s := range all {
+		if err := s.Check(); err != nil {
+			return fmt.Errorf("suspect: %w", err)
+		}
+	}
+	return nil
+}
