--- a/certs/certs.go
+++ b/certs/certs.go
@@ -26,6 +26,7 @@
 	organization = "currantwick"
 	// backdate allows for hosts whose clocks run behind.
 	backdate = 5 * time.Minute
+	year     = 365 * 24 * time.Hour
 	serials  = 128 // bits of a serial number
 
 	certType = "CERTIFICATE"
@@ -37,7 +38,7 @@
 	// Now is the time from which certificates hold; the zero time stands for
 	// the present.
 	Now time.Time
-	// Life is how long certificates hold; positive.
+	// Life is how long certificates hold; 0 stands for a year.
 	Life time.Duration
 }
 
@@ -107,8 +108,9 @@
 
 // template returns what all certificates have in common.
 func (c Config) template(name string) (*x509.Certificate, error) {
-	if c.Life <= 0 {
-		return nil, errors.New("life of a certificate must be positive")
+	life := c.Life
+	if life == 0 {
+		life = year
 	}
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serials))
 	if err != nil {
@@ -122,7 +124,7 @@
 		SerialNumber: serial,
 		Subject:      pkix.Name{Organization: []string{organization}, CommonName: name},
 		NotBefore:    now.Add(-backdate),
-		NotAfter:     now.Add(c.Life),
+		NotAfter:     now.Add(life),
 	}, nil
 }
 
--- a/config/checkpoint.go
+++ b/config/checkpoint.go
@@ -40,15 +40,17 @@
 
 // Split cuts a checkpoint into parts that fit into records of the log. They
 // may be appended in any order, and twice.
-func Split(c wick.Checkpoint) []wick.Checkpoint {
-	n := max(1, (len(c.Revisions)+partObjects-1)/partObjects)
+func Split(c wick.Checkpoint) []wick.Checkpoint { return splitBy(c, partObjects) }
+
+func splitBy(c wick.Checkpoint, each int) []wick.Checkpoint {
+	n := max(1, (len(c.Revisions)+each-1)/each)
 	out := make([]wick.Checkpoint, n)
 	for i := range out {
 		out[i] = wick.Checkpoint{AsOf: c.AsOf, Sum: c.Sum, Part: i + 1, Parts: n}
 	}
 	i := 0
 	for o := range c.Objects.All {
-		p := &out[i/partObjects]
+		p := &out[i/each]
 		appendObject(&p.Objects, o)
 		p.Revisions = append(p.Revisions, c.Revisions[i])
 		i++
@@ -186,7 +188,10 @@
 		if !ok || at == 0 || at > c.AsOf {
 			return nil, fmt.Errorf("%s: revision %d is not within 1 to %d", key, at, c.AsOf)
 		}
-		t.set(kindIndex(key.Kind), &node{name: key.Name, object: o, revision: at})
+		if !t.dicts[kindIndex(key.Kind)].fill(&node{name: key.Name, object: o, revision: at}) {
+			return nil, fmt.Errorf("%s: stands twice", key)
+		}
+		t.sum += hash(key.Kind, key.Name, at)
 	}
 	if t.sum != c.Sum {
 		return nil, fmt.Errorf("sum is %x, not %x", t.sum, c.Sum)
--- a/config/dict.go
+++ b/config/dict.go
@@ -107,6 +107,26 @@
 	return d
 }
 
+// fill puts n into d in place and reports whether it was not there before. No
+// other dict may share d's buckets.
+func (d *dict) fill(n *node) bool {
+	i, j := place(xxhash.Sum64String(n.name))
+	if d.root == nil {
+		d.root = new([fanout]*[fanout]bucket)
+	}
+	if d.root[i] == nil {
+		d.root[i] = new([fanout]bucket)
+	}
+	b := &d.root[i][j]
+	k, ok := find(*b, n.name)
+	if ok {
+		return false
+	}
+	*b = slices.Insert(*b, k, n)
+	d.size++
+	return true
+}
+
 // without returns d with no node of that name.
 func (d dict) without(name string) dict {
 	if d.get(name) == nil {
