--- a/policy_route.go
+++ b/policy_route.go
@@ -1,5 +1,7 @@
 package wick
 
+import "time"
+
 // EndpointIndex is the place of an endpoint in a router's table. It stays the
 // same for as long as the endpoint is configured.
 type EndpointIndex int32
@@ -16,6 +18,9 @@
 	// it can share an endpoint's prefix cache; 0 means none.
 	Prefix Fingerprint
 	Cost   Cost
+	// Probe tells that the request is short and idempotent, so that it may try
+	// out an ejected endpoint.
+	Probe bool
 	// Random is drawn afresh for each request.
 	Random uint64
 	// Turn counts the requests of this daemon.
@@ -67,11 +72,86 @@
 	RouteRoundRobin RoutePolicy = "RoundRobin"
 )
 
-// RetryBudget bounds retries to a share of the requests. Implementations are
-// safe for concurrent use.
+// RetryBudget bounds retries to a share of the requests, so that they do not
+// add to the overload that made them necessary. The implementations below
+// limit leave the locking to package tally; all others are safe for concurrent
+// use.
 type RetryBudget interface {
 	// Earn counts a first try.
 	Earn()
 	// Spend reports whether one more retry may be made.
 	Spend() bool
 }
+
+// RetryPolicy names an implementation of RetryBudget in the settings.
+type RetryPolicy string
+
+// The implementations of RetryBudget.
+const (
+	// RetryShare allows retries for a share of the first tries.
+	RetryShare RetryPolicy = "Share"
+	// RetryUnlimited allows every retry.
+	RetryUnlimited RetryPolicy = "Unlimited"
+)
+
+// Hedger decides whether a second try of short idempotent work starts beside
+// the first. Whichever answers first wins, and the other one is cancelled. The
+// implementations below limit leave the locking to package tally.
+type Hedger interface {
+	// Began notes a request that could be hedged.
+	Began()
+	// Took notes how long one try took until its first token or reply.
+	Took(d time.Duration)
+	// Delay returns how long to wait for the first try, or false if there is
+	// to be no second one.
+	Delay() (time.Duration, bool)
+	// Hedge reports whether a second try may start now, and counts it.
+	Hedge() bool
+}
+
+// HedgePolicy names an implementation of Hedger in the settings.
+type HedgePolicy string
+
+// The implementations of Hedger.
+const (
+	// HedgePercentile hedges after a learned percentile.
+	HedgePercentile HedgePolicy = "Percentile"
+	// HedgeNone never hedges.
+	HedgeNone HedgePolicy = "None"
+)
+
+// Health is how an endpoint does beside its peers.
+type Health struct {
+	// Pace, Slow and Ejected are those of Digest.
+	Pace    Duration
+	Slow    float64
+	Ejected bool
+}
+
+// Ejector compares endpoints with their peers as they are now.
+type Ejector interface {
+	// Put adds an endpoint of this daemon or of another one, or moves it to
+	// another pool.
+	Put(e EndpointName, pool PoolName)
+	// Remove forgets an endpoint.
+	Remove(e EndpointName)
+	// Progress notes that one request at an endpoint made so many tokens in
+	// the time since it was last noted; none if it stalls. A call of a plain
+	// service is one token.
+	Progress(now Instant, e EndpointName, tokens Tokens, took time.Duration)
+	// Heard takes in what another owner says about its endpoint.
+	Heard(now Instant, d Digest)
+	// Judge returns how an endpoint of this daemon does.
+	Judge(now Instant, e EndpointName) Health
+}
+
+// EjectPolicy names an implementation of Ejector in the settings.
+type EjectPolicy string
+
+// The implementations of Ejector.
+const (
+	// EjectOutliers shifts work away from slow endpoints and ejects outliers.
+	EjectOutliers EjectPolicy = "Outliers"
+	// EjectNone takes every endpoint for ordinary.
+	EjectNone EjectPolicy = "None"
+)
--- a/sched/adapter.go
+++ b/sched/adapter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/evict"
 )
 
 // state is the state of an adapter at the engine.
@@ -48,7 +49,7 @@
 	// order is the last order; answers to any other are ignored.
 	order wick.Order
 	// until is the time after which no order whose answer was lost can still
-	// take effect. The adapter is not unloaded before.
+	// take effect. An unknown adapter stays so until a report made later.
 	until wick.Instant
 	// pins counts the requests in flight on the adapter. It is 0 whenever
 	// state is closing.
@@ -60,10 +61,8 @@
 	queued int
 	cost   wick.Cost
 
-	// heat is the number of requests as of used, the time of the last one;
-	// each counts half after the half-life.
-	heat float64
-	used wick.Instant
+	// uses counts the requests for the adapter.
+	uses evict.Counter
 
 	// listed tells that the adapter is in Endpoint.wanted.
 	listed bool
@@ -82,8 +81,6 @@
 }
 
 const (
-	// halfLife is the time after which a request counts half for heat.
-	halfLife = 2 * time.Minute
 	// orderSlack is added to an order's Within for its way to the engine.
 	orderSlack = 250 * time.Millisecond
 	// grantKeep is how long a leave is kept that can't be used.
@@ -109,22 +106,14 @@
 	return a
 }
 
-// touch counts a request for the adapter.
-func (a *adapter) touch(now wick.Instant) {
-	a.heat = a.warmth(now) + 1
-	a.used = now
-}
-
-// warmth returns the heat as of now.
-func (a *adapter) warmth(now wick.Instant) float64 {
-	if a.heat == 0 {
-		return 0
-	}
-	return a.heat * math.Exp2(-float64(now.Sub(a.used))/float64(halfLife))
-}
-
 // enter changes the state.
 func (e *Endpoint) enter(now wick.Instant, a *adapter, s state) {
+	if a.state == closing {
+		e.closing--
+	}
+	if s == closing {
+		e.closing++
+	}
 	if (a.state == absent) != (s == absent) {
 		if s == absent {
 			e.held = slices.DeleteFunc(e.held, func(b *adapter) bool { return b == a })
@@ -187,6 +176,8 @@
 		e.empty(now, a)
 	case err.Outcome == wick.Unknown:
 		e.lose(now, a)
+	case err.Code == wick.CodeNotOwner:
+		e.lose(now, a)
 	case o.Kind == wick.OrderLoad:
 		out = e.loadFailed(now, a, err, out)
 	case err.Outcome == wick.NotRun:
@@ -217,9 +208,12 @@
 }
 
 // loadFailed makes the slot free and lets those who wait go elsewhere after a
-// few tries.
+// few tries. The engine may have refused because it holds more than is known
+// here, so its report is read.
 func (e *Endpoint) loadFailed(now wick.Instant, a *adapter, err *wick.Error, out []Action) []Action {
 	e.empty(now, a)
+	e.asked = now
+	out = append(out, ReadReport{})
 	a.tries++
 	pause := min(retryMost, retryFirst<<min(a.tries-1, 16))
 	a.retry = now.Add(pause)
@@ -284,7 +278,7 @@
 func (e *Endpoint) forgetBelow(now wick.Instant, heat float64) {
 	for ref, a := range e.adapters {
 		idle := a.state == absent && a.queued == 0 && a.pins == 0 && !a.listed
-		if idle && now.Sub(a.since) > prefetchKeep && now >= a.retry && a.warmth(now) < heat {
+		if idle && now.Sub(a.since) > prefetchKeep && now >= a.retry && e.clock.Heat(&a.uses) < heat {
 			delete(e.adapters, ref)
 		}
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/evict"
 )
 
 // Config says what an Endpoint schedules and by which policies.
@@ -30,6 +31,8 @@
 	// ReportEvery is the pause between two reports while the engine's state is
 	// in doubt; 0 means 200 ms.
 	ReportEvery time.Duration
+	// ReportIdle is the pause between two reports otherwise; 0 means 2 s.
+	ReportIdle time.Duration
 	// AskEvery is the pause before a denied load is asked for again; 0 means
 	// 100 ms.
 	AskEvery time.Duration
@@ -46,6 +49,7 @@
 const (
 	defaultOrderWithin = time.Second
 	defaultReportEvery = 200 * time.Millisecond
+	defaultReportIdle  = 2 * time.Second
 	defaultAskEvery    = 100 * time.Millisecond
 	defaultLoadTries   = 2
 	defaultPrompt      = 100 * time.Microsecond
@@ -55,6 +59,7 @@
 func (c *Config) setDefaults() {
 	c.OrderWithin = durationOr(c.OrderWithin, defaultOrderWithin)
 	c.ReportEvery = durationOr(c.ReportEvery, defaultReportEvery)
+	c.ReportIdle = durationOr(c.ReportIdle, defaultReportIdle)
 	c.AskEvery = durationOr(c.AskEvery, defaultAskEvery)
 	c.Prompt = durationOr(c.Prompt, defaultPrompt)
 	c.Answer = durationOr(c.Answer, defaultAnswer)
@@ -97,6 +102,10 @@
 	adapters map[wick.Ref]*adapter
 	held     []*adapter
 	wanted   []*adapter
+	// closing counts the adapters of held that are being unloaded.
+	closing int
+	// clock counts the requests for adapters.
+	clock evict.Clock
 
 	// blind tells that no report made after clear was seen since the takeover
 	// at taken. No adapter is touched while blind.
@@ -110,6 +119,10 @@
 	boot   string
 	// last is when step last ran; Next lies after it.
 	last wick.Instant
+	// short is the number of short requests since the last step, and shortMean
+	// its recent average.
+	short     float64
+	shortMean float64
 
 	prefixes map[wick.Fingerprint]*prefix
 	costs    costs
@@ -130,6 +143,7 @@
 		prefixes: map[wick.Fingerprint]*prefix{},
 		costs:    newCosts(cfg),
 		newest:   -1,
+		clock:    evict.NewClock(cfg.Endpoint.AdapterSlots),
 	}
 }
 
@@ -145,7 +159,7 @@
 	}
 	t := e.newItem(now, it)
 	if t.adapter != nil {
-		t.adapter.touch(now)
+		e.clock.Touch(&t.adapter.uses, now)
 	}
 	var out []Action
 	switch b := e.backlog(now, t); e.cfg.Admit.Admit(b, &t.Queued) {
