--- a/config/table.go
+++ b/config/table.go
@@ -181,6 +181,30 @@
 	}
 }
 
+// Select returns the objects of a kind and name with their revisions. An empty
+// kind or name stands for all.
+func (t *Table) Select(kind wick.ObjectKind, name string) wick.Checkpoint {
+	c := wick.Checkpoint{AsOf: t.offset}
+	add := func(n *node) {
+		appendObject(&c.Objects, n.object)
+		c.Revisions = append(c.Revisions, wick.Based{Key: n.object.Key(), Revision: n.revision})
+	}
+	for i, k := range kinds {
+		switch {
+		case kind != "" && kind != k:
+		case name == "":
+			for _, n := range sorted(t.dicts[i]) {
+				add(n)
+			}
+		default:
+			if n := t.dicts[i].get(name); n != nil {
+				add(n)
+			}
+		}
+	}
+	return c
+}
+
 // node returns the node of a key, or nil.
 func (t *Table) node(key wick.ObjectKey) *node {
 	i := kindIndex(key.Kind)
