Claim commands on the log, at most once

Claims carry their Life, so that daemons with different settings judge alike.

In the root, ClaimState is a part of a checkpoint of all live claims as of an offset. Writing single live claims again was ruled out: a copy can land after its claim was released and another taken, and a fresh reader then believes the copy.

Both streams begin anew at the oldest retained record if no checkpoint came for three times the interval and nothing was known before.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -25,7 +25,7 @@
 	DefaultRenew      = 300 * time.Millisecond
 	DefaultSuspect    = 1200 * time.Millisecond
 	DefaultOrphan     = 4 * time.Second
-	DefaultCheckpoint = 10 * time.Minute
+	DefaultCheckpoint = 2 * time.Minute
 )
 
 // Bounds on how often the log is asked to take a record.
@@ -35,6 +35,9 @@
 	// appendPause is how long a record may take to be read back before it is
 	// appended again.
 	appendPause = time.Second
+	// forgetAfter is for how many times between two checkpoints none may come
+	// before the past counts as forgotten.
+	forgetAfter = 3
 	// maxOrphan bounds the backoff between joins without a quorum.
 	maxOrphan = 2 * time.Minute
 )
--- a/lease/plan.go
+++ b/lease/plan.go
@@ -21,14 +21,17 @@
 		k.wake(now)
 	}
 	k.last = now
+	var acts []Action
+	if before := k.View(); k.log.restart(now, forgetAfter*k.cfg.Checkpoint) {
+		acts = k.after(now, before)
+	}
 	if _, ok := k.Lease(now); ok {
 		k.quorumAt, k.orphan = now, k.cfg.Orphan
 	} else if !k.Member() && k.inTouch(now) {
 		k.quorumAt = now
 	}
-	var acts []Action
 	if now >= k.renewAt || len(k.silentHosts(now)) > k.suspects {
-		acts = k.renew(now)
+		acts = append(acts, k.renew(now)...)
 	}
 	if now < k.holdUntil {
 		return acts
--- a/lease/state.go
+++ b/lease/state.go
@@ -62,16 +62,35 @@
 	if st.AsOf <= r.state.AsOf {
 		return false
 	}
-	gap := r.gap
-	if len(gap) > 0 && st.AsOf+1 < gap[0].Offset {
+	if len(r.gap) > 0 && st.AsOf+1 < r.gap[0].Offset {
 		return false // A hole would remain.
 	}
+	r.replay(st)
+	return true
+}
+
+// replay takes over a state, and applies what the gap holds after it.
+func (r *reader) replay(st wick.ViewState) {
+	gap := r.gap
 	r.state, r.gap = st, nil
 	for _, e := range gap {
 		if e.Offset > st.AsOf {
 			r.apply(e)
 		}
 	}
+}
+
+// restart begins anew at the oldest entry, if nobody wrote a checkpoint for so
+// long that all who knew the entries before must have ended.
+func (r *reader) restart(now wick.Instant, limit time.Duration) bool {
+	if r.state.AsOf > 0 || len(r.gap) == 0 {
+		return false
+	}
+	span := time.Duration(r.newest-r.gap[0].Time)*time.Millisecond + now.Sub(r.seen)
+	if span < limit {
+		return false
+	}
+	r.replay(wick.ViewState{AsOf: r.gap[0].Offset - 1})
 	return true
 }
 
--- a/record.go
+++ b/record.go
@@ -10,7 +10,7 @@
 	ConfigStream StreamName = "Config"
 	// ViewStream holds view changes, closings and checkpoints of both.
 	ViewStream StreamName = "Views"
-	// ClaimStream holds claims on commands.
+	// ClaimStream holds claims on commands and checkpoints of them.
 	ClaimStream StreamName = "Claims"
 	// AuditStream holds the verdicts on changes, for operators.
 	AuditStream StreamName = "Audit"
@@ -40,8 +40,11 @@
 	Incarnation Incarnation `json:"Incarnation"`
 	// Print identifies the command, so that a key is not used for two.
 	Print Fingerprint `json:"Print"`
-	// At is the platform's time in Unix seconds when the key was first taken.
+	// At is the platform's time in Unix seconds when the key was taken; it is
+	// set in a ClaimState alone.
 	At int64 `json:"At,omitempty"`
+	// Life is how long the key stays taken, by the platform's time.
+	Life Duration `json:"Life"`
 }
 
 // Check implements Checker.
@@ -57,6 +60,9 @@
 	if err := checkName("Request", c.Request); err != nil {
 		return err
 	}
+	if c.Life <= 0 {
+		return badField("Life", "must be positive")
+	}
 	return checkName("Holder", c.Holder)
 }
 
@@ -78,6 +84,40 @@
 	return nil
 }
 
+// ClaimState is one part of a checkpoint of all live claims. A reader needs all
+// parts, and replays the records after AsOf.
+type ClaimState struct {
+	// AsOf is the offset of the last record that the checkpoint includes.
+	AsOf Offset `json:"AsOf"`
+	// Time is the latest time of the platform up to AsOf, in Unix
+	// milliseconds.
+	Time int64 `json:"Time"`
+	// By and Incarnation name the writer of all the parts.
+	By          HostName    `json:"By"`
+	Incarnation Incarnation `json:"Incarnation"`
+	// Part counts from 1 to Parts.
+	Part  int `json:"Part"`
+	Parts int `json:"Parts"`
+	// Claims are live claims with At set; their steps are Taken or Answered.
+	Claims []Claim `json:"Claims,omitempty"`
+}
+
+// Check implements Checker.
+func (s ClaimState) Check() error {
+	if s.Part < 1 || s.Part > s.Parts {
+		return badField("Part", "must be from 1 to Parts")
+	}
+	for _, c := range s.Claims {
+		if err := c.Check(); err != nil {
+			return fmt.Errorf("claim on %s: %w", c.Key, err)
+		}
+		if c.Step == ClaimReleased {
+			return badField("Claims", "must be live")
+		}
+	}
+	return checkName("By", s.By)
+}
+
 // Record is what one log record holds. Exactly one field is set.
 type Record struct {
 	Change     *Change     `json:"Change,omitempty"`
@@ -86,6 +126,7 @@
 	ViewClosed *ViewClosed `json:"ViewClosed,omitempty"`
 	ViewState  *ViewState  `json:"ViewState,omitempty"`
 	Claims     *Claims     `json:"Claims,omitempty"`
+	ClaimState *ClaimState `json:"ClaimState,omitempty"`
 	Verdict    *Verdict    `json:"Verdict,omitempty"`
 }
 
@@ -111,6 +152,9 @@
 	if r.Claims != nil {
 		set, err = set+1, r.Claims.Check()
 	}
+	if r.ClaimState != nil {
+		set, err = set+1, r.ClaimState.Check()
+	}
 	if r.Verdict != nil {
 		set++
 	}
