--- a/certs/certs.go
+++ b/certs/certs.go
@@ -72,7 +72,8 @@
 	return LoadAuthority(p)
 }
 
-// LoadAuthority reads an authority that was made before.
+// LoadAuthority reads an authority that was made before. Certificates after the
+// first are passed over.
 func LoadAuthority(p PEM) (*Authority, error) {
 	pair, err := tls.X509KeyPair(p.Cert, p.Key)
 	if err != nil {
@@ -82,7 +83,8 @@
 	if !ok || !pair.Leaf.IsCA {
 		return nil, errors.New("read authority: want a CA certificate with an ECDSA key")
 	}
-	return &Authority{pair.Leaf, key, p}, nil
+	own := pem.EncodeToMemory(&pem.Block{Type: certType, Bytes: pair.Leaf.Raw})
+	return &Authority{pair.Leaf, key, PEM{own, p.Key}}, nil
 }
 
 // PEM returns the authority's certificate and key.
--- /dev/null
+++ b/verbs/check.go
@@ -0,0 +1,81 @@
+package verbs
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+
+	"currantwick"
+	"currantwick/config"
+	"currantwick/setup"
+)
+
+var checkVerb = verb{
+	name:  "check",
+	short: "check a configuration or settings file offline, all errors at once",
+	example: `currantwick check -file conf.json
+  currantwick check -file changes.json -onto conf.json
+  currantwick check -settings host-1.json`,
+	run: runCheck,
+}
+
+func runCheck(_ context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+	settings := flags.String("settings", "", "settings `file` of a daemon")
+	file := flags.String("file", "", "configuration `file`; - for the standard input")
+	onto := flags.String("onto", "", "configuration `file` that the other one is applied to; empty without it")
+	if err := flags.Parse(args); err != nil {
+		return Usage, err
+	}
+	switch {
+	case (*settings == "") == (*file == ""):
+		return Usage, errors.New("exactly one of -file and -settings must be set")
+	case *settings != "":
+		return checkSettings(env, *settings)
+	}
+	return checkFile(env, *file, *onto)
+}
+
+func checkSettings(env Env, file string) (Code, error) {
+	if _, err := setup.Load(file); err != nil {
+		return Failed, err
+	}
+	fmt.Fprintln(env.Out, "ok")
+	return Done, nil
+}
+
+func checkFile(env Env, file, onto string) (Code, error) {
+	d, err := readDraft(env, file)
+	if err != nil {
+		return Failed, err
+	}
+	state := config.New()
+	if onto != "" {
+		base, err := readDraft(env, onto)
+		if err != nil {
+			return Failed, err
+		}
+		if vs := judge(state, base); len(vs) > 0 {
+			return Failed, fmt.Errorf("file %s: %w", onto, config.Wrong(vs))
+		}
+	}
+	vs := judge(state, d)
+	for _, v := range vs {
+		fmt.Fprintln(env.Out, v.Error())
+	}
+	if len(vs) > 0 {
+		return Failed, fmt.Errorf("%d violations", len(vs))
+	}
+	fmt.Fprintln(env.Out, "ok")
+	return Done, nil
+}
+
+// judge applies a file to a configuration and returns what is wrong with it.
+func judge(s *config.State, d draft) []wick.Violation {
+	change := wick.Change{ID: "check", Operator: "check", Puts: d.Objects, Deletes: d.Deletes}
+	vs := config.Judge(s.Table(), change)
+	if len(vs) == 0 {
+		s.Apply(wick.Entry{Offset: s.Offset() + 1, Record: wick.Record{Change: &change}})
+	}
+	return vs
+}
--- /dev/null
+++ b/verbs/client.go
@@ -0,0 +1,233 @@
+package verbs
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"currantwick"
+	"currantwick/admin"
+	"currantwick/codec"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Names of the environment's variables that stand in for flags.
+const (
+	envAdmin     = "CURRANTWICK_ADMIN"
+	envTokenFile = "CURRANTWICK_TOKEN_FILE"
+	envCA        = "CURRANTWICK_CA"
+	envOperator  = "CURRANTWICK_OPERATOR"
+)
+
+const (
+	// answerWithin bounds one exchange; the daemon itself waits up to 30 s
+	// for a verdict.
+	answerWithin = 45 * time.Second
+	// maxAnswer bounds an answer, which may hold the whole configuration.
+	maxAnswer = 256 << 20
+)
+
+// adminFlags are the flags of verbs that talk to a daemon.
+type adminFlags struct {
+	addresses string
+	tokenFile string
+	ca        string
+}
+
+func (f *adminFlags) register(flags *flag.FlagSet) {
+	flags.StringVar(&f.addresses, "admin", os.Getenv(envAdmin),
+		"operators' `addresses` of one or more daemons, with commas between; from $"+envAdmin)
+	flags.StringVar(&f.tokenFile, "token-file", os.Getenv(envTokenFile),
+		"`file` with the operators' token; from $"+envTokenFile)
+	flags.StringVar(&f.ca, "ca", os.Getenv(envCA),
+		"`file` with the authority that daemons' TLS certificates come from; plain HTTP without it; from $"+envCA)
+}
+
+// client talks to the first daemon it can reach.
+type client struct {
+	addresses []wick.Address
+	token     string
+	scheme    string
+	http      *fasthttp.Client
+}
+
+func (f *adminFlags) client() (*client, error) {
+	if f.addresses == "" || f.tokenFile == "" {
+		return nil, errors.New("-admin and -token-file must be set")
+	}
+	token, err := os.ReadFile(f.tokenFile)
+	if err != nil {
+		return nil, fmt.Errorf("read token: %w", err)
+	}
+	c := &client{
+		token:  strings.TrimSpace(string(token)),
+		scheme: "http",
+		http: &fasthttp.Client{
+			ReadTimeout:         answerWithin,
+			MaxResponseBodySize: maxAnswer,
+		},
+	}
+	for a := range strings.SplitSeq(f.addresses, ",") {
+		if err := wick.Address(a).Check(); err != nil {
+			return nil, fmt.Errorf("-admin: %w", err)
+		}
+		c.addresses = append(c.addresses, wick.Address(a))
+	}
+	if f.ca != "" {
+		c.scheme = "https"
+		c.http.TLSConfig, err = trust(f.ca)
+	}
+	return c, err
+}
+
+// trust returns the settings for connections to daemons whose certificates
+// come from the authority in a file and may name any host.
+func trust(ca string) (*tls.Config, error) {
+	data, err := os.ReadFile(ca)
+	if err != nil {
+		return nil, fmt.Errorf("read CA: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(data) {
+		return nil, fmt.Errorf("file %s holds no certificate", ca)
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		// Daemons are reached by address, while certificates name hosts.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(cs tls.ConnectionState) error {
+			opts := x509.VerifyOptions{Roots: roots, Intermediates: x509.NewCertPool()}
+			for _, c := range cs.PeerCertificates[1:] {
+				opts.Intermediates.AddCert(c)
+			}
+			_, err := cs.PeerCertificates[0].Verify(opts)
+			return err
+		},
+	}, nil
+}
+
+// answer is what a daemon replied.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// do sends a request to the first daemon that can be reached. It goes on to
+// the next one only if nothing was sent.
+func (c *client) do(ctx context.Context, method, path string, body []byte) (answer, error) {
+	var errs []error
+	for _, a := range c.addresses {
+		got, err := c.one(ctx, a, method, path, body)
+		if err == nil {
+			return got, nil
+		}
+		errs = append(errs, fmt.Errorf("daemon at %s: %w", a, err))
+		if e := wick.AsError(err); e.Outcome != wick.NotRun || ctx.Err() != nil {
+			break
+		}
+	}
+	return answer{}, errors.Join(errs...)
+}
+
+func (c *client) one(ctx context.Context, at wick.Address, method, path string, body []byte) (answer, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(c.scheme + "://" + string(at) + path)
+	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
+	req.SetBodyRaw(body)
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(answerWithin)
+	}
+	err := c.http.DoDeadline(req, resp, deadline)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return answer{}, fmt.Errorf("connect: %w", wick.NotRunf(wick.CodeBroken, "%v", err))
+	}
+	if err != nil {
+		return answer{}, fmt.Errorf("exchange: %w", wick.Unknownf(wick.CodeBroken, "%v", err))
+	}
+	return answer{resp.StatusCode(), append([]byte(nil), resp.Body()...)}, nil
+}
+
+// read decodes an answer of status 200 into v, and any other one into an
+// error.
+func (a answer) read(v any) error {
+	if a.status != fasthttp.StatusOK {
+		var e wick.Error
+		if err := codec.DecodeJSON(a.body, &e); err != nil {
+			return wick.Unknownf(wick.CodeBroken, "status %d: %s", a.status, a.body)
+		}
+		return &e
+	}
+	if err := json.Unmarshal(a.body, v); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
+	}
+	return nil
+}
+
+// publish sends a change and returns its verdict.
+func (c *client) publish(ctx context.Context, change wick.Change, dryRun bool) (wick.Verdict, error) {
+	body, err := codec.EncodeJSON(change)
+	if err != nil {
+		return wick.Verdict{}, err
+	}
+	path := admin.PathChanges
+	if dryRun {
+		path += "?dry_run=true"
+	}
+	got, err := c.do(ctx, fasthttp.MethodPost, path, body)
+	if err != nil {
+		return wick.Verdict{}, err
+	}
+	if got.status == fasthttp.StatusUnprocessableEntity {
+		got.status = fasthttp.StatusOK // The body is a verdict as well.
+	}
+	var v wick.Verdict
+	return v, got.read(&v)
+}
+
+// objects returns the objects of a kind and name, of which either may be
+// empty.
+func (c *client) objects(ctx context.Context, kind, name string) (draft, error) {
+	query := url.Values{"kind": {kind}, "name": {name}}
+	got, err := c.do(ctx, fasthttp.MethodGet, admin.PathObjects+"?"+query.Encode(), nil)
+	if err != nil {
+		return draft{}, err
+	}
+	var d draft
+	return d, got.read(&d)
+}
+
+func (c *client) status(ctx context.Context) (wick.Status, error) {
+	got, err := c.do(ctx, fasthttp.MethodGet, admin.PathStatus, nil)
+	if err != nil {
+		return wick.Status{}, err
+	}
+	var s wick.Status
+	return s, got.read(&s)
+}
+
+// audit returns entries of the audit trail from an offset on.
+func (c *client) audit(ctx context.Context, from wick.Offset) ([]wick.Entry, error) {
+	path := admin.PathAudit + "?from=" + strconv.FormatUint(uint64(from), 10)
+	got, err := c.do(ctx, fasthttp.MethodGet, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	var list []wick.Entry
+	return list, got.read(&list)
+}
--- /dev/null
+++ b/verbs/drain.go
@@ -0,0 +1,98 @@
+package verbs
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"currantwick"
+	"currantwick/admin"
+
+	"github.com/valyala/fasthttp"
+)
+
+// goneEvery is the time between two looks whether a daemon has gone.
+const goneEvery = 200 * time.Millisecond
+
+var drainVerb = verb{
+	name:  "drain",
+	short: "stop a daemon gracefully, or send an endpoint no new work",
+	example: `currantwick drain -admin 10.0.0.1:7002
+  currantwick drain -endpoint runner-3 -operator ana`,
+	run: runDrain,
+}
+
+func runDrain(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+	var f adminFlags
+	f.register(flags)
+	endpoint := flags.String("endpoint", "", "`name` of an endpoint to mark as leaving, instead of the daemon")
+	operator := flags.String("operator", os.Getenv(envOperator), "`name` of who publishes the mark; from $"+envOperator)
+	within := flags.Duration("within", time.Hour, "how long to wait for the daemon to end; 0 not to wait")
+	if err := flags.Parse(args); err != nil {
+		return Usage, err
+	}
+	c, err := f.client()
+	if err != nil {
+		return Usage, err
+	}
+	if *endpoint != "" {
+		return drainEndpoint(ctx, env, c, *endpoint, *operator)
+	}
+	if len(c.addresses) != 1 {
+		return Usage, errors.New("-admin must name exactly the daemon to stop")
+	}
+	return drainDaemon(ctx, env, c, *within)
+}
+
+func drainDaemon(ctx context.Context, env Env, c *client, within time.Duration) (Code, error) {
+	got, err := c.do(ctx, fasthttp.MethodPost, admin.PathDrain, nil)
+	if err != nil {
+		return Failed, fmt.Errorf("drain: %w", err)
+	}
+	if got.status != fasthttp.StatusAccepted {
+		return Failed, fmt.Errorf("drain: %w", got.read(nil))
+	}
+	fmt.Fprintln(env.Out, "draining")
+	if within == 0 {
+		return Done, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	err = waiting(env, "waiting for the last requests", func() error { return c.gone(ctx) })
+	if err != nil {
+		return Unknown, err
+	}
+	fmt.Fprintln(env.Out, "stopped")
+	return Done, nil
+}
+
+// gone waits until nobody listens at the daemon's address any more.
+func (c *client) gone(ctx context.Context) error {
+	for ctx.Err() == nil {
+		_, err := c.do(ctx, fasthttp.MethodGet, admin.PathHealth, nil)
+		if err != nil && wick.AsError(err).Outcome == wick.NotRun {
+			return nil
+		}
+		pause(ctx, goneEvery)
+	}
+	return fmt.Errorf("the daemon still runs: %w", ctx.Err())
+}
+
+// drainEndpoint publishes the endpoint as leaving, on the revision it was read
+// at.
+func drainEndpoint(ctx context.Context, env Env, c *client, name, operator string) (Code, error) {
+	d, err := c.objects(ctx, string(wick.KindEndpoint), name)
+	if err != nil {
+		return Failed, fmt.Errorf("read endpoint: %w", err)
+	}
+	if len(d.Objects.Endpoints) != 1 {
+		return Failed, fmt.Errorf("no endpoint %s", name)
+	}
+	d.Objects.Endpoints[0].Leaving = true
+	change := wick.Change{ID: newChangeID(), Operator: wick.OperatorName(operator), Puts: d.Objects, Based: d.Revisions}
+	f := applyFlags{}
+	return f.one(ctx, env, c, change)
+}
--- /dev/null
+++ b/verbs/entries.go
@@ -0,0 +1,57 @@
+package verbs
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net/url"
+	"text/tabwriter"
+
+	"currantwick"
+
+	"github.com/valyala/fasthttp"
+)
+
+var entriesVerb = verb{
+	name:    "entries",
+	short:   "ask a daemon which addresses callers should use",
+	example: "currantwick entries -entry 10.0.0.1:7000 -domain addis-a",
+	run:     runEntries,
+}
+
+func runEntries(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+	entry := flags.String("entry", "", "callers' `address` of a daemon")
+	domain := flags.String("domain", "", "failure `domain` of the caller, whose entries come first")
+	asJSON := flags.Bool("json", false, "print JSON")
+	if err := flags.Parse(args); err != nil {
+		return Usage, err
+	}
+	if err := wick.Address(*entry).Check(); err != nil {
+		return Usage, fmt.Errorf("-entry: %w", err)
+	}
+	c := &client{addresses: []wick.Address{wick.Address(*entry)}, scheme: "http", http: &fasthttp.Client{}}
+	got, err := c.do(ctx, fasthttp.MethodGet, "/v1/entries?domain="+url.QueryEscape(*domain), nil)
+	if err != nil {
+		return Failed, fmt.Errorf("entries: %w", err)
+	}
+	var list wick.EntryList
+	if err := got.read(&list); err != nil {
+		return Failed, fmt.Errorf("entries: %w", err)
+	}
+	if *asJSON {
+		return Done, printJSON(env.Out, list)
+	}
+	w := tabwriter.NewWriter(env.Out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "ADDRESS\tHOST\tDOMAIN")
+	for _, e := range list.Entries {
+		fmt.Fprintf(w, "%s\t%s\t%s\n", e.Address, e.Host, e.Domain)
+	}
+	if len(list.Entries) == 0 {
+		return Failed, errors.New("the daemon names no entry")
+	}
+	if err := w.Flush(); err != nil {
+		return Failed, fmt.Errorf("print: %w", err)
+	}
+	return Done, nil
+}
--- /dev/null
+++ b/verbs/get.go
@@ -0,0 +1,40 @@
+package verbs
+
+import (
+	"context"
+	"flag"
+	"fmt"
+)
+
+var getVerb = verb{
+	name:  "get",
+	short: "print objects with their revisions, as apply reads them",
+	example: `currantwick get > conf.json
+  currantwick get -kind Route -name notices`,
+	run: runGet,
+}
+
+func runGet(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+	var f adminFlags
+	f.register(flags)
+	kind := flags.String("kind", "", "only objects of this `kind`: Model, Adapter, Version, Priority, Store, Pool, Endpoint or Route")
+	name := flags.String("name", "", "only the object of this `name`; adapter/version for a version")
+	if err := flags.Parse(args); err != nil {
+		return Usage, err
+	}
+	c, err := f.client()
+	if err != nil {
+		return Usage, err
+	}
+	d, err := c.objects(ctx, *kind, *name)
+	if err != nil {
+		return Failed, fmt.Errorf("get: %w", err)
+	}
+	if len(d.Revisions) == 0 && *name != "" {
+		return Failed, fmt.Errorf("no object %s %s", *kind, *name)
+	}
+	if err := printJSON(env.Out, d); err != nil {
+		return Failed, err
+	}
+	return Done, nil
+}
--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -46,7 +46,10 @@
 }
 
 // verbs lists all verbs in the order of the help.
-var list = []verb{demoVerb, serveVerb}
+var list = []verb{
+	demoVerb, serveVerb, checkVerb, applyVerb, getVerb, diffVerb, statusVerb, drainVerb,
+	entriesVerb, auditVerb, keysVerb,
+}
 
 // Run runs the verb that args name and returns the process's exit code.
 func Run(ctx context.Context, env Env, args []string) Code {
--- /dev/null
+++ b/verbs/wait.go
@@ -0,0 +1,76 @@
+package verbs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// progressEvery is the time between two signs of life of a long wait.
+const progressEvery = time.Second
+
+// waiting runs f and shows on a terminal for how long it has been waiting.
+func waiting(env Env, what string, f func() error) error {
+	if !isTerminal(env.Err) {
+		return f()
+	}
+	var group errgroup.Group
+	done := make(chan struct{})
+	group.Go(func() error {
+		tick(env.Err, what, done)
+		return nil
+	})
+	err := f()
+	close(done)
+	_ = group.Wait() // tick never fails.
+	return err
+}
+
+func tick(w io.Writer, what string, done <-chan struct{}) {
+	start := time.Now()
+	t := time.NewTicker(progressEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-done:
+			fmt.Fprint(w, "\r\033[K") // Clears the line.
+			return
+		case <-t.C:
+			fmt.Fprintf(w, "\r%s: %s", what, time.Since(start).Round(time.Second))
+		}
+	}
+}
+
+func isTerminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+// pause waits for a while, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// printJSON writes v for people and programs alike.
+func printJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		return fmt.Errorf("print: %w", err)
+	}
+	return nil
+}
