Prove the configuration's promises against real daemons

Tests run the binary with the platform's stand-ins in the test's process and a proxy on each daemon's way to the log.

Seen to fail (go test -count=1 ./cmd/currantwick, one fault planted at a time): - fetches from peers off: TestInForceEverywhere/log_cut_off and /log_silent, "h2 is not at offset 1 after 9s" - peers' certificates not verified: TestStrangersGetNowhere, "a daemon without a good certificate has the configuration" - a moved object let through by one revision: TestRacingOperators, "history of 48 tries is not linearizable" - readiness without regard to offset and staleness: TestConfigurationNeverReverts, "a restarted daemon is ready without the change at offset 1" (staleness alone was not noticed)

--- a/admin/serve.go
+++ b/admin/serve.go
@@ -85,7 +85,13 @@
 		writeError(c, err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(s.base, auditWithin)
+	within, err := number(c, "within_ms", uint64(auditWithin.Milliseconds()))
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	wait := min(time.Duration(within)*time.Millisecond, auditWithin)
+	ctx, cancel := context.WithTimeout(s.base, wait)
 	defer cancel()
 	list, fail := s.cfg.Operator.Audit(ctx, wick.Offset(from), int(min(limit, maxAudit)))
 	if fail != nil {
--- /dev/null
+++ b/cmd/currantwick/cluster_test.go
@@ -0,0 +1,357 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/fakes"
+	"currantwick/fault"
+	"currantwick/setup"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	token = "0123456789abcdef0123"
+	// soon bounds every wait for a condition.
+	soon = 20 * time.Second
+	// lookEvery is the time between two looks at a condition.
+	lookEvery = 20 * time.Millisecond
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "currantwick")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(dir, "currantwick")
+	code := 1
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+	} else {
+		code = m.Run()
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// ran is how a run of the binary ended.
+type ran struct {
+	code     int
+	out, err string
+}
+
+// wick runs a verb and waits for its end.
+func (c *cluster) wick(args ...string) ran {
+	c.t.Helper()
+	return c.wickWith("", args...)
+}
+
+func (c *cluster) wickWith(stdin string, args ...string) ran {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*soon)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, binary, args...)
+	cmd.Dir = c.dir
+	cmd.Env = append(os.Environ(), "CURRANTWICK_OPERATOR=ana", "CURRANTWICK_TOKEN_FILE="+c.file("token"))
+	if len(c.daemons) > 0 {
+		cmd.Env = append(cmd.Env, "CURRANTWICK_ADMIN="+string(c.daemons[0].settings.Admin.Address))
+	}
+	cmd.Stdin = strings.NewReader(stdin)
+	var out, errs bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	err := cmd.Run()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		c.t.Fatalf("%v: %v", args, err)
+	}
+	return ran{cmd.ProcessState.ExitCode(), out.String(), errs.String()}
+}
+
+// must runs a verb that has to succeed.
+func (c *cluster) must(args ...string) string {
+	c.t.Helper()
+	got := c.wick(args...)
+	if got.code != 0 {
+		c.t.Fatalf("%v: exit code %d\n%s%s", args, got.code, got.out, got.err)
+	}
+	return got.out
+}
+
+// output gathers what a running process prints.
+type output struct {
+	mu   sync.Mutex
+	data []byte
+}
+
+// Write implements io.Writer.
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.data = append(o.data, p...)
+	return len(p), nil
+}
+
+// String returns what was printed so far.
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return string(o.data)
+}
+
+// daemon is one running process.
+type daemon struct {
+	settings setup.Settings
+	cmd      *exec.Cmd
+	log      *output
+	// exited is closed when the process has ended.
+	exited chan struct{}
+}
+
+// cluster is a set of daemons with stand-ins for the platform.
+type cluster struct {
+	t       *testing.T
+	dir     string
+	set     *fakes.Set
+	proxy   *fault.Proxy
+	daemons []*daemon
+	// group waits for the processes.
+	group errgroup.Group
+}
+
+func newCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir()}
+	var err error
+	c.set, err = fakes.StartSet(fakes.SetConfig{
+		Store:    &fakes.StoreConfig{Rate: 20, FullSpeed: 4, Knee: 16, LoadTime: wick.Duration(20 * time.Millisecond)},
+		Log:      &fakes.LogConfig{Address: "127.0.0.1:0"},
+		Hosts:    &fakes.HostsConfig{Address: "127.0.0.1:0"},
+		Engines:  []fakes.EngineConfig{engineConfig(), engineConfig()},
+		Services: []fakes.ServiceConfig{{Address: "127.0.0.1:0"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.set.Close() })
+	c.write("token", token+"\n")
+	hosts := make([]string, n)
+	for i := range hosts {
+		hosts[i] = fmt.Sprintf("h%d", i+1)
+	}
+	if n > 0 {
+		c.must("keys", "-dir", "keys", "-hosts", strings.Join(hosts, ","))
+	}
+	c.proxy, err = fault.Start(fault.Config{Links: c.links(hosts)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.proxy.Close() })
+	var settings []setup.Settings
+	var peers []wick.Address
+	for _, host := range hosts {
+		s := c.settings(host)
+		settings = append(settings, s)
+		peers = append(peers, s.Peer.Address)
+	}
+	for _, s := range settings {
+		s.Peers = peers
+		c.start(s)
+	}
+	return c
+}
+
+// links gives each host its own way to the log.
+func (c *cluster) links(hosts []string) []fault.Link {
+	var out []fault.Link
+	for _, host := range hosts {
+		out = append(out, fault.Link{
+			Name: fault.LinkName(host), Network: fault.TCP, Listen: "127.0.0.1:0", Target: c.set.Log.Address(),
+		})
+	}
+	return out
+}
+
+// log sets what the ways of some hosts to the log do.
+func (c *cluster) log(mode fault.Mode, hosts ...fault.LinkName) {
+	c.t.Helper()
+	if err := c.proxy.Set(fault.Control{Links: hosts, Mode: mode}); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func engineConfig() fakes.EngineConfig {
+	return fakes.EngineConfig{
+		Address: "127.0.0.1:0", Model: "base", BatchSlots: 4, AdapterSlots: 2,
+		Base: wick.Duration(2 * time.Millisecond), PerSequence: wick.Duration(time.Millisecond),
+	}
+}
+
+func millis(n int) wick.Duration { return wick.Duration(time.Duration(n) * time.Millisecond) }
+
+func (c *cluster) settings(host string) setup.Settings {
+	s := setup.Default()
+	s.Host = wick.HostName(host)
+	s.Domain = wick.Domain("domain-" + host)
+	s.Entry.Address, s.Peer.Address, s.Admin.Address = c.free(), c.free(), c.free()
+	s.Admin.TokenFile = c.file("token")
+	s.Log.Address, s.Hosts.Address = c.proxy.Address(fault.LinkName(host)), c.set.Hosts.Address()
+	s.Keys = setup.Keys{CA: c.file("keys/ca.pem"), Cert: c.file("keys/" + host + ".pem"), Key: c.file("keys/" + host + ".key")}
+	s.Lease = setup.Lease{TTL: millis(900), Renew: millis(100), Suspect: millis(600), Drift: millis(90)}
+	s.Stop.Linger = millis(100)
+	return s
+}
+
+// free returns an address that nobody listens at.
+func (c *cluster) free() wick.Address {
+	c.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return wick.Address(l.Addr().String())
+}
+
+func (c *cluster) file(name string) string { return filepath.Join(c.dir, name) }
+
+func (c *cluster) write(name, data string) {
+	c.t.Helper()
+	if err := os.WriteFile(c.file(name), []byte(data), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) writeJSON(name string, v any) {
+	c.t.Helper()
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.write(name, string(data))
+}
+
+// start runs a daemon until the end of the test.
+func (c *cluster) start(s setup.Settings) *daemon {
+	c.t.Helper()
+	name := string(s.Host) + ".json"
+	c.writeJSON(name, s)
+	d := &daemon{settings: s, log: &output{}, exited: make(chan struct{})}
+	d.cmd = exec.Command(binary, "serve", "-settings", c.file(name))
+	d.cmd.Stderr = d.log
+	if err := d.cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.group.Go(func() error {
+		defer close(d.exited)
+		_ = d.cmd.Wait() // How it ended shows in its log.
+		return nil
+	})
+	c.daemons = append(c.daemons, d)
+	c.t.Cleanup(func() {
+		_ = d.cmd.Process.Signal(syscall.SIGTERM)
+		select {
+		case <-d.exited:
+		case <-time.After(soon):
+			c.t.Errorf("%s does not stop", s.Host)
+			_ = d.cmd.Process.Kill()
+			<-d.exited
+		}
+		if c.t.Failed() {
+			c.t.Logf("log of %s:\n%s", s.Host, d.log)
+		}
+	})
+	return d
+}
+
+// await waits for a condition.
+func (c *cluster) await(what string, ok func() bool) {
+	c.t.Helper()
+	for deadline := time.Now().Add(soon); !ok(); {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("not within %v: %s", soon, what)
+		}
+		<-time.After(lookEvery)
+	}
+}
+
+// status asks one daemon.
+func (c *cluster) status(d *daemon) (wick.Status, bool) {
+	got := c.wick("status", "-json", "-admin", string(d.settings.Admin.Address))
+	var s wick.Status
+	if got.code != 0 {
+		return s, false
+	}
+	if err := json.Unmarshal([]byte(got.out), &s); err != nil {
+		c.t.Fatal(err)
+	}
+	return s, true
+}
+
+// ready waits until all daemons are one view.
+func (c *cluster) ready() {
+	c.t.Helper()
+	c.await("one view of all daemons", func() bool {
+		for _, d := range c.daemons {
+			s, ok := c.status(d)
+			if !ok || len(s.Daemons) != len(c.daemons) || s.Lease == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// sample is a configuration for the stand-ins.
+func (c *cluster) sample() wick.Objects {
+	o := wick.Objects{
+		Models:     []wick.Model{{Name: "base", Context: 4096}},
+		Adapters:   []wick.Adapter{{Name: "notice", Model: "base"}},
+		Versions:   []wick.Version{{Adapter: "notice", Name: "v1", Source: "w/notice/1", Size: 10}},
+		Priorities: []wick.Priority{{Name: "short", Level: 5, Deadline: millis(5000)}},
+		Stores:     []wick.Store{{Name: "weights", Rate: 20, FullSpeed: 4, Knee: 16}},
+		Pools: []wick.Pool{
+			{Name: "draft", Kind: wick.RunnerEndpoint, Model: "base", Store: "weights"},
+			{Name: "desk", Kind: wick.ServiceEndpoint},
+		},
+		Routes: []wick.Route{
+			{Name: "notice", Pool: "draft", Priority: "short", Ref: wick.Ref{Adapter: "notice", Version: "v1"}},
+			{Name: "book", Pool: "desk", Priority: "short", Path: "/confirm", NonIdempotent: true},
+		},
+	}
+	at := c.set.Addresses()
+	for i, a := range at.Engines {
+		o.Endpoints = append(o.Endpoints, wick.Endpoint{
+			Name: wick.EndpointName(fmt.Sprintf("runner-%d", i+1)), Pool: "draft",
+			Host: wick.HostName(fmt.Sprintf("e%d", i+1)), Domain: "domain-h1", Address: a, BatchSlots: 4, AdapterSlots: 2,
+		})
+	}
+	o.Endpoints = append(o.Endpoints, wick.Endpoint{
+		Name: "desk-1", Pool: "desk", Host: "s1", Domain: "domain-h2", Address: at.Services[0], BatchSlots: 4,
+	})
+	return o
+}
+
+// file is a configuration file.
+type file struct {
+	Objects   wick.Objects
+	Revisions []wick.Based     `json:",omitempty"`
+	Deletes   []wick.ObjectKey `json:",omitempty"`
+}
--- /dev/null
+++ b/cmd/currantwick/force_test.go
@@ -0,0 +1,221 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/fakes"
+	"currantwick/fault"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// inForce bounds the time until a change is in force everywhere.
+	inForce = 9 * time.Second
+	// polled is the time between two looks while that time is measured.
+	polled = 5 * time.Millisecond
+)
+
+// context puts the model base into the configuration through one daemon.
+func (c *cluster) context(d *daemon, id wick.ChangeID, n wick.Tokens) wick.Offset {
+	c.t.Helper()
+	v, status := c.publish(d, wick.Change{
+		ID: id, Operator: "ana", Puts: wick.Objects{Models: []wick.Model{{Name: "base", Context: n}}},
+	})
+	if status != fasthttp.StatusOK || !v.Accepted() {
+		c.t.Fatalf("publish: status %d, %+v", status, v)
+	}
+	return v.Offset
+}
+
+// awaitOffset waits until daemons have a configuration of at least that offset
+// in force.
+func (c *cluster) awaitOffset(at wick.Offset, daemons ...*daemon) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), inForce)
+	defer cancel()
+	for _, d := range daemons {
+		for !c.has(d, at) {
+			select {
+			case <-ctx.Done():
+				c.t.Fatalf("%s is not at offset %d after %v", d.settings.Host, at, inForce)
+			case <-time.After(polled):
+			}
+		}
+	}
+}
+
+// TestInForceEverywhere measures how long an accepted change takes to be in
+// force on all daemons, and fails past the bound.
+func TestInForceEverywhere(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(c *cluster)
+	}{
+		{"log up", func(*cluster) {}},
+		{"log slow", func(c *cluster) {
+			slow := millis(300)
+			c.set.Log.Control(fakes.LogControl{Slow: &slow})
+		}},
+		{"log cut off for two of three", func(c *cluster) { c.log(fault.Cut, "h2", "h3") }},
+		{"log silent for two of three", func(c *cluster) { c.log(fault.Blackhole, "h2", "h3") }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(t, 3)
+			c.ready()
+			test.before(c)
+			sent := time.Now()
+			at := c.context(c.daemons[0], "one", 1)
+			judged := time.Since(sent)
+			c.awaitOffset(at, c.daemons...)
+			t.Logf("judged %v and in force on all daemons %v after it was sent",
+				judged.Round(time.Millisecond), time.Since(sent).Round(time.Millisecond))
+		})
+	}
+}
+
+// TestStartDuringAnOutage starts a daemon that never reaches the log, and
+// checks that it gets the configuration from its peers.
+func TestStartDuringAnOutage(t *testing.T) {
+	c := newCluster(t, 3)
+	c.ready()
+	c.awaitOffset(c.context(c.daemons[0], "one", 1), c.daemons...)
+	last := c.daemons[2]
+	if err := last.cmd.Process.Signal(syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	<-last.exited
+	c.log(fault.Cut)
+	again := c.start(last.settings)
+	c.await("the daemon answers operators", func() bool {
+		status, _ := c.call(again, fasthttp.MethodGet, "/healthz", nil)
+		return status == fasthttp.StatusOK
+	})
+	c.awaitOffset(1, again)
+	c.log(fault.Pass)
+	c.awaitOffset(c.context(again, "two", 2), c.daemons[0], c.daemons[1], again)
+}
+
+// TestConfigurationNeverReverts restarts a daemon after each change that it had
+// in force, with the log cut off from it now and then. Once it takes requests
+// again, the change must be in force.
+func TestConfigurationNeverReverts(t *testing.T) {
+	c := newCluster(t, 3)
+	c.ready()
+	for i := range 6 {
+		at := c.context(c.daemons[0], wick.ChangeID("change-"+string(rune('a'+i))), wick.Tokens(i+1))
+		last := c.daemons[len(c.daemons)-1]
+		c.awaitOffset(at, c.daemons...)
+		if i%2 == 0 {
+			c.log(fault.Cut, "h3")
+		}
+		if err := last.cmd.Process.Signal(syscall.SIGKILL); err != nil {
+			t.Fatal(err)
+		}
+		<-last.exited
+		c.daemons = c.daemons[:len(c.daemons)-1]
+		again := c.start(last.settings)
+		c.await("the daemon is ready", func() bool {
+			status, _ := c.call(again, fasthttp.MethodGet, "/readyz", nil)
+			return status == fasthttp.StatusOK
+		})
+		if !c.has(again, at) {
+			t.Errorf("a restarted daemon is ready without the change at offset %d", at)
+		}
+		c.awaitOffset(at, c.daemons...)
+		c.log(fault.Pass, "h3")
+	}
+}
+
+// TestReloadOfKeys replaces the authority under running daemons, and checks
+// that they go on as one view.
+func TestReloadOfKeys(t *testing.T) {
+	c := newCluster(t, 3)
+	c.ready()
+	steps := [][]string{
+		{"keys", "-dir", "keys", "-rotate"},
+		{"keys", "-dir", "keys", "-hosts", "h1,h2,h3"},
+		{"keys", "-dir", "keys", "-retire"},
+	}
+	for i, step := range steps {
+		c.must(step...)
+		for _, d := range c.daemons {
+			if err := d.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, d := range c.daemons {
+			c.await("the keys are reloaded", func() bool {
+				return strings.Count(d.log.String(), "keys reloaded") == i+1
+			})
+		}
+	}
+	c.log(fault.Cut, "h2", "h3") // So that changes take the way through peers.
+	c.awaitOffset(c.context(c.daemons[0], "one", 1), c.daemons...)
+	if data, err := os.ReadFile(c.file("keys/ca.pem")); err != nil || strings.Count(string(data), "BEGIN CERTIFICATE") != 1 {
+		t.Errorf("ca.pem after -retire: %v\n%s", err, data)
+	}
+	c.ready()
+}
+
+// TestStrangersGetNowhere starts a daemon whose certificate comes from another
+// authority, and asks for everything without the token.
+func TestStrangersGetNowhere(t *testing.T) {
+	c := newCluster(t, 3)
+	c.ready()
+	c.awaitOffset(c.context(c.daemons[0], "one", 1), c.daemons...)
+	c.must("keys", "-dir", "others", "-hosts", "h3")
+	last := c.daemons[2]
+	if err := last.cmd.Process.Signal(syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	<-last.exited
+	c.daemons = c.daemons[:2]
+	c.ready()
+	s := last.settings
+	s.Keys.CA, s.Keys.Cert, s.Keys.Key = c.file("others/ca.pem"), c.file("others/h3.pem"), c.file("others/h3.key")
+	c.log(fault.Cut, "h3") // It could read the log, which is the platform's.
+	stranger := c.start(s)
+	c.await("the stranger runs", func() bool {
+		status, _ := c.call(stranger, fasthttp.MethodGet, "/healthz", nil)
+		return status == fasthttp.StatusOK
+	})
+	for range 3 {
+		at := c.context(c.daemons[0], "more", 2)
+		c.awaitOffset(at, c.daemons[:2]...)
+		<-time.After(s.Lease.TTL.Std())
+	}
+	if c.has(stranger, 1) {
+		t.Error("a daemon without a good certificate has the configuration")
+	}
+	if status, _ := c.call(stranger, fasthttp.MethodGet, "/readyz", nil); status != fasthttp.StatusServiceUnavailable {
+		t.Errorf("a daemon without a good certificate is ready: status %d", status)
+	}
+
+	c.write("token", "not the operators' token")
+	for _, verb := range []string{"get", "status", "audit", "drain"} {
+		if got := c.wick(verb); got.code == 0 || !strings.Contains(got.err, "the operators' token is missing or wrong") {
+			t.Errorf("%s without the token: %+v", verb, got)
+		}
+	}
+	c.writeJSON("conf.json", file{Objects: c.sample()})
+	if got := c.wick("apply", "-file", "conf.json"); got.code != 1 {
+		t.Errorf("apply without the token: %+v", got)
+	}
+}
+
+// has reports whether a daemon has a configuration of at least that offset in
+// force.
+func (c *cluster) has(d *daemon, at wick.Offset) bool {
+	status, body := c.call(d, fasthttp.MethodGet, "/v1/objects?kind=Model", nil)
+	var got wick.Checkpoint
+	return status == fasthttp.StatusOK && json.Unmarshal(body, &got) == nil && got.AsOf >= at
+}
--- /dev/null
+++ b/cmd/currantwick/verbs_test.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"currantwick"
+)
+
+// TestVerbsOffline runs what needs no daemon.
+func TestVerbsOffline(t *testing.T) {
+	c := newCluster(t, 0)
+	c.writeJSON("good.json", file{Objects: c.sample()})
+	bad := c.sample()
+	bad.Routes[0].Pool = "none"
+	bad.Models[0].Context = 0
+	c.writeJSON("bad.json", file{Objects: bad})
+	c.write("typo.json", `{"Objects": {"Rutes": [], "Models": [{"Name": 1}]}}`)
+	c.writeJSON("more.json", file{Objects: wick.Objects{Adapters: []wick.Adapter{{Name: "x", Model: "base"}}}})
+	c.write("settings.json", `{"Host": "h1", "Lease": {"TTL": "1"}}`)
+	tests := []struct {
+		args string
+		code int
+		want string // part of what it prints
+	}{
+		{"", 2, "usage: currantwick VERB"},
+		{"nonsense", 2, `no verb "nonsense"`},
+		{"check -file good.json", 0, "ok"},
+		{"check -file bad.json", 1, "Model base: WellFormed: Context: must be positive"},
+		{"check -file bad.json", 1, "Route notice: Reference: Pool: Pool none does not exist"},
+		{"check -file typo.json", 1, "Objects.Models[0].Name: want a string, not number\nObjects.Rutes: unknown field"},
+		{"check -file more.json", 1, "Adapter x: Reference: Model: Model base does not exist"},
+		{"check -file more.json -onto good.json", 0, "ok"},
+		{"check -file none.json", 1, "no such file"},
+		{"check", 2, "exactly one of -file and -settings"},
+		{"check -settings settings.json", 1, `Lease.TTL: duration "1": want a number with a unit`},
+		{"check -nonsense", 2, "flag provided but not defined"},
+		{"apply -file good.json", 2, "-admin and -token-file must be set"},
+		{"get -admin 127.0.0.1:1", 1, "connection refused"},
+		{"entries -entry x", 2, "want IP:port"},
+		{"keys", 2, "one of -hosts, -rotate and -retire"},
+		{"keys -hosts a,b -dir k", 0, "k/b.pem"},
+		{"serve -print-defaults", 0, `"TTL":"1.5s"`},
+	}
+	for _, test := range tests {
+		t.Run(test.args, func(t *testing.T) {
+			got := c.wick(strings.Fields(test.args)...)
+			if got.code != test.code || !strings.Contains(got.out+got.err, test.want) {
+				t.Errorf("got %+v\nwant code %d with %q", got, test.code, test.want)
+			}
+		})
+	}
+	for _, v := range []string{
+		"serve", "demo", "check", "apply", "get", "diff", "status", "drain", "entries", "audit", "keys",
+	} {
+		if got := c.wick(v, "-h"); got.code != 0 || !strings.Contains(got.err, "Example:\n  currantwick ") {
+			t.Errorf("%s -h: %+v", v, got)
+		}
+	}
+}
+
+// TestVerbsAgainstDaemons publishes, breaks, fixes and rolls a configuration.
+func TestVerbsAgainstDaemons(t *testing.T) {
+	c := newCluster(t, 3)
+	c.ready()
+	c.writeJSON("conf.json", file{Objects: c.sample()})
+	if got := c.wick("diff", "-file", "conf.json"); got.code != 1 || !strings.Contains(got.out, "+ Route notice") {
+		t.Fatalf("diff before: %+v", got)
+	}
+	if got := c.must("apply", "-file", "conf.json", "-dry-run"); !strings.Contains(got, "would be accepted") {
+		t.Fatalf("dry run: %s", got)
+	}
+	if got := c.must("apply", "-file", "conf.json", "-id", "first"); !strings.Contains(got, "accepted: change first at offset 1\n") {
+		t.Fatalf("apply: %s", got)
+	}
+	if got := c.must("apply", "-file", "conf.json"); got != "nothing to change\n" {
+		t.Fatalf("apply again: %s", got)
+	}
+	read := c.must("get")
+	c.write("read.json", read)
+
+	broken := c.sample()
+	broken.Routes[0].Ref.Version = "v2"
+	c.writeJSON("broken.json", file{Objects: broken})
+	got := c.wick("apply", "-file", "broken.json", "-id", "second")
+	if got.code != 1 || !strings.Contains(got.out, "Route notice: Reference: Ref: Version notice/v2 does not exist\nrejected: 1 violations") {
+		t.Fatalf("broken: %+v", got)
+	}
+
+	broken.Versions = append(broken.Versions, wick.Version{Adapter: "notice", Name: "v2", Source: "w/notice/2", Size: 11})
+	c.writeJSON("rolled.json", file{Objects: broken})
+	if got := c.must("apply", "-file", "rolled.json", "-id", "third"); !strings.Contains(got, `Ref: {"Adapter":"notice","Version":"v1"} -> {"Adapter":"notice","Version":"v2"}`) {
+		t.Fatalf("roll: %s", got)
+	}
+
+	// What was read before the roll must not overwrite it.
+	got = c.wickWith(strings.Replace(read, `"v1"`, `"v1"`, 1), "apply", "-file", "-", "-based", "-id", "fourth")
+	if got.code != 1 || !strings.Contains(got.out, "Route notice: Moved: read at revision 1, now at revision 3") {
+		t.Fatalf("old base: %+v", got)
+	}
+	got = c.wick("drain", "-endpoint", "runner-2")
+	if got.code != 0 || !strings.Contains(got.out, "accepted") {
+		t.Fatalf("drain of an endpoint: %+v", got)
+	}
+	c.await("the endpoint leaves", func() bool {
+		return strings.Contains(c.must("status"), "leaving")
+	})
+
+	c.await("the whole audit trail", func() bool {
+		return strings.Count(c.must("audit", "-json"), `"Change"`) == 5
+	})
+	if got := c.must("audit", "-rejected", "-operator", "ana"); !strings.Contains(got, "second  by ana  rejected") || strings.Contains(got, "third") {
+		t.Fatalf("audit: %s", got)
+	}
+	if got := c.must("audit", "-change", "third"); strings.Count(got, "\n") != 1 {
+		t.Fatalf("audit of one change: %s", got)
+	}
+	if got := c.must("entries", "-entry", string(c.daemons[0].settings.Entry.Address)); strings.Count(got, "domain-h") != 3 {
+		t.Fatalf("entries: %s", got)
+	}
+
+	last := c.daemons[2]
+	if got := c.must("drain", "-admin", string(last.settings.Admin.Address)); !strings.Contains(got, "stopped") {
+		t.Fatalf("drain: %s", got)
+	}
+	c.await("the process ends", func() bool {
+		select {
+		case <-last.exited:
+			return true
+		default:
+			return false
+		}
+	})
+	c.await("the drained daemon leaves the view", func() bool {
+		s, ok := c.status(c.daemons[0])
+		return ok && len(s.Daemons) == 2
+	})
+	var conf file
+	if err := json.Unmarshal([]byte(c.must("get", "-kind", "Route", "-name", "notice")), &conf); err != nil || conf.Objects.Routes[0].Ref.Version != "v2" {
+		t.Errorf("route in the end: %+v, %v", conf, err)
+	}
+}
--- a/config/table.go
+++ b/config/table.go
@@ -167,6 +167,15 @@
 	return t.dicts[i].size
 }
 
+// Counts returns how many objects there are of each kind.
+func (t *Table) Counts() []wick.KindCount {
+	out := make([]wick.KindCount, len(kinds))
+	for i, k := range kinds {
+		out[i] = wick.KindCount{Kind: k, Count: t.dicts[i].size}
+	}
+	return out
+}
+
 // Objects returns all objects, each list sorted by name.
 func (t *Table) Objects() wick.Objects {
 	return wick.Objects{
--- a/ctrl/conf.go
+++ b/ctrl/conf.go
@@ -77,6 +77,7 @@
 	}
 	for name := range gone {
 		delete(s.known, name)
+		delete(s.digests, name)
 		s.routes.Remove(name)
 		if o := s.owned[name]; o != nil {
 			s.perform(now, o, o.sched.Drain(now))
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -73,6 +73,9 @@
 	// hosts are the hosts that the platform says are leaving.
 	hosts map[wick.HostName]bool
 	loads loads
+	// told and digests are what other daemons said last, for operators.
+	told    map[wick.HostName]told
+	digests map[wick.EndpointName]wick.Digest
 
 	// fresh is when the configuration was last known to be current.
 	fresh    wick.Instant
@@ -112,6 +115,8 @@
 		awaited:  make(map[wick.ChangeID]chan<- wick.Verdict),
 		hosts:    make(map[wick.HostName]bool),
 		loads:    newLoads(),
+		told:     make(map[wick.HostName]told),
+		digests:  make(map[wick.EndpointName]wick.Digest),
 	}, nil
 }
 
--- a/ctrl/views.go
+++ b/ctrl/views.go
@@ -57,7 +57,9 @@
 func (e Renewed) apply(s *state, now wick.Instant) {
 	for _, d := range e.Renewal.Digests {
 		s.routes.Digest(d)
+		s.digests[d.Endpoint] = d
 	}
+	s.hear(e.Renewal.From, e.Renewal.Config, e.Renewal.Claims)
 	s.moved = true
 	ack, actions := s.keeper.OnRenewal(now, e.Renewal)
 	s.lease(now, actions)
@@ -72,6 +74,7 @@
 // apply implements Event.
 func (e Acked) apply(s *state, now wick.Instant) {
 	s.lease(now, s.keeper.OnAck(now, e.Sent, e.Ack))
+	s.hear(e.Ack.From, e.Ack.Config, e.Ack.Claims)
 	s.follow(e.From, e.Ack.Config)
 }
 
--- a/node/front.go
+++ b/node/front.go
@@ -66,18 +66,3 @@
 		return none, wick.NotRunf(wick.CodeStopping, "the daemon has stopped")
 	}
 }
-
-// Publish appends a change to the configuration and waits for the verdict.
-// An error leaves open whether the change took effect.
-func (n *Node) Publish(ctx context.Context, c wick.Change) (wick.Verdict, error) {
-	if err := c.Check(); err != nil {
-		return wick.Verdict{}, wick.NotRunf(wick.CodeBadRequest, "%v", err)
-	}
-	reply := make(chan wick.Verdict, 1)
-	n.thread.Post(ctrl.Awaited{Change: c.ID, Reply: reply})
-	defer n.thread.Post(ctrl.Forgotten{Change: c.ID})
-	if _, err := n.cfg.Log.Append(ctx, wick.ConfigStream, wick.Record{Change: &c}); err != nil {
-		return wick.Verdict{}, fmt.Errorf("append change: %w", err)
-	}
-	return await(ctx, n.thread, reply)
-}
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"currantwick"
@@ -99,11 +100,14 @@
 	peers  *peer.Server
 	entry  *entry.Server
 	out    *outside
+	// drain is closed, once, when an operator asks for a graceful stop.
+	drain     chan struct{}
+	drainOnce sync.Once
 }
 
 // New opens the daemon's sockets and builds its parts.
 func New(cfg Config) (*Node, error) {
-	n := &Node{cfg: cfg, clock: newClock()}
+	n := &Node{cfg: cfg, clock: newClock(), drain: make(chan struct{})}
 	n.client = peer.NewClient(peer.ClientConfig{TLS: cfg.Keys.PeerClient, Quiet: peerQuiet})
 	var err error
 	n.peers, err = peer.Listen(peer.ServerConfig{
@@ -177,7 +181,8 @@
 // Snapshot returns the newest control state.
 func (n *Node) Snapshot() *ctrl.Snapshot { return n.thread.Snapshot() }
 
-// Run serves until ctx ends, then stops gracefully.
+// Run serves until ctx ends or an operator drains the daemon, then stops
+// gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	// work outlives ctx, so that what runs when the stop begins can end.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -195,7 +200,10 @@
 	group.Go(func() error { return n.list(work) })
 	group.Go(func() error {
 		defer cancel()
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+		case <-n.drain:
+		}
 		n.stop(closeFront)
 		return nil
 	})
--- /dev/null
+++ b/node/operate.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"currantwick"
+	"currantwick/config"
+	"currantwick/ctrl"
+)
+
+var _ wick.Operator = (*Node)(nil)
+
+// Publish implements wick.Operator.
+func (n *Node) Publish(ctx context.Context, c wick.Change) (wick.Verdict, error) {
+	if err := c.Check(); err != nil {
+		return wick.Verdict{}, wick.NotRunf(wick.CodeBadRequest, "%v", err)
+	}
+	reply := make(chan wick.Verdict, 1)
+	n.thread.Post(ctrl.Awaited{Change: c.ID, Reply: reply})
+	defer n.thread.Post(ctrl.Forgotten{Change: c.ID})
+	if _, err := n.cfg.Log.Append(ctx, wick.ConfigStream, wick.Record{Change: &c}); err != nil {
+		return wick.Verdict{}, fmt.Errorf("append change: %w", err)
+	}
+	return await(ctx, n.thread, reply)
+}
+
+// Judge implements wick.Operator.
+func (n *Node) Judge(c wick.Change) []wick.Violation {
+	return config.Judge(n.Snapshot().Config, c)
+}
+
+// Select implements wick.Operator.
+func (n *Node) Select(kind wick.ObjectKind, name string) wick.Checkpoint {
+	return n.Snapshot().Config.Select(kind, name)
+}
+
+// Audit implements wick.Operator.
+func (n *Node) Audit(ctx context.Context, from wick.Offset, limit int) ([]wick.Entry, error) {
+	list, err := n.cfg.Log.Read(ctx, wick.AuditStream, from, limit)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return nil, nil // There is nothing new.
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read the audit trail: %w", err)
+	}
+	return list, nil
+}
+
+// Status implements wick.Operator.
+func (n *Node) Status(ctx context.Context) (wick.Status, error) {
+	reply := make(chan wick.Status, 1)
+	n.thread.Post(ctrl.StatusAsked{Reply: reply})
+	return await(ctx, n.thread, reply)
+}
+
+// Drain implements wick.Operator.
+func (n *Node) Drain(context.Context) error {
+	n.drainOnce.Do(func() { close(n.drain) })
+	return nil
+}
+
+// Ready implements wick.Operator.
+func (n *Node) Ready() *wick.Error { return n.Snapshot().Accepts() }
--- a/verbs/audit.go
+++ b/verbs/audit.go
@@ -9,8 +9,14 @@
 	"currantwick"
 )
 
-// auditEvery is the pause after a failed read while following.
-const auditEvery = time.Second
+const (
+	// auditEvery is the pause after a failed read while following.
+	auditEvery = time.Second
+	// followWait and readWait are how long a read waits for a new entry, with
+	// -follow and without it.
+	followWait = 10 * time.Second
+	readWait   = 500 * time.Millisecond
+)
 
 var auditVerb = verb{
 	name:  "audit",
@@ -76,8 +82,12 @@
 
 func (r *auditReader) run(ctx context.Context) (Code, error) {
 	r.seen = make(map[wick.Offset]bool)
+	wait := readWait
+	if r.f.follow {
+		wait = followWait
+	}
 	for {
-		list, err := r.client.audit(ctx, r.next)
+		list, err := r.client.audit(ctx, r.next, wait)
 		switch {
 		case ctx.Err() != nil:
 			return Done, nil
--- a/verbs/client.go
+++ b/verbs/client.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/url"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
@@ -221,9 +220,10 @@
 	return s, got.read(&s)
 }
 
-// audit returns entries of the audit trail from an offset on.
-func (c *client) audit(ctx context.Context, from wick.Offset) ([]wick.Entry, error) {
-	path := admin.PathAudit + "?from=" + strconv.FormatUint(uint64(from), 10)
+// audit returns entries of the audit trail from an offset on, waiting a while
+// for the first one.
+func (c *client) audit(ctx context.Context, from wick.Offset, wait time.Duration) ([]wick.Entry, error) {
+	path := fmt.Sprintf("%s?from=%d&within_ms=%d", admin.PathAudit, from, wait.Milliseconds())
 	got, err := c.do(ctx, fasthttp.MethodGet, path, nil)
 	if err != nil {
 		return nil, err
--- a/verbs/serve.go
+++ b/verbs/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"flag"
 	"fmt"
 	"log/slog"
@@ -16,6 +15,7 @@
 	"currantwick/setup"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -62,26 +62,41 @@
 	if err != nil {
 		return fmt.Errorf("keys: %w", err)
 	}
+	doors, err := newDoors(settings, keys)
+	if err != nil {
+		return err
+	}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	n, err := boot.Node(boot.Config{
 		Settings: settings,
 		Keys:     keys,
-		EntryTLS: entryTLS(settings.Entry.TLS),
+		EntryTLS: doors.entry,
 		Log:      log,
-		Registry: prometheus.NewRegistry(),
+		Registry: registry,
 	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	log.Info("daemon started", "host", settings.Host, "entry", n.Self().Entry, "peer", n.Self().Peer)
+	operators, err := doors.operators(settings, n, registry)
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	log.Info("daemon started", "host", settings.Host, "entry", n.Self().Entry, "peer", n.Self().Peer, "admin", operators.Address())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group errgroup.Group
 	group.Go(func() error {
-		reload(ctx, keys, log)
+		reload(ctx, doors.sources, log)
 		return nil
 	})
+	// Operators are served until the last request has ended.
+	serving, closeAdmin := context.WithCancel(context.WithoutCancel(ctx))
+	defer closeAdmin()
+	group.Go(func() error { return operators.Run(serving) })
 	group.Go(func() error {
 		defer cancel()
+		defer closeAdmin()
 		return n.Run(ctx)
 	})
 	err = group.Wait()
@@ -91,7 +106,7 @@
 
 // reload reads the keys again at each SIGHUP. Keys that can't be used leave
 // the old ones in force.
-func reload(ctx context.Context, keys *certs.Source, log *slog.Logger) {
+func reload(ctx context.Context, sources []*certs.Source, log *slog.Logger) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
@@ -101,12 +116,12 @@
 			return
 		case <-hangups:
 		}
-		if err := keys.Reload(); err != nil {
-			log.Error("keys not reloaded", "error", err)
-			continue
+		for _, s := range sources {
+			if err := s.Reload(); err != nil {
+				log.Error("keys not reloaded", "error", err)
+				continue
+			}
+			log.Info("keys reloaded", "expires", s.Expires())
 		}
-		log.Info("keys reloaded", "expires", keys.Expires())
 	}
 }
-
-func entryTLS(*setup.Pair) *tls.Config { return nil }
