Take requests only once the end of the log was read

A restarted daemon counted as current after its first read, though a read returns at most 512 records: it took requests on an old configuration until the next one. A full read no longer shows that the reader is up to date.

--- a/cmd/currantwick/force_test.go
+++ b/cmd/currantwick/force_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"strings"
 	"syscall"
@@ -135,6 +136,33 @@
 	}
 }
 
+// TestReadyAtTheEndOfTheLog restarts a daemon whose configuration is too long
+// for one read of the log, while reads are slow.
+func TestReadyAtTheEndOfTheLog(t *testing.T) {
+	const changes = 600
+	c := newCluster(t, 1)
+	c.ready()
+	var at wick.Offset
+	for i := range changes {
+		at = c.context(c.daemons[0], wick.ChangeID(fmt.Sprintf("change-%d", i)), wick.Tokens(i+1))
+	}
+	last := c.daemons[0]
+	if err := last.cmd.Process.Signal(syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	<-last.exited
+	slow := millis(300)
+	c.set.Log.Control(fakes.LogControl{Slow: &slow})
+	again := c.start(last.settings)
+	c.await("the daemon is ready", func() bool {
+		status, _ := c.call(again, fasthttp.MethodGet, "/readyz", nil)
+		return status == fasthttp.StatusOK
+	})
+	if !c.has(again, at) {
+		t.Errorf("a restarted daemon is ready without the change at offset %d", at)
+	}
+}
+
 // TestReloadOfKeys replaces the authority under running daemons, and checks
 // that they go on as one view.
 func TestReloadOfKeys(t *testing.T) {
--- a/ctrl/conf.go
+++ b/ctrl/conf.go
@@ -16,7 +16,7 @@
 	for _, entry := range e.List {
 		s.applyEntry(now, entry)
 	}
-	if !s.conf.Behind() {
+	if !s.conf.Behind() && !e.More {
 		s.fresh = max(s.fresh, e.Sent)
 	}
 	s.settleConfig(now)
--- a/ctrl/event.go
+++ b/ctrl/event.go
@@ -19,6 +19,9 @@
 	List []wick.Entry
 	// Sent is when the read was sent.
 	Sent wick.Instant
+	// More tells that the read was full, so that newer records may have stood
+	// on the log by then.
+	More bool
 }
 
 // LogFailed tells that a stream of the platform's log can't be read now.
--- a/node/read.go
+++ b/node/read.go
@@ -39,7 +39,7 @@
 		if len(list) > 0 {
 			next = list[len(list)-1].Offset + 1
 		}
-		n.thread.Post(ctrl.Entries{Stream: stream, List: list, Sent: sent})
+		n.thread.Post(ctrl.Entries{Stream: stream, List: list, Sent: sent, More: len(list) >= readLimit})
 	}
 	return nil
 }
