--- a/config/table.go
+++ b/config/table.go
@@ -167,6 +167,15 @@
 	return t.dicts[i].size
 }
 
+// Counts returns how many objects there are of each kind.
+func (t *Table) Counts() []wick.KindCount {
+	out := make([]wick.KindCount, len(kinds))
+	for i, k := range kinds {
+		out[i] = wick.KindCount{Kind: k, Count: t.dicts[i].size}
+	}
+	return out
+}
+
 // Objects returns all objects, each list sorted by name.
 func (t *Table) Objects() wick.Objects {
 	return wick.Objects{
@@ -181,6 +190,30 @@
 	}
 }
 
+// Select returns the objects of a kind and name with their revisions. An empty
+// kind or name stands for all.
+func (t *Table) Select(kind wick.ObjectKind, name string) wick.Checkpoint {
+	c := wick.Checkpoint{AsOf: t.offset}
+	add := func(n *node) {
+		appendObject(&c.Objects, n.object)
+		c.Revisions = append(c.Revisions, wick.Based{Key: n.object.Key(), Revision: n.revision})
+	}
+	for i, k := range kinds {
+		switch {
+		case kind != "" && kind != k:
+		case name == "":
+			for _, n := range sorted(t.dicts[i]) {
+				add(n)
+			}
+		default:
+			if n := t.dicts[i].get(name); n != nil {
+				add(n)
+			}
+		}
+	}
+	return c
+}
+
 // node returns the node of a key, or nil.
 func (t *Table) node(key wick.ObjectKey) *node {
 	i := kindIndex(key.Kind)
