Plan which adapters endpoints hold ahead of requests

Each daemon counts the requests that enter at it and computes the same homes from the same table, so each owner finds by itself what its endpoints should hold; a lost endpoint's adapters find new homes by the same rule.

A prefetch leaves a token for the next request.

--- a/limit/budget.go
+++ b/limit/budget.go
@@ -203,7 +203,8 @@
 }
 
 // give returns how many loads an asker may start. Prefetch gets what nobody
-// waits for, and only as long as the store runs at full speed.
+// waits for, only as long as the store runs at full speed, and only from a full
+// bucket, so that the next request that needs a load finds a token.
 func (b *Budget) give(a *asker, g wick.Grant) wick.Slots {
 	n := min(a.reserved, g.Loads)
 	a.reserved -= n
@@ -214,9 +215,10 @@
 	}
 	full := min(b.config.Store.FullSpeed, b.share.Slots)
 	for k := g.Prefetch; k > 0 && b.next() == nil; k-- {
-		if b.inFlight()+n >= full || !b.bucket.take() {
+		if b.inFlight()+n >= full || b.bucket.tokens < float64(b.config.Store.FullSpeed) {
 			break
 		}
+		b.bucket.take()
 		n++
 	}
 	return n
--- a/limit/store_test.go
+++ b/limit/store_test.go
@@ -323,6 +323,33 @@
 	}
 }
 
+// Prefetch leaves a token for the next request, and takes none while one waits.
+func TestPrefetchComesLast(t *testing.T) {
+	b := NewBudget(StoreConfig{Store: abay})
+	b.Own(0, 1, nil)
+	tests := []struct {
+		at    time.Duration
+		from  wick.HostName
+		w     Want
+		given wick.Slots
+	}{
+		{time.Minute, "a", Want{Prefetch: 2}, 1},
+		{time.Minute, "b", Want{Cost: 1, Loads: 1}, 1},
+		{time.Minute, "b", Want{Cost: 1, Loads: 1}, 0},
+		{time.Minute + 500*time.Millisecond, "a", Want{Prefetch: 2}, 0},
+		{time.Minute + 600*time.Millisecond, "b", Want{Cost: 1, Loads: 1}, 1},
+	}
+	for i, tt := range tests {
+		g, _ := b.Ask(wick.Instant(tt.at), wick.Grant{
+			Store: "s", From: tt.from, View: 1, Sequence: wick.Sequence(i + 1), Incarnation: 1,
+			Wanted: tt.w.Cost, Loads: tt.w.Loads, Prefetch: tt.w.Prefetch,
+		})
+		if g.Given != tt.given {
+			t.Errorf("%s after %v: %d given, want %d", tt.from, tt.at, g.Given, tt.given)
+		}
+	}
+}
+
 // Without faults the whole rate is used, in proportion to what waits.
 func TestBudgetIsUsed(t *testing.T) {
 	tests := []struct {
--- /dev/null
+++ b/place/site_test.go
@@ -0,0 +1,289 @@
+package place
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/route"
+)
+
+// turnTime is the time between two turns of the store, and loadTime that of one
+// load.
+const (
+	turnTime = 125 * time.Millisecond
+	loadTime = 250 * time.Millisecond
+)
+
+// runner is a stand-in that holds adapters.
+type runner struct {
+	end  wick.Endpoint
+	held []wick.Ref
+	lost bool
+}
+
+// load is a load that waits or runs.
+type load struct {
+	runner int
+	ref    wick.Ref
+	since  wick.Instant // of the first request that waits
+	done   wick.Instant // 0 while it waits for the store
+	ahead  bool         // no request waits
+}
+
+// site is a pool behind one daemon that sees all requests.
+type site struct {
+	runners []*runner
+	placer  wick.Placer
+	build   *route.Builder
+	table   *route.Affinity
+	loads   []load
+	tokens  float64
+	reads   int
+	waits   []time.Duration
+}
+
+func newSite(t *testing.T, policy wick.PlacePolicy, n int) *site {
+	p, err := New(Config{Policy: policy, Pool: "p"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := route.New(route.Config{}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &site{placer: p, build: b}
+	for i := range n {
+		e := wick.Endpoint{
+			Name: endName(i), Pool: "p", BatchSlots: 16, AdapterSlots: 8,
+			Domain: wick.Domain(fmt.Sprint("d", i%3)),
+		}
+		s.runners = append(s.runners, &runner{end: e})
+		b.Put(e)
+	}
+	s.publish()
+	return s
+}
+
+func (s *site) publish() { s.table = s.build.Publish().(*route.Affinity) }
+
+func (s *site) tell(i int) {
+	r := s.runners[i]
+	s.build.Digest(wick.Digest{Endpoint: r.end.Name, Ready: r.held})
+	s.publish()
+}
+
+// lose takes runners away with all they hold.
+func (s *site) lose(list ...int) {
+	for _, i := range list {
+		s.runners[i].lost = true
+		s.build.Remove(s.runners[i].end.Name)
+		s.loads = slices.DeleteFunc(s.loads, func(l load) bool { return l.runner == i })
+	}
+	s.publish()
+}
+
+// request lets one request in. It waits for a load unless its adapter is held
+// where it goes.
+func (s *site) request(now wick.Instant, ref wick.Ref, random uint64) {
+	s.placer.Seen(now, ref)
+	to, _ := s.table.Pick(&wick.RouteInput{Pool: "p", Ref: ref, Cost: 1, Random: random})
+	i := slices.IndexFunc(s.runners, func(r *runner) bool { return r.end.Name == to.Endpoint })
+	if slices.Contains(s.runners[i].held, ref) {
+		s.waits = append(s.waits, 0)
+		return
+	}
+	k := slices.IndexFunc(s.loads, func(l load) bool { return l.runner == i && l.ref == ref })
+	if k < 0 {
+		s.loads = append(s.loads, load{runner: i, ref: ref, since: now})
+		k = len(s.loads) - 1
+	}
+	if s.loads[k].ahead {
+		s.loads[k].ahead, s.loads[k].since = false, now
+	}
+	// The wait is filled in by an estimate of when the load is done: what is
+	// before it at the store's rate.
+	before := 0
+	for _, l := range s.loads[:k] {
+		if l.done == 0 && !l.ahead {
+			before++
+		}
+	}
+	wait := loadTime + time.Duration(float64(before)/4*float64(time.Second))
+	if d := s.loads[k].done; d != 0 {
+		wait = d.Sub(now)
+	}
+	s.waits = append(s.waits, wait)
+}
+
+// turn lets the store go on: waiting requests first, then loads ahead.
+func (s *site) turn(now wick.Instant) {
+	s.tokens = min(s.tokens+4*turnTime.Seconds(), 2)
+	for _, ahead := range []bool{false, true} {
+		least := 1.0
+		if ahead {
+			least = 2
+		}
+		for k := range s.loads {
+			l := &s.loads[k]
+			if l.done == 0 && l.ahead == ahead && s.tokens >= least {
+				s.tokens--
+				s.reads++
+				l.done = now.Add(loadTime)
+			}
+		}
+	}
+	for k := 0; k < len(s.loads); {
+		l := s.loads[k]
+		if l.done == 0 || now < l.done {
+			k++
+			continue
+		}
+		s.loads = slices.Delete(s.loads, k, k+1)
+		r := s.runners[l.runner]
+		if len(r.held) >= int(r.end.AdapterSlots) {
+			cold := 0
+			for i, h := range r.held {
+				if s.placer.Heat(now, h) < s.placer.Heat(now, r.held[cold]) {
+					cold = i
+				}
+			}
+			r.held = slices.Delete(r.held, cold, cold+1)
+		}
+		r.held = append(r.held, l.ref)
+		s.tell(l.runner)
+	}
+}
+
+// plan asks the placer for loads ahead of requests.
+func (s *site) plan(now wick.Instant) {
+	var own []wick.PlaceEnd
+	for i, r := range s.runners {
+		if r.lost {
+			continue
+		}
+		e := wick.PlaceEnd{Endpoint: r.end.Name, Slots: r.end.AdapterSlots, Held: slices.Clone(r.held)}
+		for _, l := range s.loads {
+			if l.runner == i {
+				e.Held = append(e.Held, l.ref)
+			}
+		}
+		own = append(own, e)
+	}
+	s.loads = slices.DeleteFunc(s.loads, func(l load) bool { return l.ahead && l.done == 0 })
+	for _, f := range s.placer.Plan(now, s.table.Table, own) {
+		i := slices.IndexFunc(s.runners, func(r *runner) bool { return r.end.Name == f.Endpoint })
+		s.loads = append(s.loads, load{runner: i, ref: f.Ref, ahead: true})
+	}
+}
+
+// figures are what a run gave.
+type figures struct {
+	waiting float64 // part of the requests that waited
+	mean    time.Duration
+	reads   int
+	most    int // adapters the most loaded survivor took over
+}
+
+func (f figures) String() string {
+	return fmt.Sprintf("%4.1f%% waited, mean %3d ms, %d store reads, at most %d adapters a survivor",
+		100*f.waiting, f.mean.Milliseconds(), f.reads, f.most)
+}
+
+// run plays a trace, loses runners after two thirds of it, and returns the
+// figures of the time thereafter, within.
+func run(t *testing.T, seed uint64, policy wick.PlacePolicy, zipf float64, each int, lost []int, within time.Duration) figures {
+	s := newSite(t, policy, 12)
+	tr := newTrace(seed, 9000, 3000, 100, zipf)
+	var gone []wick.Ref
+	from, reads := 0, 0
+	end := 6000 + int(within/turnTime)
+	for i := range end {
+		now := wick.Instant(time.Duration(i) * turnTime)
+		if i == 6000 {
+			for _, k := range lost {
+				gone = append(gone, s.runners[k].held...)
+			}
+			s.lose(lost...)
+			from, reads = len(s.waits), s.reads
+		}
+		s.turn(now)
+		if i%each == 0 {
+			s.request(now, refOf(tr.refs[i]), uint64(i)*0x9e3779b97f4a7c15)
+		}
+		if i%8 == 0 {
+			s.plan(now)
+		}
+	}
+	f := figures{reads: s.reads - reads}
+	sum := time.Duration(0)
+	for _, w := range s.waits[from:] {
+		if w > 0 {
+			f.waiting++
+		}
+		sum += w
+	}
+	f.waiting /= float64(len(s.waits) - from)
+	f.mean = sum / time.Duration(len(s.waits)-from)
+	for _, r := range s.runners {
+		n := 0
+		if r.lost {
+			continue
+		}
+		for _, ref := range gone {
+			if slices.Contains(r.held, ref) {
+				n++
+			}
+		}
+		f.most = max(f.most, n)
+	}
+	return f
+}
+
+var seeds = flag.Int("seeds", 1, "traces that TestRecovery plays")
+
+// add adds a run to the mean of n.
+func (f *figures) add(g figures, n int) {
+	f.waiting += g.waiting / float64(n)
+	f.mean += g.mean / time.Duration(n)
+	f.reads += g.reads
+	f.most = max(f.most, g.most)
+}
+
+// Loads ahead of requests may not cost those that come meanwhile much, and bring
+// back what a lost failure domain held.
+func TestRecovery(t *testing.T) {
+	tests := []struct {
+		name   string
+		zipf   float64
+		each   int // a request each so many turns
+		lost   []int
+		within time.Duration
+	}{
+		{"nothing lost", 1.0, 1, nil, 5 * time.Minute},
+		{"a runner lost", 1.0, 1, []int{4}, 30 * time.Second},
+		{"a domain lost", 1.0, 1, []int{0, 3, 6, 9}, 30 * time.Second},
+		{"a domain lost, steep", 1.2, 1, []int{0, 3, 6, 9}, 30 * time.Second},
+		{"a domain lost at half the load", 1.0, 2, []int{0, 3, 6, 9}, 60 * time.Second},
+		{"a runner lost at half the load", 1.0, 2, []int{4}, 60 * time.Second},
+	}
+	gain := 0.0
+	for _, tt := range tests {
+		var demand, share figures
+		for seed := range uint64(*seeds) {
+			demand.add(run(t, seed, wick.PlaceOnDemand, tt.zipf, tt.each, tt.lost, tt.within), *seeds)
+			share.add(run(t, seed, wick.PlaceByShare, tt.zipf, tt.each, tt.lost, tt.within), *seeds)
+		}
+		t.Logf("%s\n  on demand %v\n  by share  %v", tt.name, demand, share)
+		if share.waiting > demand.waiting+0.02 || share.reads > demand.reads*6/5 {
+			t.Errorf("%s: by share %v\nworse than on demand %v", tt.name, share, demand)
+		}
+		gain += demand.waiting - share.waiting
+	}
+	if gain <= 0 {
+		t.Error("loads ahead of requests spare nobody a wait")
+	}
+}
--- a/policy_route.go
+++ b/policy_route.go
@@ -155,3 +155,56 @@
 	// EjectNone takes every endpoint for ordinary.
 	EjectNone EjectPolicy = "None"
 )
+
+// Prefetch is a load that is worth making before a request waits for it.
+type Prefetch struct {
+	Endpoint EndpointName
+	Ref      Ref
+	// Heat is the rate of requests, in requests a second seen by this daemon,
+	// that the load would serve.
+	Heat float64
+}
+
+// PlaceEnd is an endpoint of this daemon, as a Placer sees it.
+type PlaceEnd struct {
+	Endpoint EndpointName
+	// Slots is how many adapters it holds at once.
+	Slots Slots
+	// Held are the adapters that are resident or on their way.
+	Held []Ref
+}
+
+// Places tells a Placer where adapters belong and where they are. A router's
+// table implements it.
+type Places interface {
+	// Homes calls yield for the endpoints of a pool in the order in which an
+	// adapter prefers them, one or more times each, until yield returns false.
+	Homes(pool PoolName, ref Ref, yield func(EndpointName, Domain) bool)
+	// Holders returns how many endpoints of a pool hold an adapter.
+	Holders(pool PoolName, ref Ref) int
+	// Size returns how many endpoints of a pool take work.
+	Size(pool PoolName) int
+}
+
+// Placer plans which adapters the endpoints of one pool hold. It sees a sample
+// of the pool's requests, those that entered at this daemon.
+type Placer interface {
+	// Seen notes a request.
+	Seen(now Instant, ref Ref)
+	// Heat returns the rate of requests for an adapter, in requests a second
+	// seen by this daemon.
+	Heat(now Instant, ref Ref) float64
+	// Plan returns loads for this daemon's endpoints, the most useful first.
+	Plan(now Instant, places Places, own []PlaceEnd) []Prefetch
+}
+
+// PlacePolicy names an implementation of Placer in the settings.
+type PlacePolicy string
+
+// The implementations of Placer.
+const (
+	// PlaceByShare gives adapters homes and copies by their share of requests.
+	PlaceByShare PlacePolicy = "ByShare"
+	// PlaceOnDemand loads adapters only when requests wait for them.
+	PlaceOnDemand PlacePolicy = "OnDemand"
+)
--- a/route/table.go
+++ b/route/table.go
@@ -115,8 +115,9 @@
 	}
 }
 
-// Homes calls yield for the endpoints of a pool in the order in which ref
-// prefers them, each as often as the ring holds it, until yield returns false.
+var _ wick.Places = (*Table)(nil)
+
+// Homes implements wick.Places.
 func (t *Table) Homes(name wick.PoolName, ref wick.Ref, yield func(wick.EndpointName, wick.Domain) bool) {
 	pi, ok := t.byName[name]
 	if !ok {
@@ -130,3 +131,27 @@
 		}
 	}
 }
+
+// Holders implements wick.Places.
+func (t *Table) Holders(name wick.PoolName, ref wick.Ref) int {
+	pi, ok := t.byName[name]
+	if !ok {
+		return 0
+	}
+	n := 0
+	for _, i := range t.holdersOf(refKey(pi, ref)) {
+		if !t.states.at(int(i)).out {
+			n++
+		}
+	}
+	return n
+}
+
+// Size implements wick.Places.
+func (t *Table) Size(name wick.PoolName) int {
+	pi, ok := t.byName[name]
+	if !ok {
+		return 0
+	}
+	return len(t.pools[pi].members)
+}
