Find owners anew only where a view changed, and allow brief digests

By a rendezvous hash an endpoint moves only away from a member that left or to one that came.

A digest with eight adapters takes 359 bytes as CBOR and 72 without them, so a digest may leave them out while they stay the same.

Shown failing: members that came not looked at, members that left kept as owners, and a brief digest taken for an empty one.

--- a/peer.go
+++ b/peer.go
@@ -118,6 +118,9 @@
 	Ejected bool `json:"Ejected,omitempty"`
 	// Ready lists the adapters that are resident and not closing.
 	Ready []Ref `json:"Ready,omitempty"`
+	// Brief tells that Ready is left out, because it is as the receiver was
+	// told before.
+	Brief bool `json:"Brief,omitempty"`
 }
 
 // Check implements Checker.
@@ -125,6 +128,9 @@
 	if d.Queued < 0 || d.Running < 0 || d.Pace < 0 || d.Slow < 0 {
 		return badField("Queued, Running, Pace, Slow", "must not be negative")
 	}
+	if d.Brief && len(d.Ready) > 0 {
+		return badField("Ready", "must be empty in a brief digest")
+	}
 	return checkName("Endpoint", d.Endpoint)
 }
 
--- a/route/build.go
+++ b/route/build.go
@@ -108,6 +108,10 @@
 	moved []bool
 	// own gives this daemon's own work, nil if it is not counted.
 	own wick.InFlight
+	// view is the one that View was given last.
+	view wick.View
+	// last is the table that was published last.
+	last *Table
 }
 
 // New returns a builder of an empty table. own is what requests carry as
@@ -228,20 +232,6 @@
 	b.moved[n.pool] = true
 }
 
-// Own says which daemon dispatches for an endpoint.
-func (b *Builder) Own(name wick.EndpointName, owner wick.HostName, peer wick.Address) {
-	i, ok := b.index[name]
-	if !ok {
-		return
-	}
-	n := b.table.nodes.at(int(i))
-	if n.owner == owner && n.peer == peer {
-		return
-	}
-	n = b.table.nodes.edit(int(i), b.epoch)
-	n.owner, n.peer = owner, peer
-}
-
 // Digest takes in what an owner says about an endpoint, and reports whether the
 // endpoint is known.
 func (b *Builder) Digest(d wick.Digest) bool {
@@ -268,6 +258,9 @@
 		st.ejected = d.Ejected
 		b.moved[pi] = true
 	}
+	if d.Brief {
+		return true
+	}
 	keys := make([]uint64, len(d.Ready))
 	for k, ref := range d.Ready {
 		keys[k] = refKey(pi, ref)
@@ -277,76 +270,6 @@
 	return true
 }
 
-// hold replaces the set of adapters that endpoint i holds.
-func (b *Builder) hold(i int32, keys []uint64) {
-	old := b.entries[i].ready
-	if slices.Equal(old, keys) {
-		return
-	}
-	for _, k := range old {
-		if _, ok := slices.BinarySearch(keys, k); !ok {
-			b.drop(k, i)
-		}
-	}
-	for _, k := range keys {
-		if _, ok := slices.BinarySearch(old, k); !ok {
-			b.lift(k, i)
-		}
-	}
-	b.entries[i].ready = keys
-}
-
-// lift notes that endpoint i holds key.
-func (b *Builder) lift(key uint64, i int32) {
-	list := b.table.holders.edit(int(key&b.table.mask), b.epoch)
-	at := slices.IndexFunc(*list, func(h holders) bool { return h.key == key })
-	next := slices.Clone(*list)
-	if at < 0 {
-		next = append(next, holders{key: key})
-		at = len(next) - 1
-		b.keys++
-	}
-	next[at].nodes = with(next[at].nodes, i)
-	*list = next
-	if b.keys > bucketKeys*(int(b.table.mask)+1) {
-		b.double()
-	}
-}
-
-// drop notes that endpoint i no longer holds key.
-func (b *Builder) drop(key uint64, i int32) {
-	list := b.table.holders.edit(int(key&b.table.mask), b.epoch)
-	at := slices.IndexFunc(*list, func(h holders) bool { return h.key == key })
-	if at < 0 {
-		return
-	}
-	next := slices.Clone(*list)
-	next[at].nodes = without(next[at].nodes, i)
-	if len(next[at].nodes) == 0 {
-		next = slices.Delete(next, at, at+1)
-		b.keys--
-	}
-	*list = next
-}
-
-// bucketKeys is the mean number of adapters in a bucket at which their number
-// doubles.
-const bucketKeys = 4
-
-// double gives the holders twice as many buckets.
-func (b *Builder) double() {
-	n := int(b.table.mask) + 1
-	mask := uint64(2*n - 1)
-	next := newPages[[]holders](2*n, b.epoch)
-	for i := range n {
-		for _, h := range *b.table.holders.at(i) {
-			list := next.edit(int(h.key&mask), b.epoch)
-			*list = append(*list, h)
-		}
-	}
-	b.table.holders, b.table.mask = next, mask
-}
-
 // Publish returns a router on the table as it is now.
 func (b *Builder) Publish() wick.Router {
 	for i := range b.table.pools {
@@ -357,6 +280,7 @@
 	}
 	t := b.table
 	t.pools = slices.Clone(t.pools)
+	b.last = &t
 	b.epoch++
 	switch b.config.Policy {
 	case wick.RouteLeastLoaded:
@@ -367,6 +291,10 @@
 	return &Affinity{Table: &t, Config: b.config}
 }
 
+// Table returns the table that was published last, nil before the first. A
+// placer finds homes in it.
+func (b *Builder) Table() *Table { return b.last }
+
 // sift lists the members that are not ejected.
 func (b *Builder) sift(p *pool) {
 	live := make([]int32, 0, len(p.members))
