--- a/place/heat.go
+++ b/place/heat.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"currantwick"
 )
 
@@ -30,8 +32,10 @@
 	// is becoming so.
 	life, rise time.Duration
 	most       int
-	index      map[wick.Ref]int32
-	list       []heat
+	// index finds an adapter's count by the hash of its name. Two that collide
+	// share their count, which costs no more than a load.
+	index map[uint64]int32
+	list  []heat
 }
 
 // heat is the count of one adapter.
@@ -45,18 +49,24 @@
 // NewHeats returns counts of at most so many adapters with the given
 // half-lives, all positive.
 func NewHeats(life, rise time.Duration, most int) *Heats {
-	return &Heats{life: life, rise: rise, most: most, index: make(map[wick.Ref]int32)}
+	return &Heats{life: life, rise: rise, most: most, index: make(map[uint64]int32)}
+}
+
+func hash(ref wick.Ref) uint64 {
+	const odd = 0x9e3779b97f4a7c15
+	return xxhash.Sum64String(string(ref.Adapter))*odd ^ xxhash.Sum64String(string(ref.Version))
 }
 
 // Seen notes a request.
 func (h *Heats) Seen(now wick.Instant, ref wick.Ref) {
-	i, ok := h.index[ref]
+	key := hash(ref)
+	i, ok := h.index[key]
 	if !ok {
 		if len(h.list) >= h.most {
 			h.forget(now)
 		}
 		i = int32(len(h.list))
-		h.index[ref] = i
+		h.index[key] = i
 		h.list = append(h.list, heat{ref: ref, at: now})
 	}
 	c := &h.list[i]
@@ -87,7 +97,7 @@
 
 // Heat returns the rate of requests for an adapter, in requests a second.
 func (h *Heats) Heat(now wick.Instant, ref wick.Ref) float64 {
-	i, ok := h.index[ref]
+	i, ok := h.index[hash(ref)]
 	if !ok {
 		return 0
 	}
@@ -123,6 +133,6 @@
 	h.list = h.list[:keep]
 	clear(h.index)
 	for i := range h.list {
-		h.index[h.list[i].ref] = int32(i)
+		h.index[hash(h.list[i].ref)] = int32(i)
 	}
 }
--- a/route/ring.go
+++ b/route/ring.go
@@ -11,7 +11,7 @@
 	pointsPerNode = 32
 	// bucketPoints is the mean number of points in a bucket at which the ring
 	// doubles its buckets.
-	bucketPoints = 8
+	bucketPoints = 16
 )
 
 // point is one place of an endpoint on the ring.
