Split a large budget into parts with owners of their own

With 920 daemons that all want loads, one owner of a store's budget would answer 9,200 questions a second at 53 us each (go test ./scale -bench Budget, members=920): half a core, and 2 MB a second worked out from 227 bytes a question and answer. A budget can be split into parts for 40 daemons each, and a daemon asks the less often the more others ask the same owner: at most 83 questions a second at 40 (worked out: one each 480 ms). The static split costs some of what sharing gained; small sites have one part.

--- a/limit/loads.go
+++ b/limit/loads.go
@@ -129,8 +129,17 @@
 	}
 }
 
-// Interval is how often a question that is due should be asked.
-func (l *Loads) Interval() time.Duration { return l.config.TTL / askParts }
+// Interval returns how often a question that is due should be asked, of an
+// owner that answers so many daemons. It is well within the TTL of a grant.
+func (l *Loads) Interval(members int) time.Duration {
+	d := time.Duration(members) * askEach
+	return max(l.config.TTL/mostAsks, min(d, l.config.TTL/leastAsks))
+}
 
-// askParts is the number of questions within the TTL of a grant.
-const askParts = 10
+const (
+	// askEach is the time between two questions to one owner, if all that ask
+	// it do.
+	askEach = 12 * time.Millisecond
+	// mostAsks and leastAsks bound the questions within the TTL of a grant.
+	mostAsks, leastAsks = 20, 2
+)
--- a/limit/store_test.go
+++ b/limit/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,6 +51,41 @@
 	}
 }
 
+// The parts of a budget add up to the whole, and small sites have one.
+func TestShards(t *testing.T) {
+	big := wick.Store{Name: "s", Rate: 300, FullSpeed: 150, Knee: 1205}
+	tests := []struct {
+		store   wick.Store
+		members int
+		want    int
+	}{
+		{abay, 7, 1}, {abay, 40, 1}, {abay, 920, 2}, {big, 41, 2}, {big, 920, 23},
+	}
+	for _, tt := range tests {
+		n := Shards(tt.store, tt.members)
+		var sum wick.Store
+		for i := range n {
+			s := Shard(tt.store, i, n)
+			if err := s.Check(); err != nil {
+				t.Errorf("part %d of %d: %v", i, n, err)
+			}
+			sum.Rate += s.Rate
+			sum.FullSpeed += s.FullSpeed
+			sum.Knee += s.Knee
+		}
+		asks := make([]int, n)
+		for i := range tt.members {
+			asks[ShardOf(wick.HostName(fmt.Sprint("host-", i)), n)]++
+		}
+		if n != tt.want || sum.Rate > tt.store.Rate*1.0001 || sum.FullSpeed != tt.store.FullSpeed || sum.Knee != tt.store.Knee {
+			t.Errorf("%d members: %d parts, want %d; sum %+v of %+v", tt.members, n, tt.want, sum, tt.store)
+		}
+		if top := slices.Max(asks); top > 2*(tt.members/n+1) {
+			t.Errorf("%d of %d members ask one of %d parts", top, tt.members, n)
+		}
+	}
+}
+
 // While views overlap, members of each act on the least of their shares, which
 // keeps the sum within the limits of one view.
 func TestLeastShareInOverlap(t *testing.T) {
