--- a/route/bench_test.go
+++ b/route/bench_test.go
@@ -85,6 +85,26 @@
 	}
 }
 
+// BenchmarkPublish measures five digests with the table published after them.
+func BenchmarkPublish(b *testing.B) {
+	for _, sz := range sizes {
+		b.Run(fmt.Sprintf("runners=%d/adapters=%d/slots=%d", sz.runners, sz.adapters, sz.slots), func(b *testing.B) {
+			bu := full(b, nil, sz.runners, sz.adapters, sz.slots)
+			list := make([]wick.Digest, 4095)
+			for i := range list {
+				list[i] = digest(i%min(sz.runners, 2048), sz.adapters, sz.slots, 1+i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				for k := range 5 {
+					bu.Digest(list[(5*i+k)%len(list)])
+				}
+				bu.Publish()
+			}
+		})
+	}
+}
+
 // BenchmarkJoin measures an endpoint that leaves and joins again, with a table
 // published after each.
 func BenchmarkJoin(b *testing.B) {
