--- a/loads/scene.go
+++ b/loads/scene.go
@@ -6,7 +6,6 @@
 
 import (
 	"embed"
-	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -118,13 +117,13 @@
 func (s Scene) Check() error {
 	switch {
 	case s.Name == "":
-		return errors.New("Name: must not be empty")
+		return &wick.FieldError{Field: "Name", Text: "must not be empty"}
 	case s.Daemons < 1 || len(s.Domains) == 0:
-		return errors.New("Daemons, Domains: at least one")
+		return &wick.FieldError{Field: "Daemons, Domains", Text: "at least one"}
 	case s.Adapters < 1 || s.Skew < 0:
-		return errors.New("Adapters, Skew: must be positive")
+		return &wick.FieldError{Field: "Adapters, Skew", Text: "must be positive"}
 	case len(s.Pools) == 0 || len(s.Kinds) == 0 || len(s.Phases) == 0:
-		return errors.New("Pools, Kinds, Phases: at least one")
+		return &wick.FieldError{Field: "Pools, Kinds, Phases", Text: "at least one"}
 	}
 	for _, k := range s.Kinds {
 		if err := s.checkKind(k); err != nil {
@@ -144,22 +143,22 @@
 
 func (s Scene) checkKind(k Kind) error {
 	if k.Rate <= 0 || k.Deadline <= 0 {
-		return errors.New("Rate, Deadline: must be positive")
+		return &wick.FieldError{Field: "Rate, Deadline", Text: "must be positive"}
 	}
 	if k.Adapters < 0 || k.Adapters > s.Adapters {
-		return errors.New("Adapters: must be 0 to those of the scene")
+		return &wick.FieldError{Field: "Adapters", Text: "must be 0 to those of the scene"}
 	}
 	if k.IsCall() {
 		if s.Services < 1 {
-			return errors.New("Pool: is empty, but there are no services")
+			return &wick.FieldError{Field: "Pool", Text: "is empty, but there are no services"}
 		}
 		return nil
 	}
 	if !slices.ContainsFunc(s.Pools, func(p Pool) bool { return p.Name == k.Pool }) {
-		return fmt.Errorf("Pool: there is no pool %s", k.Pool)
+		return &wick.FieldError{Field: "Pool", Text: "there is no pool " + string(k.Pool)}
 	}
 	if k.Answer < 2 || k.Prompt < 2 {
-		return errors.New("Prompt, Answer: at least 2")
+		return &wick.FieldError{Field: "Prompt, Answer", Text: "at least 2"}
 	}
 	return nil
 }
