Join budgets, crashes, ejection and placement to the control thread

Loads wait for leave from the owner of the store's budget, with a static share beside it; requests in flight at a crash run alone next time and are stopped after a second crash; endpoints are compared by their progress; placers load ahead of requests. Each stands behind its port with a plain baseline.

--- a/boot/boot.go
+++ b/boot/boot.go
@@ -10,11 +10,13 @@
 	"currantwick/certs"
 	"currantwick/claim"
 	"currantwick/ctrl"
+	"currantwick/eject"
 	"currantwick/engine"
 	"currantwick/evict"
 	"currantwick/hosts"
 	"currantwick/httpc"
 	"currantwick/lease"
+	"currantwick/limit"
 	"currantwick/node"
 	"currantwick/plain"
 	"currantwick/plog"
@@ -22,6 +24,7 @@
 	"currantwick/sched"
 	"currantwick/setup"
 	"currantwick/stats"
+	"currantwick/tally"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -46,6 +49,10 @@
 	s := cfg.Settings
 	note := stats.New(stats.Config{Log: cfg.Log, Registry: cfg.Registry})
 	ends := httpc.Config{Quiet: s.Limits.Silence}
+	retries, err := limit.NewRetries(limit.RetryConfig{})
+	if err != nil {
+		return nil, fmt.Errorf("daemon on %s: %w", s.Host, err)
+	}
 	n, err := node.New(node.Config{
 		Self:      wick.Member{Host: s.Host, Domain: s.Domain, Peer: s.Peer.Address, Entry: s.Entry.Address},
 		EntryTLS:  cfg.EntryTLS,
@@ -63,7 +70,8 @@
 		},
 		Route:   route.Config{Policy: router(s.Policy.Router)},
 		Policy:  policies(s.Policy),
-		Retries: newRetries(),
+		Eject:   eject.Config{Policy: ejector(s.Policy.Eject)},
+		Retries: tally.NewRetries(retries),
 		Times:   times(s),
 		Control: note,
 		Traffic: note,
@@ -111,6 +119,13 @@
 	return wick.RouteAffinity
 }
 
+func ejector(c setup.Choice) wick.EjectPolicy {
+	if c == setup.Baseline {
+		return wick.EjectNone
+	}
+	return wick.EjectOutliers
+}
+
 func policies(p setup.Policy) ctrl.Policy {
 	out := ctrl.Policy{Order: sched.Shortest{}, Evict: evict.Heat{}, Admit: sched.Deadline{}}
 	if p.Order == setup.Baseline {
--- a/ctrl/conf.go
+++ b/ctrl/conf.go
@@ -68,6 +68,7 @@
 		}
 		s.known[end.Name] = end
 		s.routes.Put(end)
+		s.pace.Put(end.Name, end.Pool)
 		s.routes.Leave(end.Name, s.hosts[end.Host])
 		s.settleRoute(end.Name)
 		if o := s.owned[end.Name]; o != nil {
@@ -79,10 +80,12 @@
 		delete(s.known, name)
 		delete(s.digests, name)
 		s.routes.Remove(name)
+		s.pace.Remove(name)
 		if o := s.owned[name]; o != nil {
 			s.perform(now, o, o.sched.Drain(now))
 		}
 	}
+	s.settleStores(now)
 	s.own(now)
 	s.unpark(now)
 	s.urgent = true
--- a/ctrl/event.go
+++ b/ctrl/event.go
@@ -80,6 +80,8 @@
 type Finished struct {
 	Run    *Run
 	Result sched.Result
+	// Crashed tells that the endpoint crashed with the request in flight.
+	Crashed bool
 }
 
 // Ordered tells how an order to an engine ended; Err is nil if it was done.
@@ -104,7 +106,8 @@
 // Asked is another daemon's question for leave to load.
 type Asked struct {
 	Grant wick.Grant
-	// Reply takes the answer; it has room for one.
+	// Reply takes the answer, whose Sequence is 0 if this daemon does not own
+	// the budget; it has room for one.
 	Reply chan<- wick.Grant
 }
 
@@ -134,12 +137,3 @@
 
 // Forgotten ends an Awaited whose verdict nobody waits for any more.
 type Forgotten struct{ Change wick.ChangeID }
-
-// apply implements Event.
-func (e Asked) apply(s *state, _ wick.Instant) { e.Reply <- e.Grant }
-
-// apply implements Event.
-func (e Granted) apply(*state, wick.Instant) {}
-
-// apply implements Event.
-func (e Suspected) apply(*state, wick.Instant) {}
--- a/ctrl/owned.go
+++ b/ctrl/owned.go
@@ -13,13 +13,12 @@
 	sched *sched.Endpoint
 	// runs are the runs that were submitted and have not finished.
 	runs map[wick.RequestID]*Run
+	// boot is the engine's start as last reported; empty if not known.
+	boot string
 	// acting tells that the daemon may dispatch and give orders.
 	acting bool
 }
 
-// digest describes the endpoint to routers.
-func (o *owned) digest(now wick.Instant) wick.Digest { return o.sched.Digest(now) }
-
 // idle reports whether the endpoint can be forgotten.
 func (o *owned) idle() bool { return !o.acting && len(o.runs) == 0 }
 
@@ -96,10 +95,9 @@
 	case sched.Order:
 		return s.order(now, o, a.Order)
 	case sched.WantLoad:
-		s.loads.want(o, a)
-		return s.loadsGrant(now, o)
+		s.wantLoad(o, a)
 	case sched.Forgo:
-		s.loads.forgo(o, a.Ref)
+		s.forgo(o, a.Ref)
 	case sched.ReadReport:
 		s.out.Report(o.end)
 	}
@@ -121,7 +119,8 @@
 	if r.claimed {
 		until = min(until, r.claimUntil)
 	}
-	r.settle(Decision{Endpoint: o.end, Until: until, view: s.keeper.View().Number, gate: s.gate})
+	r.sent = now
+	r.settle(Decision{Endpoint: o.end, Until: until, Boot: o.boot, view: s.keeper.View().Number, gate: s.gate})
 	return nil
 }
 
@@ -155,7 +154,7 @@
 	if o == nil {
 		return
 	}
-	s.loads.ended(o, e.Order, now)
+	s.loadEnded(now, o, e.Order, e.Err)
 	s.perform(now, o, o.sched.OrderDone(now, e.Order, e.Err))
 }
 
@@ -165,5 +164,6 @@
 	if o == nil || e.Err != nil {
 		return
 	}
+	o.boot = e.Report.Boot
 	s.perform(now, o, o.sched.Report(now, e.Sent, e.Report))
 }
--- a/ctrl/run.go
+++ b/ctrl/run.go
@@ -15,6 +15,9 @@
 	// Until is the instant before which it must be sent.
 	Until wick.Instant
 
+	// Boot is the engine's start as last reported; empty if not known.
+	Boot string
+
 	view wick.ViewNumber
 	gate *gate
 }
@@ -44,6 +47,13 @@
 	claimed bool
 	// claimUntil is the instant before which a claimed run must be sent.
 	claimUntil wick.Instant
+	// sent is when the decision to send was made.
+	sent wick.Instant
+	// paced is when the run's progress was last noted; 0 before its first
+	// token.
+	paced wick.Instant
+	// counted tells that a crash with the run in flight was noted.
+	counted bool
 	// parked is when the run began to wait for the configuration.
 	parked wick.Instant
 }
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -7,7 +7,10 @@
 	"currantwick"
 	"currantwick/claim"
 	"currantwick/config"
+	"currantwick/crash"
+	"currantwick/eject"
 	"currantwick/lease"
+	"currantwick/place"
 	"currantwick/route"
 )
 
@@ -25,10 +28,14 @@
 // Config sets up a Thread.
 type Config struct {
 	// Clock is the daemon's monotonic clock.
-	Clock  wick.Clock
-	Lease  lease.Config
-	Claim  claim.Config
-	Route  route.Config
+	Clock wick.Clock
+	Lease lease.Config
+	Claim claim.Config
+	Route route.Config
+	Eject eject.Config
+	// Place holds the settings of every pool's placer.
+	Place  place.Config
+	Crash  crash.Config
 	Policy Policy
 	// InFlight is this daemon's own work by endpoint.
 	InFlight wick.InFlight
@@ -73,6 +80,14 @@
 	// hosts are the hosts that the platform says are leaving.
 	hosts map[wick.HostName]bool
 	loads loads
+	// pace compares endpoints, suspects remembers crashes.
+	pace     wick.Ejector
+	suspects *crash.Register
+	placers  map[wick.PoolName]wick.Placer
+	// planned is when the placers planned last.
+	planned wick.Instant
+	// wanting tells that a load was asked for since the last tick.
+	wanting bool
 	// told and digests are what other daemons said last, for operators.
 	told    map[wick.HostName]told
 	digests map[wick.EndpointName]wick.Digest
@@ -102,7 +117,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("control state: %w", err)
 	}
+	pace, err := eject.New(cfg.Eject)
+	if err != nil {
+		return nil, fmt.Errorf("control state: %w", err)
+	}
+	if _, err := place.New(cfg.Place); err != nil {
+		return nil, fmt.Errorf("control state: %w", err)
+	}
 	return &state{
+		pace:     pace,
+		suspects: crash.New(cfg.Crash),
+		placers:  make(map[wick.PoolName]wick.Placer),
 		cfg:      cfg,
 		gate:     g,
 		keeper:   lease.New(cfg.Lease),
@@ -129,6 +154,10 @@
 			s.perform(now, o, o.sched.Tick(now))
 		}
 	}
+	if s.wanting {
+		s.wanting = false
+		s.lookLoads(now)
+	}
 	if now.Sub(s.looked) >= lookEvery {
 		s.look(now)
 	}
@@ -139,7 +168,8 @@
 	s.looked = now
 	for name, o := range s.owned {
 		s.settleOwner(now, o)
-		s.routes.Digest(o.digest(now))
+		s.lookPace(now, o)
+		s.routes.Digest(s.digest(now, o))
 		s.moved = true
 		if o.idle() {
 			delete(s.owned, name)
@@ -148,9 +178,8 @@
 	s.unpark(now)
 	s.book.SetWriter(s.audits())
 	s.checkpoint(now)
-	if s.loadsLook(now) {
-		s.moved = true
-	}
+	s.lookLoads(now)
+	s.plan(now)
 	if fresh := s.isCurrent(now); fresh != s.isFresh {
 		s.isFresh = fresh
 		s.urgent = true
--- a/ctrl/status.go
+++ b/ctrl/status.go
@@ -68,7 +68,7 @@
 		Owner: owner.Host, Leaving: end.Leaving || s.hosts[end.Host],
 	}
 	if o := s.owned[end.Name]; o != nil && o.acting {
-		d := o.digest(now)
+		d := s.digest(now, o)
 		st.Acting, st.Digest = true, &d
 	} else if d, ok := s.digests[end.Name]; ok {
 		st.Digest = &d
--- a/ctrl/submit.go
+++ b/ctrl/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"currantwick"
+	"currantwick/crash"
 	"currantwick/lease"
 	"currantwick/sched"
 )
@@ -16,6 +17,10 @@
 		s.park(now, r)
 		return
 	}
+	if s.judge(now, sub) == crash.Stopped {
+		r.refuse(wick.NotRunf(wick.CodeKilled, "the request crashed its endpoints"))
+		return
+	}
 	if _, ok := s.keeper.Acts(now, lease.EndpointKey(sub.Endpoint)); !ok {
 		r.refuse(wick.NotRunf(wick.CodeNotOwner, "this daemon does not act for endpoint %s", sub.Endpoint))
 		return
@@ -35,7 +40,7 @@
 
 // enqueue hands a run to its endpoint's schedule.
 func (s *state) enqueue(now wick.Instant, o *owned, r *Run) {
-	it := sched.Item{Sub: &r.Sub}
+	it := sched.Item{Sub: &r.Sub, Suspect: s.judge(now, &r.Sub) == crash.Alone}
 	if w := r.Sub.Work; w != nil && !w.Ref.IsBase() {
 		v, ok := s.conf.Table().Version(w.Ref)
 		if !ok {
@@ -86,9 +91,7 @@
 
 // apply implements Event.
 func (e Progressed) apply(s *state, now wick.Instant) {
-	if o := s.owned[e.Run.Sub.Endpoint]; o != nil {
-		o.sched.Progress(now, e.Run.Sub.Request, e.Tokens)
-	}
+	s.progress(now, e.Run, e.Tokens)
 }
 
 // apply implements Event.
@@ -99,6 +102,12 @@
 	if o == nil || o.runs[r.Sub.Request] != r {
 		return
 	}
+	if e.Crashed {
+		s.crashed(now, o, r)
+	} else if e.Result.Err == nil {
+		s.suspects.Finished(now, r.Sub.Print)
+		s.replied(now, o, r, e.Result)
+	}
 	delete(o.runs, r.Sub.Request)
 	s.perform(now, o, o.sched.Done(now, r.Sub.Request, e.Result))
 }
--- a/ctrl/views.go
+++ b/ctrl/views.go
@@ -26,7 +26,7 @@
 	r.Claims = s.book.Offset()
 	for _, o := range s.owned {
 		if o.acting {
-			r.Digests = append(r.Digests, o.digest(now))
+			r.Digests = append(r.Digests, s.digest(now, o))
 		}
 	}
 	return r
@@ -37,9 +37,7 @@
 func (s *state) changeView(now wick.Instant, c lease.Changed) {
 	s.gate.move(c.New.Number)
 	s.cfg.Note.View(c.New)
-	for name := range s.known {
-		s.settleRoute(name)
-	}
+	s.routes.View(c.New, ownerOf)
 	for _, o := range s.owned {
 		s.settleOwner(now, o)
 	}
@@ -47,6 +45,11 @@
 	s.urgent = true
 }
 
+// ownerOf returns the owner of an endpoint in a view.
+func ownerOf(v wick.View, name wick.EndpointName) (wick.Member, bool) {
+	return lease.Owner(v, lease.EndpointKey(name))
+}
+
 // settleRoute tells the router who owns an endpoint.
 func (s *state) settleRoute(name wick.EndpointName) {
 	m, _ := s.keeper.Owner(lease.EndpointKey(name))
@@ -57,6 +60,7 @@
 func (e Renewed) apply(s *state, now wick.Instant) {
 	for _, d := range e.Renewal.Digests {
 		s.routes.Digest(d)
+		s.pace.Heard(now, d)
 		s.digests[d.Endpoint] = d
 	}
 	s.hear(e.Renewal.From, e.Renewal.Config, e.Renewal.Claims)
--- a/entry/fail.go
+++ b/entry/fail.go
@@ -43,6 +43,7 @@
 	wick.CodeStale:        fasthttp.StatusServiceUnavailable,
 	wick.CodeLoadFailed:   fasthttp.StatusServiceUnavailable,
 	wick.CodeBroken:       fasthttp.StatusBadGateway,
+	wick.CodeCrashed:      fasthttp.StatusBadGateway,
 	wick.CodeMismatch:     fasthttp.StatusBadGateway,
 	wick.CodeKilled:       fasthttp.StatusUnprocessableEntity,
 	wick.CodeClaimed:      fasthttp.StatusConflict,
--- a/error.go
+++ b/error.go
@@ -33,6 +33,7 @@
 	CodeStale        Code = "Stale"        // the configuration may be stale
 	CodeLoadFailed   Code = "LoadFailed"   // the adapter could not be loaded
 	CodeBroken       Code = "Broken"       // the answer broke off
+	CodeCrashed      Code = "Crashed"      // the endpoint crashed under it
 	CodeMismatch     Code = "Mismatch"     // the endpoint echoed something else
 	CodeKilled       Code = "Killed"       // the request crashed its endpoints
 	CodeClaimed      Code = "Claimed"      // the key is claimed by another try
--- a/node/front.go
+++ b/node/front.go
@@ -21,6 +21,11 @@
 // Entries implements wick.Front.
 func (n *Node) Entries(near wick.Domain) wick.EntryList { return n.relay.Entries(near) }
 
+// seen notes a completion that entered here.
+func (n *Node) seen(pool wick.PoolName, ref wick.Ref) {
+	n.thread.Post(ctrl.Seen{Pool: pool, Ref: ref})
+}
+
 // HandleSubmit implements wick.PeerServer.
 func (n *Node) HandleSubmit(ctx context.Context, from wick.HostName, sub wick.Submission, emit func(wick.Frame) error) error {
 	return n.owner.HandleSubmit(ctx, from, sub, emit)
--- a/node/node.go
+++ b/node/node.go
@@ -14,10 +14,12 @@
 	"currantwick"
 	"currantwick/claim"
 	"currantwick/ctrl"
+	"currantwick/eject"
 	"currantwick/entry"
 	"currantwick/lease"
 	"currantwick/owner"
 	"currantwick/peer"
+	"currantwick/place"
 	"currantwick/relay"
 	"currantwick/route"
 
@@ -61,6 +63,8 @@
 	Lease  lease.Config
 	Claim  claim.Config
 	Route  route.Config
+	Eject  eject.Config
+	Place  place.Config
 	Policy ctrl.Policy
 	// Retries bounds retries to a share of the requests.
 	Retries wick.RetryBudget
@@ -148,6 +152,7 @@
 		Peers:    n.client,
 		Quiet:    peerQuiet,
 		Retries:  n.cfg.Retries,
+		Seen:     n.seen,
 		Note:     n.cfg.Traffic,
 	})
 	var err error
@@ -157,6 +162,8 @@
 		Claim:      n.cfg.Claim,
 		Route:      n.cfg.Route,
 		Policy:     n.cfg.Policy,
+		Eject:      n.cfg.Eject,
+		Place:      n.cfg.Place,
 		InFlight:   n.relay.InFlight(),
 		Stale:      n.cfg.Times.Stale,
 		Checkpoint: n.cfg.Times.Checkpoint,
--- a/note.go
+++ b/note.go
@@ -9,6 +9,8 @@
 	View(v View)
 	// Acting notes that the daemon began or ceased to act for an endpoint.
 	Acting(e EndpointName, acts bool)
+	// Crashed notes that an endpoint crashed with requests in flight.
+	Crashed(e EndpointName, inFlight int)
 	// Verdict notes the judgement on a change.
 	Verdict(v Verdict)
 	// Refused notes something from outside that could not be used.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -17,6 +17,9 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// askWithin bounds the question to an endpoint whether it has crashed.
+const askWithin = 500 * time.Millisecond
+
 // Config sets up a Server.
 type Config struct {
 	Thread   *ctrl.Thread
@@ -79,13 +82,32 @@
 	default:
 		res = s.invoke(ctx, run, d.Endpoint, out)
 	}
-	s.cfg.Thread.Post(ctrl.Finished{Run: run, Result: res})
+	crashed := s.crashed(ctx, d, res.Err)
+	if crashed {
+		res.Err = wick.Unknownf(wick.CodeCrashed, "endpoint %s crashed", d.Endpoint.Name)
+	}
+	s.cfg.Thread.Post(ctrl.Finished{Run: run, Result: res, Crashed: crashed})
 	if res.Err != nil {
 		return res.Err
 	}
 	return nil
 }
 
+// crashed reports whether the endpoint crashed under a request that broke off,
+// by asking the engine for its start over a new connection.
+func (s *Server) crashed(ctx context.Context, d ctrl.Decision, fail *wick.Error) bool {
+	if fail == nil || fail.Code != wick.CodeBroken || fail.Outcome != wick.Unknown || d.Boot == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askWithin)
+	defer cancel()
+	rep, err := s.cfg.Engine.Report(ctx, d.Endpoint.Address)
+	if err != nil {
+		return wick.AsError(err).Outcome == wick.NotRun
+	}
+	return rep.Boot != d.Boot
+}
+
 // decision waits until the control thread has decided. A caller that goes away
 // meanwhile is reported, which brings the decision about.
 func (s *Server) decision(ctx context.Context, run *ctrl.Run) (ctrl.Decision, error) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -45,6 +45,8 @@
 	Quiet time.Duration
 	// Retries bounds retries to a share of the requests.
 	Retries wick.RetryBudget
+	// Seen takes a note of each completion.
+	Seen func(wick.PoolName, wick.Ref)
 	// Note counts what happens.
 	Note wick.TrafficNote
 }
@@ -76,6 +78,7 @@
 		return r.ended(t, fail)
 	}
 	t.emit = emit
+	r.cfg.Seen(t.resolved.Pool.Name, t.work.Ref)
 	return r.ended(t, r.drive(ctx, t))
 }
 
--- a/relay/task.go
+++ b/relay/task.go
@@ -32,6 +32,8 @@
 	// attempt is the id of the newest try.
 	attempt wick.RequestID
 
+	// suspect tells that an endpoint crashed under the task.
+	suspect bool
 	// begun tells that FrameStart was passed on.
 	begun bool
 	// everUnknown tells that an endpoint may have run one of the tries, so
@@ -126,6 +128,7 @@
 		Sheddable: t.resolved.Priority.Sheddable,
 		Within:    wick.Duration(max(time.Until(t.due), time.Millisecond)),
 		Print:     t.print,
+		Suspect:   t.suspect,
 		Call:      t.svc,
 	}
 	if t.work != nil {
@@ -190,9 +193,17 @@
 // finish judges how a try ended.
 func (t *task) finish(err error) *wick.Error {
 	fail := t.failure(err)
-	if fail != nil && fail.Outcome == wick.Unknown {
-		t.everUnknown = true
+	if fail == nil || fail.Outcome != wick.Unknown {
+		return fail
+	}
+	t.everUnknown = true
+	if fail.Code != wick.CodeCrashed {
+		return fail
+	}
+	if t.suspect {
+		return wick.Unknownf(wick.CodeKilled, "the request crashed its endpoints")
 	}
+	t.suspect = true
 	return fail
 }
 
--- a/request.go
+++ b/request.go
@@ -63,6 +63,9 @@
 	Within Duration `json:"Within"`
 	// Print identifies the request's content.
 	Print Fingerprint `json:"Print"`
+	// Suspect tells that an endpoint crashed under the request before, so that
+	// it must run alone.
+	Suspect bool `json:"Suspect,omitempty"`
 	// Exactly one of Work and Call is set.
 	Work *Work `json:"Work,omitempty"`
 	Call *Call `json:"Call,omitempty"`
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -39,6 +39,7 @@
 	view     prometheus.Gauge
 	members  prometheus.Gauge
 	acting   prometheus.Gauge
+	crashes  prometheus.Counter
 	verdicts *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 	reads    *prometheus.CounterVec
@@ -62,13 +63,14 @@
 		view:     gauge("view_number", "Number of the adopted view."),
 		members:  gauge("view_members", "Daemons in the adopted view."),
 		acting:   gauge("acting_endpoints", "Endpoints this daemon acts for."),
+		crashes:  counter("endpoint_crashes_total", "Crashes of endpoints with requests in flight."),
 		verdicts: counters("verdicts_total", "Judged changes of the configuration.", "result"),
 		refused:  counters("refused_inputs_total", "Inputs from outside that could not be used.", "input"),
 		reads:    counters("log_read_failures_total", "Failed reads of the platform's log.", "stream"),
 		appends:  counters("log_appends_total", "Appends to the platform's log.", "stream", "result"),
 	}
 	cfg.Registry.MustRegister(s.requests, s.first, s.whole, s.tries, s.resumes, s.view,
-		s.members, s.acting, s.verdicts, s.refused, s.reads, s.appends)
+		s.members, s.acting, s.crashes, s.verdicts, s.refused, s.reads, s.appends)
 	return s
 }
 
@@ -114,6 +116,12 @@
 	s.log.Info("acting changed", "endpoint", e, "acts", acts)
 }
 
+// Crashed implements wick.ControlNote.
+func (s *Stats) Crashed(e wick.EndpointName, inFlight int) {
+	s.crashes.Inc()
+	s.log.Warn("endpoint crashed", "endpoint", e, "in_flight", inFlight)
+}
+
 // Verdict implements wick.ControlNote.
 func (s *Stats) Verdict(v wick.Verdict) {
 	result := "accepted"
