--- a/fakes/fakes.go
+++ b/fakes/fakes.go
@@ -62,6 +62,7 @@
 		refuse(ctx, fasthttp.StatusBadRequest, "control: %v", err)
 		return false
 	}
+	connOf(ctx).spared.Store(true)
 	return true
 }
 
--- a/fakes/gate.go
+++ b/fakes/gate.go
@@ -92,9 +92,12 @@
 // reset closes all connections so that their peers notice; g.mu is held.
 func (g *gate) reset() {
 	for c := range g.conns {
+		if c.spared.Load() {
+			continue
+		}
+		delete(g.conns, c)
 		c.abort()
 	}
-	clear(g.conns)
 }
 
 func (g *gate) reopen() {
@@ -114,7 +117,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.conns {
-		c.silent.Store(true)
+		c.silent.Store(!c.spared.Load())
 	}
 }
 
@@ -147,7 +150,9 @@
 	g.mu.Lock()
 	g.closed = true
 	_ = g.ln.Close()
-	g.reset()
+	for c := range g.conns {
+		c.abort()
+	}
 	srv := g.srv
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
@@ -189,6 +194,9 @@
 	net.Conn
 	g      *gate
 	silent atomic.Bool
+	// spared tells that the connection brought a control request, whose
+	// answer must not be lost to the fault it asks for.
+	spared atomic.Bool
 	done   chan struct{}
 	once   sync.Once
 }
@@ -244,7 +252,7 @@
 
 func (c *conn) pause() {
 	ch := c.g.thaw()
-	if ch == nil {
+	if ch == nil || c.spared.Load() {
 		return
 	}
 	select {
