--- a/boot/boot.go
+++ b/boot/boot.go
@@ -48,6 +48,7 @@
 	ends := httpc.Config{Quiet: s.Limits.Silence}
 	n, err := node.New(node.Config{
 		Self:      wick.Member{Host: s.Host, Domain: s.Domain, Peer: s.Peer.Address, Entry: s.Entry.Address},
+		Listen:    s.Peer.Listen,
 		EntryTLS:  cfg.EntryTLS,
 		BodyBytes: s.Limits.BodyBytes,
 		Keys:      cfg.Keys,
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -46,6 +47,9 @@
 	// Self is this daemon; its addresses may have port 0, and its incarnation
 	// is drawn by New.
 	Self wick.Member
+	// Listen is where other daemons come in if they are told another address;
+	// empty for Self.Peer.
+	Listen wick.Address
 	// EntryTLS is nil where callers come in plain HTTP.
 	EntryTLS  *tls.Config
 	BodyBytes wick.Bytes
@@ -111,7 +115,7 @@
 	n.client = peer.NewClient(peer.ClientConfig{TLS: cfg.Keys.PeerClient, Quiet: peerQuiet})
 	var err error
 	n.peers, err = peer.Listen(peer.ServerConfig{
-		Address: cfg.Self.Peer,
+		Address: cmp.Or(cfg.Listen, cfg.Self.Peer),
 		TLS:     cfg.Keys.PeerServer(),
 		HostOf:  cfg.HostOf,
 		Quiet:   peerQuiet,
@@ -129,7 +133,10 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("entry side: %w", err), n.peers.Close())
 	}
-	n.cfg.Self.Peer, n.cfg.Self.Entry = n.peers.Address(), n.entry.Address()
+	n.cfg.Self.Entry = n.entry.Address()
+	if cfg.Listen == "" {
+		n.cfg.Self.Peer = n.peers.Address()
+	}
 	if n.cfg.Self.Incarnation, err = drawIncarnation(); err != nil {
 		return nil, errors.Join(err, n.peers.Close(), n.entry.Close())
 	}
--- a/setup/check.go
+++ b/setup/check.go
@@ -90,6 +90,9 @@
 	c.one("Entry.Address", s.Entry.Address)
 	c.pair("Entry.TLS", s.Entry.TLS)
 	c.one("Peer.Address", s.Peer.Address)
+	if s.Peer.Listen != "" {
+		c.err("Peer.Listen", s.Peer.Listen.Check())
+	}
 	c.err("Admin.Address", s.Admin.Address.Check())
 	c.pair("Admin.TLS", s.Admin.TLS)
 	if s.Entry.Address == s.Admin.Address && s.Entry.Address != "" {
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -49,6 +49,9 @@
 type Peer struct {
 	// Address is given to other daemons, so it names one IP address.
 	Address wick.Address `json:"Address"`
+	// Listen is where the daemon listens if others reach it at Address
+	// through a translation of addresses; empty for Address itself.
+	Listen wick.Address `json:"Listen,omitempty"`
 }
 
 // Admin is where operators come in.
