--- a/cmd/currantwick/force_test.go
+++ b/cmd/currantwick/force_test.go
@@ -163,6 +163,44 @@
 	}
 }
 
+// TestOutlivesRetention changes one object once and another again and again,
+// until the log has dropped the first change, and then replaces all daemons.
+func TestOutlivesRetention(t *testing.T) {
+	const keep = 3 * time.Second
+	c := newClusterWith(t, 3, wick.Duration(keep))
+	c.ready()
+	start := time.Now()
+	c.must("apply", "-file", c.sampleFile(), "-id", "first")
+	n := 1
+	for time.Since(start) < 2*keep {
+		c.context(c.daemons[0], wick.ChangeID(fmt.Sprintf("change-%d", n)), wick.Tokens(4096+n))
+		n++
+		<-time.After(100 * time.Millisecond)
+	}
+	entries, err := c.logClient().Read(context.Background(), wick.ConfigStream, 1, 1)
+	if err != nil || len(entries) == 0 || entries[0].Offset <= 1 {
+		t.Fatalf("the log still holds the first change: %+v, %v", entries, err)
+	}
+	old := c.daemons
+	c.daemons = nil
+	for _, d := range old {
+		if err := d.cmd.Process.Signal(syscall.SIGKILL); err != nil {
+			t.Fatal(err)
+		}
+		<-d.exited
+	}
+	for _, d := range old {
+		c.start(d.settings)
+	}
+	for _, d := range c.daemons {
+		c.await("the daemon has all objects", func() bool {
+			got := c.wick("get", "-admin", string(d.settings.Admin.Address))
+			return strings.Contains(got.out, `"Context": `+fmt.Sprint(4096+n-1)) && strings.Contains(got.out, `"Adapter": "notice"`)
+		})
+	}
+	c.ready()
+}
+
 // TestReloadOfKeys replaces the authority under running daemons, and checks
 // that they go on as one view.
 func TestReloadOfKeys(t *testing.T) {
--- a/setup/check.go
+++ b/setup/check.go
@@ -116,7 +116,7 @@
 		c.one(fmt.Sprintf("Peers[%d]", i), a)
 	}
 	c.one("Log.Address", s.Log.Address)
-	c.span("Log.Retention", s.Log.Retention, time.Minute, 10_000*time.Hour)
+	c.span("Log.Retention", s.Log.Retention, 2*time.Second, 10_000*time.Hour)
 	c.span("Log.Timeout", s.Log.Timeout, 50*time.Millisecond, time.Minute)
 	if s.Hosts.Address != "" {
 		c.one("Hosts.Address", s.Hosts.Address)
@@ -130,7 +130,7 @@
 	c.span("Lease.Renew", s.Lease.Renew, 10*time.Millisecond, max(ttl/3, 10*time.Millisecond))
 	c.span("Lease.Suspect", s.Lease.Suspect, 2*s.Lease.Renew.Std(), time.Minute)
 	c.span("Lease.Drift", s.Lease.Drift, ttl/100, ttl)
-	c.span("Claim.Life", s.Claim.Life, time.Minute, max(s.Log.Retention.Std()/2, time.Minute))
+	c.span("Claim.Life", s.Claim.Life, time.Second, max(s.Log.Retention.Std()/2, time.Second))
 	c.span("Claim.Batch", s.Claim.Batch, time.Millisecond, time.Second)
 	c.span("Stale", s.Stale, max(time.Second, ttl), 10*time.Minute)
 	c.span("Stop.Grace", s.Stop.Grace, time.Second, 24*time.Hour)
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -79,7 +79,7 @@
 // Log is the platform's log.
 type Log struct {
 	Address wick.Address `json:"Address"`
-	// Retention is how long the log keeps a record; 1 min to 10,000 h.
+	// Retention is how long the log keeps a record; 2 s to 10,000 h.
 	// Checkpoints are written four times within it.
 	Retention wick.Duration `json:"Retention"`
 	// Timeout bounds one append; 50 ms to 1 min.
@@ -110,7 +110,7 @@
 
 // Claim holds the times of claims on commands that run at most once.
 type Claim struct {
-	// Life is how long a key is remembered; 1 min to 10,000 h and no longer
+	// Life is how long a key is remembered; at least 1 s and no longer
 	// than half of Log.Retention.
 	Life wick.Duration `json:"Life"`
 	// Batch is how long steps are gathered into one append; 1 ms to 1 s.
