Bring back what an engine lost if it is much used

After a cold restart the adapters with a heat of 3 or more are wanted as prefetches, so that the store is asked before their next requests wait. Effect under load not measured yet.

--- a/loads/scene.go
+++ b/loads/scene.go
@@ -107,8 +107,9 @@
 	// Slow multiplies the time of each step of SlowRunners of the first pool.
 	Slow        float64 `json:"Slow,omitempty"`
 	SlowRunners int     `json:"SlowRunners,omitempty"`
-	// Shuffle shifts the popularity of all adapters as the phase begins.
-	Shuffle bool `json:"Shuffle,omitempty"`
+	// Shuffle is how many of the most popular adapters change places with any
+	// others as the phase begins.
+	Shuffle int `json:"Shuffle,omitempty"`
 	// Restarts is how many runners of the first pool restart cold as the phase
 	// begins.
 	Restarts int `json:"Restarts,omitempty"`
@@ -135,6 +136,9 @@
 		if p.For <= 0 || p.Rate < 0 || p.Slow < 0 {
 			return fmt.Errorf("phase %s: For must be positive, Rate and Slow not negative", p.Name)
 		}
+		if p.Shuffle < 0 || p.Shuffle > s.Adapters {
+			return fmt.Errorf("phase %s: Shuffle must be 0 to the adapters", p.Name)
+		}
 		if p.SlowRunners > s.Pools[0].Runners || p.Restarts > s.Pools[0].Runners {
 			return fmt.Errorf("phase %s: more runners than the first pool has", p.Name)
 		}
--- a/loads/trace.go
+++ b/loads/trace.go
@@ -79,9 +79,7 @@
 	for i := range trace {
 		a := &trace[i]
 		for ; phase < a.Phase; phase++ {
-			if s.Phases[phase+1].Shuffle {
-				pop.shuffle()
-			}
+			pop.shuffle(s.Phases[phase+1].Shuffle)
 		}
 		for drift > 0 && a.At >= drift {
 			pop.drift()
@@ -124,12 +122,20 @@
 	return p.ranked[rank]
 }
 
-func (p *popularity) drift() {
-	a, b := p.r.IntN(max(1, len(p.ranked)/10)), p.r.IntN(len(p.ranked))
-	p.ranked[a], p.ranked[b] = p.ranked[b], p.ranked[a]
+// drift lets one of the most popular tenth change places with any other.
+func (p *popularity) drift() { p.swap(p.r.IntN(max(1, len(p.ranked)/10))) }
+
+// shuffle lets the most popular n change places with any others.
+func (p *popularity) shuffle(n int) {
+	for rank := range n {
+		p.swap(rank)
+	}
 }
 
-func (p *popularity) shuffle() { p.ranked = p.r.Perm(len(p.ranked)) }
+func (p *popularity) swap(rank int) {
+	other := p.r.IntN(len(p.ranked))
+	p.ranked[rank], p.ranked[other] = p.ranked[other], p.ranked[rank]
+}
 
 // Clairvoyant counts the loads that one cache of so many slots needs for the
 // uses of adapters in order if it knows them all beforehand, from the one
--- a/sched/adapter.go
+++ b/sched/adapter.go
@@ -243,6 +243,22 @@
 	return e.step(now, nil)
 }
 
+// recallHeat is the heat from which an adapter that was lost is loaded again
+// before it is asked for.
+const recallHeat = 3
+
+// recallKeep is how long such a load is wanted.
+const recallKeep = 20 * time.Second
+
+// recall wants an adapter back that the engine has lost, if it was much used.
+func (e *Endpoint) recall(now wick.Instant, a *adapter) {
+	if a.source == "" || e.closed() != nil || e.clock.Heat(&a.uses) < recallHeat {
+		return
+	}
+	a.prefetch = now.Add(recallKeep)
+	e.list(now, a)
+}
+
 // Granted notes that the store's leave for a load was given.
 func (e *Endpoint) Granted(now wick.Instant, ref wick.Ref) []Action {
 	a := e.adapters[ref]
--- a/sched/report.go
+++ b/sched/report.go
@@ -75,6 +75,7 @@
 		switch {
 		case a.state == ready && made > a.since && i < 0:
 			e.empty(now, a)
+			e.recall(now, a)
 		case a.state == ready && made > a.since:
 			e.prove(made, a, r.Resident[i].Serving)
 		case a.state == unknown && made > a.until && made > a.since:
@@ -135,6 +136,7 @@
 		if a.state == ready {
 			e.empty(now, a)
 			a.order = wick.Order{}
+			e.recall(now, a)
 			continue
 		}
 		e.doubt(now, a)
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -198,6 +198,12 @@
 			{func(e *Endpoint, now wick.Instant) []Action { return e.Lost(now, "c") }, ""},
 			{submit(work("x", 1, 10)), "want:a1@1"},
 		}...)},
+		{"a restart brings back what is much used", 4, 2, append(append(load(1), load(2)...), []step{
+			{submit(work("x", 2, 10)), "run:x"},
+			{submit(work("y", 2, 10)), "run:y"},
+			{submit(work("z", 2, 10)), "run:z"},
+			{func(e *Endpoint, now wick.Instant) []Action { return e.Lost(now, "c") }, "want:a2@1"},
+		}...)},
 		{"a suspect runs alone", 4, 1, []step{
 			{submit(work("x", 0, 10)), "run:x"},
 			{func(e *Endpoint, now wick.Instant) []Action {
