--- a/certs/certs.go
+++ b/certs/certs.go
@@ -26,6 +26,7 @@
 	organization = "currantwick"
 	// backdate allows for hosts whose clocks run behind.
 	backdate = 5 * time.Minute
+	year     = 365 * 24 * time.Hour
 	serials  = 128 // bits of a serial number
 
 	certType = "CERTIFICATE"
@@ -37,7 +38,7 @@
 	// Now is the time from which certificates hold; the zero time stands for
 	// the present.
 	Now time.Time
-	// Life is how long certificates hold; positive.
+	// Life is how long certificates hold; 0 stands for a year.
 	Life time.Duration
 }
 
@@ -71,7 +72,8 @@
 	return LoadAuthority(p)
 }
 
-// LoadAuthority reads an authority that was made before.
+// LoadAuthority reads an authority that was made before. Certificates after the
+// first are passed over.
 func LoadAuthority(p PEM) (*Authority, error) {
 	pair, err := tls.X509KeyPair(p.Cert, p.Key)
 	if err != nil {
@@ -81,7 +83,8 @@
 	if !ok || !pair.Leaf.IsCA {
 		return nil, errors.New("read authority: want a CA certificate with an ECDSA key")
 	}
-	return &Authority{pair.Leaf, key, p}, nil
+	own := pem.EncodeToMemory(&pem.Block{Type: certType, Bytes: pair.Leaf.Raw})
+	return &Authority{pair.Leaf, key, PEM{own, p.Key}}, nil
 }
 
 // PEM returns the authority's certificate and key.
@@ -107,8 +110,9 @@
 
 // template returns what all certificates have in common.
 func (c Config) template(name string) (*x509.Certificate, error) {
-	if c.Life <= 0 {
-		return nil, errors.New("life of a certificate must be positive")
+	life := c.Life
+	if life == 0 {
+		life = year
 	}
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serials))
 	if err != nil {
@@ -122,7 +126,7 @@
 		SerialNumber: serial,
 		Subject:      pkix.Name{Organization: []string{organization}, CommonName: name},
 		NotBefore:    now.Add(-backdate),
-		NotAfter:     now.Add(c.Life),
+		NotAfter:     now.Add(life),
 	}, nil
 }
 
--- a/ctrl/conf.go
+++ b/ctrl/conf.go
@@ -16,7 +16,7 @@
 	for _, entry := range e.List {
 		s.applyEntry(now, entry)
 	}
-	if !s.conf.Behind() {
+	if !s.conf.Behind() && !e.More {
 		s.fresh = max(s.fresh, e.Sent)
 	}
 	s.settleConfig(now)
@@ -77,6 +77,7 @@
 	}
 	for name := range gone {
 		delete(s.known, name)
+		delete(s.digests, name)
 		s.routes.Remove(name)
 		if o := s.owned[name]; o != nil {
 			s.perform(now, o, o.sched.Drain(now))
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -66,13 +66,16 @@
 	// parked are runs that wait for the configuration.
 	parked []*Run
 	// claiming are runs that wait for a claim on their key.
-	claiming map[wick.ClaimKey]*Run
+	claiming map[wick.RequestID]*Run
 	awaited  map[wick.ChangeID]chan<- wick.Verdict
 	// recent are the newest entries of the configuration, for peers.
 	recent []wick.Entry
 	// hosts are the hosts that the platform says are leaving.
 	hosts map[wick.HostName]bool
 	loads loads
+	// told and digests are what other daemons said last, for operators.
+	told    map[wick.HostName]told
+	digests map[wick.EndpointName]wick.Digest
 
 	// fresh is when the configuration was last known to be current.
 	fresh    wick.Instant
@@ -108,10 +111,12 @@
 		routes:   routes,
 		owned:    make(map[wick.EndpointName]*owned),
 		known:    make(map[wick.EndpointName]wick.Endpoint),
-		claiming: make(map[wick.ClaimKey]*Run),
+		claiming: make(map[wick.RequestID]*Run),
 		awaited:  make(map[wick.ChangeID]chan<- wick.Verdict),
 		hosts:    make(map[wick.HostName]bool),
 		loads:    newLoads(),
+		told:     make(map[wick.HostName]told),
+		digests:  make(map[wick.EndpointName]wick.Digest),
 	}, nil
 }
 
@@ -141,6 +146,7 @@
 		}
 	}
 	s.unpark(now)
+	s.book.SetWriter(s.audits())
 	s.checkpoint(now)
 	if s.loadsLook(now) {
 		s.moved = true
