--- a/lease/lease.go
+++ b/lease/lease.go
@@ -161,6 +161,10 @@
 	peers map[id]*peer
 	// runs lists the runs known at an address.
 	runs map[wick.Address][]id
+	// current is the roster of the current view; open are those of the earlier
+	// views that are not closed, oldest first.
+	current *roster
+	open    []*roster
 	// lapses caches when the leases of earlier owners were seen to run out.
 	lapses map[lapse]wick.Instant
 	// witnesses are those of self in the current view.
@@ -209,6 +213,8 @@
 		runs:   make(map[wick.Address][]id),
 		lapses: make(map[lapse]wick.Instant),
 		orphan: cfg.Orphan,
+
+		current: newRoster(wick.View{}),
 	}
 	return k
 }
@@ -226,7 +232,19 @@
 func (k *Keeper) Member() bool { return k.View().Has(k.cfg.Self) }
 
 // Owner returns the owner of key in the current view.
-func (k *Keeper) Owner(key Key) (wick.Member, bool) { return Owner(k.View(), key) }
+func (k *Keeper) Owner(key Key) (wick.Member, bool) {
+	i := k.current.owner(key)
+	if i < 0 {
+		return wick.Member{}, false
+	}
+	return k.View().Members[i], true
+}
+
+// Ranked returns up to limit members of the current view for key: the owner
+// first, then members of other failure domains.
+func (k *Keeper) Ranked(key Key, limit int) []wick.Member {
+	return k.current.members(k.current.ranked(key, limit))
+}
 
 // Lease returns the instant before which self may act in the current view.
 func (k *Keeper) Lease(now wick.Instant) (until wick.Instant, ok bool) {
@@ -260,24 +278,26 @@
 	if !ok {
 		return 0, false
 	}
-	for _, v := range k.log.state.Open {
-		if o, ok := Owner(v, key); ok && !k.ended(now, v, o) {
-			return 0, false
-		}
+	from, ok := k.Ready(key)
+	if !ok || now < from {
+		return 0, false
 	}
 	return until, true
 }
 
-// Ready returns the instant from which self may act on key as far as earlier
-// owners go, if that is known.
-func (k *Keeper) Ready(key Key) (at wick.Instant, ok bool) {
-	for _, v := range k.log.state.Open {
-		o, _ := Owner(v, key)
-		end, ok := k.endOf(v, o)
+// Ready returns the instant from which no earlier owner of key acts any more,
+// if that is known yet.
+func (k *Keeper) Ready(key Key) (from wick.Instant, ok bool) {
+	for _, r := range k.open {
+		i := r.owner(key)
+		if i < 0 {
+			continue
+		}
+		end, ok := k.endOf(r.view, r.view.Members[i])
 		if !ok {
 			return 0, false
 		}
-		at = max(at, end)
+		from = max(from, end)
 	}
-	return at, true
+	return from, true
 }
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -109,6 +109,7 @@
 	nth    int
 	nodes  []*node // the latest run on each host
 	log    []wick.Entry
+	oldest int // entries before are lost to the log's retention
 	keys   []Key
 	killed bool
 	broken string
@@ -181,7 +182,7 @@
 	if old := m.nodes[i]; old != nil && !old.dead || i == 0 && m.killed {
 		return
 	}
-	cfg := Config{Self: m.member(i), Witnesses: m.plan.limit, Seed: m.plan.seed}
+	cfg := Config{Self: m.member(i), Witnesses: m.plan.limit, Seed: m.plan.seed, Checkpoint: 2 * time.Second}
 	for j := range m.plan.nodes {
 		cfg.Seeds = append(cfg.Seeds, address(j))
 	}
@@ -232,7 +233,7 @@
 // poll reads the log.
 func (m *model) poll(n *node) {
 	if m.logOK(n) {
-		for _, e := range m.log[n.keeper.Offset()-1:] {
+		for _, e := range m.log[max(m.oldest, int(n.keeper.Offset())-1):] {
 			m.run(n, func(k *Keeper, t wick.Instant) []Action { return k.OnEntry(t, e) })
 		}
 	}
@@ -349,6 +350,9 @@
 			m.log = append(m.log, wick.Entry{
 				Offset: wick.Offset(len(m.log) + 1), Time: m.now.Milliseconds() + 1, Record: rec,
 			})
+			if st := rec.ViewState; st != nil {
+				m.at(m.now+time.Second, nil, func() { m.oldest = max(m.oldest, int(st.AsOf)) })
+			}
 		}
 	})
 	if !told {
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -18,10 +18,15 @@
 // StoreKey returns the key of a weight store's budget.
 func StoreKey(name wick.StoreName) Key { return Key("Store/" + string(name)) }
 
-// score is the weight of a host for a key by rendezvous hashing. Hosts, not
-// incarnations, are scored, so that a restart moves nothing.
-func score(key uint64, host wick.HostName) uint64 {
-	x := key ^ xxhash.Sum64String(string(host))
+// ClaimsKey has the daemon as its owner that writes checkpoints of the claims.
+const ClaimsKey Key = "Claims"
+
+func (k Key) sum() uint64 { return xxhash.Sum64String(string(k)) }
+
+// score is the weight of a host for a key by rendezvous hashing, both given by
+// their hashes. Hosts, not incarnations, are scored, so a restart moves nothing.
+func score(key, host uint64) uint64 {
+	x := key ^ host
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
@@ -29,77 +34,164 @@
 	return x ^ x>>33
 }
 
-// Owner returns the owner of key in a view. Between two views, a key moves
-// only away from a member that left or to one that came.
-func Owner(v wick.View, key Key) (wick.Member, bool) {
-	if len(v.Members) == 0 {
-		return wick.Member{}, false
+// roster is a view with what is computed from it once. Members are named by
+// their index in the view.
+type roster struct {
+	view wick.View
+	// hosts and domains hold, for each member, the hash of its host and the
+	// number of its failure domain.
+	hosts   []uint64
+	domains []int
+	numbers map[wick.Domain]int
+	// witnesses and wards hold who vouches for a member, and for whom it does.
+	witnesses, wards [][]int
+}
+
+func newRoster(v wick.View) *roster {
+	n := len(v.Members)
+	r := &roster{
+		view: v, hosts: make([]uint64, n), domains: make([]int, n),
+		numbers: make(map[wick.Domain]int), witnesses: make([][]int, n), wards: make([][]int, n),
 	}
-	sum := xxhash.Sum64String(string(key))
-	best, top := v.Members[0], uint64(0)
-	for _, m := range v.Members {
-		if s := score(sum, m.Host); s > top {
-			best, top = m, s
+	for i, m := range v.Members {
+		d, ok := r.numbers[m.Domain]
+		if !ok {
+			d = len(r.numbers)
+			r.numbers[m.Domain] = d
 		}
+		r.domains[i] = d
+		r.hosts[i] = xxhash.Sum64String(string(m.Host))
 	}
-	return best, true
+	for i, m := range v.Members {
+		r.witnesses[i] = r.witnessesOf(m)
+		for _, w := range r.witnesses[i] {
+			r.wards[w] = append(r.wards[w], i)
+		}
+	}
+	return r
 }
 
-// Ranked returns up to limit members for key: the owner first, then one of
-// each other failure domain, by score, then the rest.
-func Ranked(v wick.View, key Key, limit int) []wick.Member {
-	return spread(v.Members, xxhash.Sum64String(string(key)), "", limit)
+// index returns which member the named run is, or -1.
+func (r *roster) index(n id) int {
+	if i := r.seat(n.host); i >= 0 && r.view.Members[i].Incarnation == n.incarnation {
+		return i
+	}
+	return -1
 }
 
-// Witnesses returns who vouches for a member of a view: other members, of
-// different failure domains first, with the member's own domain last.
-func Witnesses(v wick.View, m wick.Member) []wick.Member {
-	others := slices.DeleteFunc(slices.Clone(v.Members), func(o wick.Member) bool {
-		return o.Host == m.Host
+// seat returns which member runs on a host, or -1.
+func (r *roster) seat(host wick.HostName) int {
+	i, ok := slices.BinarySearchFunc(r.view.Members, host, func(o wick.Member, h wick.HostName) int {
+		return cmp.Compare(o.Host, h)
 	})
-	return spread(others, xxhash.Sum64String("Witness/"+string(m.Host)), m.Domain, v.Terms.Witnesses)
+	if !ok {
+		return -1
+	}
+	return i
+}
+
+func (r *roster) members(indices []int) []wick.Member {
+	out := make([]wick.Member, 0, len(indices))
+	for _, i := range indices {
+		out = append(out, r.view.Members[i])
+	}
+	return out
+}
+
+// owner returns the owner of a key, or -1. Between two views, a key moves only
+// away from a member that left or to one that came.
+func (r *roster) owner(key Key) int {
+	sum := key.sum()
+	best, top := -1, uint64(0)
+	for i, h := range r.hosts {
+		if s := score(sum, h); s > top || best < 0 {
+			best, top = i, s
+		}
+	}
+	return best
 }
 
-// spread orders members by score, dealt out over failure domains in rounds; in
-// each round the domain last comes last.
-func spread(members []wick.Member, key uint64, last wick.Domain, limit int) []wick.Member {
-	type ranked struct {
-		member wick.Member
-		score  uint64
-		round  int
+// ranked returns up to limit members for a key: the one with the highest score
+// first, then one of each other failure domain, by score, then the rest.
+func (r *roster) ranked(key Key, limit int) []int {
+	return r.spread(key.sum(), "", "", limit)
+}
+
+// witnessesOf returns who vouches for m, or would if m were a member: others,
+// of different failure domains first, with m's own domain last.
+func (r *roster) witnessesOf(m wick.Member) []int {
+	return r.spread(Key("Witness/"+string(m.Host)).sum(), m.Host, m.Domain, r.view.Terms.Witnesses)
+}
+
+// seat is a member with its score for some key.
+type seat struct {
+	index int
+	score uint64
+}
+
+func higher(a, b seat) int { return cmp.Compare(b.score, a.score) }
+
+// spread returns up to limit members with the highest scores, dealt out over
+// failure domains in rounds. It leaves out the host skip; in each round the
+// domain last comes last.
+func (r *roster) spread(key uint64, skip wick.HostName, last wick.Domain, limit int) []int {
+	if len(r.hosts) == 0 {
+		return nil
 	}
-	all := make([]ranked, 0, len(members))
-	for _, m := range members {
-		all = append(all, ranked{member: m, score: score(key, m.Host)})
+	lastNumber, ok := r.numbers[last]
+	if !ok {
+		lastNumber = -1
 	}
-	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
-	rounds := make(map[wick.Domain]int)
-	for i := range all {
-		d := all[i].member.Domain
-		all[i].round = rounds[d]
-		rounds[d]++
+	// Few rounds do, unless a domain has few members.
+	rounds := limit/len(r.numbers) + 1
+	out := deal(r.best(key, skip, rounds), lastNumber, limit)
+	if len(out) < limit && rounds < limit {
+		out = deal(r.best(key, skip, limit), lastNumber, limit)
 	}
-	slices.SortStableFunc(all, func(a, b ranked) int {
-		if a.round != b.round {
-			return cmp.Compare(a.round, b.round)
+	return out
+}
+
+// best returns, for each failure domain, up to rounds members with the highest
+// scores.
+func (r *roster) best(key uint64, skip wick.HostName, rounds int) [][]seat {
+	best := make([][]seat, len(r.numbers))
+	for i, h := range r.hosts {
+		s := seat{i, score(key, h)}
+		top := best[r.domains[i]]
+		if len(top) == rounds && s.score <= top[rounds-1].score || r.view.Members[i].Host == skip {
+			continue
 		}
-		return compareLast(a.member.Domain, b.member.Domain, last)
-	})
-	out := make([]wick.Member, 0, min(limit, len(all)))
-	for _, r := range all[:min(limit, len(all))] {
-		out = append(out, r.member)
+		at, _ := slices.BinarySearchFunc(top, s, higher)
+		top = slices.Insert(top, at, s)
+		best[r.domains[i]] = top[:min(len(top), rounds)]
 	}
-	return out
+	return best
 }
 
-func compareLast(a, b, last wick.Domain) int {
-	switch {
-	case last == "" || (a == last) == (b == last):
-		return 0
-	case a == last:
-		return 1
+// deal takes one member of each domain in a round, until limit are dealt.
+func deal(best [][]seat, last, limit int) []int {
+	out := make([]int, 0, limit)
+	for round := 0; ; round++ {
+		var dealt []seat
+		for d, top := range best {
+			if d != last && round < len(top) {
+				dealt = append(dealt, top[round])
+			}
+		}
+		slices.SortFunc(dealt, higher)
+		if last >= 0 && round < len(best[last]) {
+			dealt = append(dealt, best[last][round])
+		}
+		for _, s := range dealt {
+			if len(out) == limit {
+				return out
+			}
+			out = append(out, s.index)
+		}
+		if len(dealt) == 0 {
+			return out
+		}
 	}
-	return -1
 }
 
 // leaseQuorum is how many of n witnesses must vouch for a lease. Together with
--- a/lease/plan.go
+++ b/lease/plan.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -167,47 +169,50 @@
 	if len(k.log.gap) > 0 && v.Number == 0 {
 		return nil, 0, false // There is a view; which one is not known yet.
 	}
-	next := make(map[wick.HostName]wick.Member, len(v.Members)+1)
-	for _, m := range v.Members {
-		next[m.Host] = m
-	}
-	delay := time.Duration(-1)
-	sooner := func(d time.Duration) {
-		if delay < 0 || d < delay {
-			delay = d
-		}
-	}
-	for _, m := range v.Members {
-		if k.removable(now, m) {
-			delete(next, m.Host)
-			sooner(k.turn(now, m))
-		}
+	removed, added := k.removals(now), k.joiners(now)
+	delay := time.Duration(math.MaxInt64)
+	for _, m := range removed {
+		delay = min(delay, k.turn(now, m))
 	}
-	for _, m := range k.joiners(now) {
-		next[m.Host] = m
-		sooner(k.cfg.Renew/3 + k.turn(now, m))
+	for _, m := range added {
+		delay = min(delay, k.cfg.Renew/3+k.turn(now, m))
 	}
 	switch {
+	case k.stopping && k.Member():
+		removed = append(removed, k.cfg.Self)
+		delay = 0
 	case k.stopping:
-		delete(next, k.self.host)
-		sooner(0)
+		return nil, 0, false
 	case !k.Member():
 		if !k.mayJoin(now) {
 			return nil, 0, false
 		}
-		next[k.self.host] = k.cfg.Self
-		delay = -1
-		sooner(k.joinDelay())
+		added = append(added, k.cfg.Self)
+		delay = k.joinDelay()
 	}
-	if delay < 0 || len(next) == 0 || k.stopping && !k.Member() {
+	if len(removed)+len(added) == 0 {
 		return nil, 0, false
 	}
-	members := make([]wick.Member, 0, len(next))
-	for _, m := range next {
-		members = append(members, m)
+	members := merge(v.Members, removed, added)
+	return members, delay, len(members) > 0
+}
+
+// merge returns the members without the removed, and with the added in place
+// of earlier runs on their hosts, sorted by host.
+func merge(members, removed, added []wick.Member) []wick.Member {
+	next := make(map[wick.HostName]wick.Member, len(members)+len(added))
+	for _, m := range members {
+		next[m.Host] = m
 	}
-	slices.SortFunc(members, func(a, b wick.Member) int { return cmp.Compare(a.Host, b.Host) })
-	return members, delay, true
+	for _, m := range removed {
+		delete(next, m.Host)
+	}
+	for _, m := range added {
+		next[m.Host] = m
+	}
+	return slices.SortedFunc(maps.Values(next), func(a, b wick.Member) int {
+		return cmp.Compare(a.Host, b.Host)
+	})
 }
 
 // mayJoin reports whether self, which is no member, may propose itself: in
@@ -230,7 +235,8 @@
 // witnesses that are not silent propose one after the other.
 func (k *Keeper) turn(now wick.Instant, m wick.Member) time.Duration {
 	rank := 0
-	for _, w := range Witnesses(k.View(), m) {
+	for _, i := range k.current.witnessesOf(m) {
+		w := k.View().Members[i]
 		if idOf(w) == k.self {
 			break
 		}
@@ -259,26 +265,43 @@
 	return out
 }
 
-// removable reports whether self wants m out of the view. A member with a
-// lease removes one that fewer witnesses hear than a lease takes; so a cut
-// between two daemons removes neither. A member without a lease cannot tell a
-// cut from the loss of most of the view: it leaves the removal to others, and
-// only when nobody did that for long, it goes on with those it hears.
-func (k *Keeper) removable(now wick.Instant, m wick.Member) bool {
-	if !k.Member() || idOf(m) == k.self {
-		return false
+// removals returns the members that self wants out of the view.
+func (k *Keeper) removals(now wick.Instant) []wick.Member {
+	if !k.Member() {
+		return nil
 	}
-	p := k.peer(idOf(m))
-	if p.stopping || p.gone {
-		return true
+	lapsed := k.lapsed(now)
+	var out []wick.Member
+	for n, p := range k.peers {
+		if (p.stopping || p.gone) && n != k.self && k.current.index(n) >= 0 {
+			out = append(out, p.member)
+		}
 	}
-	if !slices.ContainsFunc(k.watched, func(w wick.Member) bool { return idOf(w) == idOf(m) }) {
-		return false
+	for _, m := range k.watched {
+		if lapsed && k.deserted(now, m) || !lapsed && k.failed(now, m) {
+			out = append(out, m)
+		}
 	}
-	if k.lapsed(now) {
-		return k.orphaned(now) && k.companion(now) && now.Sub(p.heard) >= k.cfg.Orphan
+	slices.SortFunc(out, func(a, b wick.Member) int { return cmp.Compare(a.Host, b.Host) })
+	return slices.Compact(out)
+}
+
+// failed reports whether self, which has a lease, wants m out: m is silent, and
+// fewer of its witnesses hear it than a lease takes. So a cut between two
+// daemons removes neither.
+func (k *Keeper) failed(now wick.Instant, m wick.Member) bool {
+	if !k.silent(now, m) {
+		return false
 	}
-	return k.silent(now, m) && k.support(now, m) < leaseQuorum(len(Witnesses(k.View(), m)))
+	witnesses := k.current.witnessesOf(m)
+	return k.support(now, m, witnesses) < leaseQuorum(len(witnesses))
+}
+
+// deserted reports whether self, which has no lease, wants m out. It cannot
+// tell a cut from the loss of most of the view, so it leaves the removal to
+// others. Only when nobody did it for long, it goes on with those it hears.
+func (k *Keeper) deserted(now wick.Instant, m wick.Member) bool {
+	return k.orphaned(now) && k.companion(now) && now.Sub(k.peer(idOf(m)).heard) >= k.cfg.Orphan
 }
 
 // companion reports whether a view without those who are not heard would have
@@ -290,9 +313,10 @@
 }
 
 // support counts the witnesses of m that may still hear it.
-func (k *Keeper) support(now wick.Instant, m wick.Member) int {
+func (k *Keeper) support(now wick.Instant, m wick.Member, witnesses []int) int {
 	count := 0
-	for _, w := range Witnesses(k.View(), m) {
+	for _, i := range witnesses {
+		w := k.View().Members[i]
 		if idOf(w) == k.self {
 			continue
 		}
@@ -308,10 +332,9 @@
 func (k *Keeper) closer() bool { return k.closerRank() < closers }
 
 func (k *Keeper) closerRank() int {
-	for i, m := range Ranked(k.View(), viewsKey, closers) {
-		if idOf(m) == k.self {
-			return i
-		}
+	self := k.current.index(k.self)
+	if i := slices.Index(k.current.ranked(viewsKey, closers), self); i >= 0 {
+		return i
 	}
 	return closers
 }
--- a/lease/release.go
+++ b/lease/release.go
@@ -21,8 +21,8 @@
 // late it comes; a fresh member that knows nothing counts from what it learns.
 //
 // Evidence that a run has ended: a process holds its peer address from before
-// it joins until it ends. Let E name run a at an address. If run b at the same
-// address knows of E or a later view, then b ran after E was on the log, while
+// it joins until it ends. Let E name run a at an address. If run b of the same
+// host and address knows of E or a later view, then b ran after E was on the log, while
 // a ran before that. As both cannot hold the address at once, a has ended. No
 // order of incarnations and no clock is needed, and a message of a run that
 // came before a, however long delayed, proves nothing as that run did not know
@@ -55,7 +55,7 @@
 		return true
 	}
 	for _, other := range k.runs[m.Peer] {
-		if other != idOf(m) && k.peers[other].adopted >= v.Number {
+		if other != idOf(m) && other.host == m.Host && k.peers[other].adopted >= v.Number {
 			return true
 		}
 	}
@@ -80,31 +80,49 @@
 }
 
 // observe notes which earlier leases are now known to run out. It is called
-// whenever something was learned, since the wait counts from then.
+// whenever views changed, since the wait counts from what was learned.
 func (k *Keeper) observe(now wick.Instant) {
-	for _, v := range k.log.state.Open {
-		for _, o := range v.Members {
-			key := lapse{v.Number, idOf(o)}
-			if _, ok := k.lapses[key]; ok || !k.runsOut(v, o) {
-				continue
-			}
-			k.lapses[key] = now.Add(v.Terms.Wait())
+	for _, r := range k.open {
+		for i := range r.view.Members {
+			k.note(now, r, i)
+		}
+	}
+}
+
+// observeRun is observe where something was learned of one run.
+func (k *Keeper) observeRun(now wick.Instant, p *peer) {
+	for _, r := range k.open {
+		i := r.seat(p.member.Host)
+		if i < 0 {
+			continue
 		}
+		k.note(now, r, i)
+		for _, ward := range r.wards[i] {
+			k.note(now, r, ward)
+		}
+	}
+}
+
+// note notes whether the lease of a member of an earlier view runs out.
+func (k *Keeper) note(now wick.Instant, r *roster, i int) {
+	key := lapse{r.view.Number, idOf(r.view.Members[i])}
+	if _, ok := k.lapses[key]; !ok && k.runsOut(r, i) {
+		k.lapses[key] = now.Add(r.view.Terms.Wait())
 	}
 }
 
-// runsOut reports whether too few witnesses are left to vouch for o in v.
-func (k *Keeper) runsOut(v wick.View, o wick.Member) bool {
-	if k.hasEnded(v, o) {
+// runsOut reports whether too few witnesses are left to vouch for a member.
+func (k *Keeper) runsOut(r *roster, i int) bool {
+	if k.hasEnded(r.view, r.view.Members[i]) {
 		return true
 	}
-	witnesses := Witnesses(v, o)
+	witnesses := r.witnesses[i]
 	if len(witnesses) == 0 {
 		return false
 	}
 	gone := 0
 	for _, w := range witnesses {
-		if k.left(v, w) {
+		if k.left(r.view, r.view.Members[w]) {
 			gone++
 		}
 	}
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -99,7 +99,7 @@
 func (k *Keeper) adopted(now wick.Instant, p *peer, v wick.ViewNumber) {
 	if v > p.adopted {
 		p.adopted = v
-		k.observe(now)
+		k.observeRun(now, p)
 	}
 }
 
@@ -143,7 +143,6 @@
 // members that are silent, for their opinion; and those whose adoption of a
 // later view self has to learn of.
 func (k *Keeper) targets(now wick.Instant) []wick.Member {
-	v := k.View()
 	all := make(map[id]wick.Member)
 	add := func(members ...wick.Member) {
 		for _, m := range members {
@@ -153,16 +152,16 @@
 	add(k.contacts()...)
 	for _, m := range k.watched {
 		if k.silent(now, m) {
-			add(Witnesses(v, m)...)
+			add(k.current.members(k.current.witnessesOf(m))...)
 		}
 	}
-	for _, old := range k.log.state.Open {
-		for _, o := range old.Members {
-			if !k.awaits(old, o) {
-				continue
+	closer := k.closer()
+	for _, r := range k.open {
+		for i, o := range r.view.Members {
+			if k.awaits(r, o, closer) {
+				add(o)
+				add(r.members(r.witnesses[i])...)
 			}
-			add(o)
-			add(Witnesses(old, o)...)
 		}
 	}
 	delete(all, k.self)
@@ -173,7 +172,7 @@
 	slices.SortFunc(out, func(a, b wick.Member) int {
 		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
-	if v.Number == 0 {
+	if k.View().Number == 0 {
 		for _, a := range k.cfg.Seeds {
 			out = append(out, wick.Member{Peer: a})
 		}
@@ -184,14 +183,13 @@
 // awaits reports whether self needs to learn when o stops acting in an earlier
 // view. Rendezvous hashing moves keys only from members that left, or to ones
 // that came; so a member that was there before waits only for those that left.
-func (k *Keeper) awaits(old wick.View, o wick.Member) bool {
-	if !k.Member() {
-		return false
-	}
-	if _, known := k.endOf(old, o); known {
+// Who closes views waits for all.
+func (k *Keeper) awaits(old *roster, o wick.Member, closer bool) bool {
+	if !k.Member() || !closer && old.index(k.self) >= 0 && k.current.index(idOf(o)) >= 0 {
 		return false
 	}
-	return !old.Has(k.cfg.Self) || !k.View().Has(o) || k.closer()
+	_, known := k.endOf(old.view, o)
+	return !known
 }
 
 // contacts returns the witnesses of self in the current view or, for a daemon
@@ -200,7 +198,8 @@
 	if k.Member() {
 		return k.witnesses
 	}
-	return slices.DeleteFunc(Witnesses(k.View(), k.cfg.Self), func(m wick.Member) bool {
+	would := k.current.members(k.current.witnessesOf(k.cfg.Self))
+	return slices.DeleteFunc(would, func(m wick.Member) bool {
 		return k.peer(idOf(m)).gone
 	})
 }
--- a/lease/view.go
+++ b/lease/view.go
@@ -45,8 +45,9 @@
 
 // after draws the conclusions from a state that may have changed.
 func (k *Keeper) after(now wick.Instant, before wick.View) []Action {
-	k.forget()
 	v := k.View()
+	k.enroll()
+	k.forget()
 	if v.Number == before.Number {
 		return nil
 	}
@@ -55,9 +56,9 @@
 		p.vouches = false
 	}
 	k.witnesses, k.watched = nil, nil
-	if k.Member() {
-		k.witnesses = Witnesses(v, k.cfg.Self)
-		k.watched = k.watch(v)
+	if i := k.current.index(k.self); i >= 0 {
+		k.witnesses = k.current.members(k.current.witnesses[i])
+		k.watched = k.current.members(union(k.current.witnesses[i], k.current.wards[i]))
 	}
 	for _, m := range k.watched {
 		k.freshen(now, m, before)
@@ -98,21 +99,29 @@
 	k.peer(k.self).adopted = k.View().Number
 }
 
-// watch returns the members of v that self expects messages of: its witnesses
-// and those it is a witness of.
-func (k *Keeper) watch(v wick.View) []wick.Member {
-	var out []wick.Member
-	for _, m := range v.Members {
-		if idOf(m) == k.self {
-			continue
-		}
-		isSelf := func(o wick.Member) bool { return idOf(o) == k.self }
-		isM := func(o wick.Member) bool { return idOf(o) == idOf(m) }
-		if slices.ContainsFunc(k.witnesses, isM) || slices.ContainsFunc(Witnesses(v, m), isSelf) {
-			out = append(out, m)
+// enroll brings the rosters up to the state.
+func (k *Keeper) enroll() {
+	known := append(k.open, k.current)
+	enrolled := func(v wick.View) *roster {
+		i := slices.IndexFunc(known, func(r *roster) bool { return r.view.Number == v.Number })
+		if i < 0 {
+			return newRoster(v)
 		}
+		return known[i]
 	}
-	return out
+	k.current = enrolled(k.View())
+	var open []*roster
+	for _, v := range k.log.state.Open {
+		open = append(open, enrolled(v))
+	}
+	k.open = open
+}
+
+// union returns the elements of both, sorted, each once.
+func union(a, b []int) []int {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
 }
 
 // drop removes the runs that no open view names and nobody heard of lately.
