--- /dev/null
+++ b/tally/guard.go
@@ -0,0 +1,72 @@
+package tally
+
+import (
+	"sync"
+	"time"
+
+	"currantwick"
+)
+
+// Retries locks a budget that traffic threads share.
+type Retries struct {
+	mu     sync.Mutex
+	budget wick.RetryBudget
+}
+
+var _ wick.RetryBudget = (*Retries)(nil)
+
+// NewRetries returns a budget that is safe for concurrent use.
+func NewRetries(b wick.RetryBudget) *Retries { return &Retries{budget: b} }
+
+// Earn implements wick.RetryBudget.
+func (r *Retries) Earn() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget.Earn()
+}
+
+// Spend implements wick.RetryBudget.
+func (r *Retries) Spend() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Spend()
+}
+
+// Hedges locks a hedger that traffic threads share.
+type Hedges struct {
+	mu     sync.Mutex
+	hedger wick.Hedger
+}
+
+var _ wick.Hedger = (*Hedges)(nil)
+
+// NewHedges returns a hedger that is safe for concurrent use.
+func NewHedges(h wick.Hedger) *Hedges { return &Hedges{hedger: h} }
+
+// Began implements wick.Hedger.
+func (h *Hedges) Began() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hedger.Began()
+}
+
+// Took implements wick.Hedger.
+func (h *Hedges) Took(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hedger.Took(d)
+}
+
+// Delay implements wick.Hedger.
+func (h *Hedges) Delay() (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hedger.Delay()
+}
+
+// Hedge implements wick.Hedger.
+func (h *Hedges) Hedge() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hedger.Hedge()
+}
