--- a/ctrl/claims.go
+++ b/ctrl/claims.go
@@ -3,6 +3,7 @@
 import (
 	"currantwick"
 	"currantwick/claim"
+	"currantwick/lease"
 	"currantwick/sched"
 )
 
@@ -86,3 +87,9 @@
 		s.book.Lost(key, request)
 	}
 }
+
+// ownsClaims reports whether this daemon writes the checkpoints of the claims.
+func (s *state) ownsClaims() bool {
+	m, ok := s.keeper.Owner(lease.ClaimsKey)
+	return ok && m.Host == s.cfg.Lease.Self.Host
+}
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -176,7 +176,7 @@
 		}
 	}
 	s.unpark(now)
-	s.book.SetWriter(s.audits())
+	s.book.SetWriter(s.ownsClaims())
 	s.checkpoint(now)
 	s.lookLoads(now)
 	s.plan(now)
