Hedge short idempotent work, bound retries by their cost, group progress notes

A task that was refused by every endpoint of its pool used up its sixteen tries within milliseconds, long before a takeover can end; tries that did not run now only pause, up to the deadline. Two refusals for overload end a task.

--- a/boot/boot.go
+++ b/boot/boot.go
@@ -53,6 +53,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("daemon on %s: %w", s.Host, err)
 	}
+	hedge := limit.HedgeConfig{Policy: hedger(s.Policy.Hedge)}
+	if _, err := limit.NewHedger(hedge); err != nil {
+		return nil, fmt.Errorf("daemon on %s: %w", s.Host, err)
+	}
 	n, err := node.New(node.Config{
 		Self:      wick.Member{Host: s.Host, Domain: s.Domain, Peer: s.Peer.Address, Entry: s.Entry.Address},
 		Listen:    s.Peer.Listen,
@@ -73,6 +77,7 @@
 		Policy:  policies(s.Policy),
 		Eject:   eject.Config{Policy: ejector(s.Policy.Eject)},
 		Retries: tally.NewRetries(retries),
+		Hedge:   hedge,
 		Times:   times(s),
 		Control: note,
 		Traffic: note,
@@ -127,6 +132,13 @@
 	return wick.EjectOutliers
 }
 
+func hedger(c setup.Choice) wick.HedgePolicy {
+	if c == setup.Baseline {
+		return wick.HedgeNone
+	}
+	return wick.HedgePercentile
+}
+
 func policies(p setup.Policy) ctrl.Policy {
 	out := ctrl.Policy{Order: sched.Shortest{}, Evict: evict.Heat{}, Admit: sched.Deadline{}}
 	if p.Order == setup.Baseline {
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"currantwick/eject"
 	"currantwick/entry"
 	"currantwick/lease"
+	"currantwick/limit"
 	"currantwick/owner"
 	"currantwick/peer"
 	"currantwick/place"
@@ -72,7 +73,9 @@
 	Policy ctrl.Policy
 	// Retries bounds retries to a share of the requests.
 	Retries wick.RetryBudget
-	Times   Times
+	// Hedge sets up the hedger of each pool.
+	Hedge limit.HedgeConfig
+	Times Times
 
 	Control wick.ControlNote
 	Traffic wick.TrafficNote
@@ -159,6 +162,7 @@
 		Peers:    n.client,
 		Quiet:    peerQuiet,
 		Retries:  n.cfg.Retries,
+		Hedge:    n.cfg.Hedge,
 		Seen:     n.seen,
 		Note:     n.cfg.Traffic,
 	})
--- a/note.go
+++ b/note.go
@@ -28,6 +28,8 @@
 	Try()
 	// Resume counts a stream that went on after a break.
 	Resume()
+	// Hedge counts a second try beside a slow first one.
+	Hedge()
 	// Ended counts a finished request; code is empty for an answer. first and
 	// whole are the times to the first token and to the end.
 	Ended(code Code, first, whole time.Duration)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -135,19 +135,54 @@
 		Work:     *run.Sub.Work,
 	}
 	var res sched.Result
+	meter := progress{thread: s.cfg.Thread, run: run}
 	err := s.cfg.Engine.Generate(ctx, end.Address, job, func(f wick.Frame) error {
 		if f.Kind == wick.FrameText {
 			res.Tokens += f.Count
-			s.cfg.Thread.Post(ctrl.Progressed{Run: run, Tokens: f.Count})
+			meter.add(f.Count, s.cfg.Clock.Now())
 		}
 		return out.send(f)
 	})
+	meter.flush()
 	if err != nil {
 		res.Err = wick.AsError(err)
 	}
 	return res
 }
 
+// progress tells the control thread of a run's tokens: at once of the first
+// ones, and then in groups, so that tokens do not become its load.
+type progress struct {
+	thread *ctrl.Thread
+	run    *ctrl.Run
+	// held counts tokens that were not told of yet.
+	held  wick.Tokens
+	told  wick.Instant
+	begun bool
+}
+
+const (
+	// progressTokens and progressEvery bound what is held back.
+	progressTokens wick.Tokens = 16
+	progressEvery              = 250 * time.Millisecond
+)
+
+func (p *progress) add(n wick.Tokens, now wick.Instant) {
+	p.held += n
+	if p.begun && p.held < progressTokens && now.Sub(p.told) < progressEvery {
+		return
+	}
+	p.begun, p.told = true, now
+	p.flush()
+}
+
+func (p *progress) flush() {
+	if p.held > 0 {
+		p.thread.Post(ctrl.Progressed{Run: p.run, Tokens: p.held})
+	}
+	p.held = 0
+}
+
 // invoke calls a plain service, once.
 func (s *Server) invoke(ctx context.Context, run *ctrl.Run, end wick.Endpoint, out *sink) sched.Result {
 	reply, err := s.cfg.Services.Invoke(ctx, end.Address, run.Sub.Request, *run.Sub.Call)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -8,22 +8,25 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"currantwick"
 	"currantwick/ctrl"
+	"currantwick/limit"
 	"currantwick/tally"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// maxTries bounds how often one request is handed to an owner.
+	// maxTries bounds how often one request may reach an endpoint.
 	maxTries = 16
-	// pause is the wait before a pool without a usable endpoint is tried
-	// again.
-	pause = 50 * time.Millisecond
+	// minPause and maxPause bound the wait before a pool without a usable
+	// endpoint is tried again.
+	minPause = 20 * time.Millisecond
+	maxPause = 500 * time.Millisecond
 	// prefixBytes is how much of a prompt counts as its start.
 	prefixBytes = 256
 	// maxRequestBytes leaves room for the suffix of a try in a request's id.
@@ -45,6 +48,8 @@
 	Quiet time.Duration
 	// Retries bounds retries to a share of the requests.
 	Retries wick.RetryBudget
+	// Hedge sets up the hedger of each pool.
+	Hedge limit.HedgeConfig
 	// Seen takes a note of each completion.
 	Seen func(wick.PoolName, wick.Ref)
 	// Note counts what happens.
@@ -56,6 +61,8 @@
 	cfg  Config
 	load tally.Counts
 	turn atomic.Uint64
+	// hedgers holds a *tally.Hedges for each wick.PoolName.
+	hedgers sync.Map
 }
 
 var _ wick.Front = (*Relay)(nil)
@@ -124,23 +131,31 @@
 func (r *Relay) drive(ctx context.Context, t *task) *wick.Error {
 	r.cfg.Retries.Earn()
 	last := wick.NotRunf(wick.CodeNoEndpoint, "no endpoint of pool %s can take the request now", t.resolved.Pool.Name)
+	wait := minPause
 	for tries := 0; tries < maxTries && !t.expired(); {
 		target, ok := r.pick(t)
 		if !ok {
 			t.avoid = t.avoid[:0]
-			if !sleep(ctx, pause) {
+			if !sleep(ctx, wait/2+rand.N(wait)) {
 				return canceled(last)
 			}
+			wait = min(2*wait, maxPause)
 			continue
 		}
-		tries++
-		last = r.try(ctx, t, target)
-		if last == nil || !t.mayRepeat(last) || ctx.Err() != nil {
-			return last
+		fail := r.attempt(ctx, t, target)
+		if fail == nil {
+			return nil
 		}
-		if t.costs(last) && !r.cfg.Retries.Spend() {
+		last = t.note(fail)
+		if !t.mayRepeat(last) || ctx.Err() != nil {
 			return last
 		}
+		if costs(last) {
+			tries++
+			if !r.cfg.Retries.Spend() {
+				return last
+			}
+		}
 		t.avoid = append(t.avoid, target.Endpoint)
 	}
 	return last
@@ -163,29 +178,27 @@
 }
 
 // try hands the task to the owner of one endpoint and passes its frames on.
-func (r *Relay) try(ctx context.Context, t *task, target wick.Target) *wick.Error {
+func (r *Relay) try(ctx context.Context, t *task, l *lane) *wick.Error {
 	r.cfg.Note.Try()
+	target := l.target
 	r.load.Start(target.Index, t.cost)
 	defer r.load.Done(target.Index, t.cost)
-	sub := t.submission(target, r.cfg.Snapshot().View.Number)
-	if t.haveTokens > 0 {
-		r.cfg.Note.Resume()
-	}
+	sub := t.submission(l, r.cfg.Snapshot().View.Number)
+	take := func(f wick.Frame) error { return t.take(l, f) }
 	if target.Owner == r.cfg.Self {
-		err := r.cfg.Local.HandleSubmit(ctx, r.cfg.Self, sub, t.take)
-		return t.finish(err)
+		return t.failure(r.cfg.Local.HandleSubmit(ctx, r.cfg.Self, sub, take))
 	}
 	s, err := r.cfg.Peers.Submit(ctx, target.Peer, sub)
 	if err != nil {
-		return t.finish(err)
+		return t.failure(err)
 	}
 	defer func() { _ = s.Close() }()
-	return t.finish(r.pump(ctx, t, s))
+	return t.failure(r.pump(ctx, s, take))
 }
 
 // pump passes frames on until the end. It judges the owner by what arrives,
 // not by the connection being open.
-func (r *Relay) pump(ctx context.Context, t *task, s wick.Stream) error {
+func (r *Relay) pump(ctx context.Context, s wick.Stream, take func(wick.Frame) error) error {
 	for {
 		next, cancel := context.WithTimeout(ctx, r.cfg.Quiet)
 		f, err := s.Next(next)
@@ -196,8 +209,8 @@
 		if f.Kind == wick.FrameFail {
 			return f.Fail
 		}
-		if err := t.take(f); err != nil {
-			return err
+		if err := take(f); err != nil {
+			return fmt.Errorf("take frame: %w", err)
 		}
 		if f.Kind == wick.FrameEnd {
 			return nil
--- a/relay/task.go
+++ b/relay/task.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 
 	"currantwick"
@@ -29,11 +31,16 @@
 	prefix wick.Fingerprint
 	cost   wick.Cost
 	avoid  []wick.EndpointName
-	// attempt is the id of the newest try.
-	attempt wick.RequestID
-
 	// suspect tells that an endpoint crashed under the task.
 	suspect bool
+	// overloads counts the refusals for overload.
+	overloads int
+
+	// mu guards what follows, which the lanes of a hedged try share.
+	mu sync.Mutex
+	// lanes are the tries under way, winner the one of them that answers.
+	lanes  []*lane
+	winner *lane
 	// begun tells that FrameStart was passed on.
 	begun bool
 	// everUnknown tells that an endpoint may have run one of the tries, so
@@ -52,6 +59,10 @@
 	promptCost wick.Cost = 0.0002
 	answerCost wick.Cost = 0.02
 	callCost   wick.Cost = 0.02
+	// hedgeCost bounds the work that may be hedged.
+	hedgeCost wick.Cost = 2
+	// maxOverloads is how many endpoints may refuse a task for overload.
+	maxOverloads = 2
 )
 
 func newTask(ask wick.Ask, resolved config.Resolved, offset wick.Offset) *task {
@@ -114,14 +125,50 @@
 	return nil
 }
 
-// submission returns the next try as its owner gets it. Each try has an id of
-// its own, so that frames of an older one are never taken for it.
-func (t *task) submission(target wick.Target, view wick.ViewNumber) wick.Submission {
-	t.attempt = wick.RequestID(fmt.Sprintf("%s.%x", t.ask.Request, rand.Uint64()))
+// lane is one try of a task. Each has an id of its own, so that frames of an
+// older one are never taken for it.
+type lane struct {
+	id wick.RequestID
+	// cancel ends the try.
+	cancel context.CancelFunc
+	target wick.Target
+}
+
+// open adds a lane to the task.
+func (t *task) open(target wick.Target, cancel context.CancelFunc) *lane {
+	l := &lane{
+		id:     wick.RequestID(fmt.Sprintf("%s.%x", t.ask.Request, rand.Uint64())),
+		cancel: cancel,
+		target: target,
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lanes = append(t.lanes, l)
+	return l
+}
+
+// restart forgets the lanes of an earlier try.
+func (t *task) restart() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lanes, t.winner = nil, nil
+}
+
+// answering reports whether a lane has begun to answer.
+func (t *task) answering() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.winner != nil
+}
+
+// submission returns a try as its owner gets it.
+func (t *task) submission(l *lane, view wick.ViewNumber) wick.Submission {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	sub := wick.Submission{
-		Request:   t.attempt,
+		Request:   l.id,
 		Route:     t.ask.Route,
-		Endpoint:  target.Endpoint,
+		Endpoint:  l.target.Endpoint,
 		View:      view,
 		Config:    t.offset,
 		Level:     t.resolved.Priority.Level,
@@ -139,12 +186,32 @@
 	return sub
 }
 
-// take passes one frame of the newest try on to the caller. It refuses frames
-// of other requests, and gaps and repeats in the text.
-func (t *task) take(f wick.Frame) error {
-	if f.Request != t.attempt {
+// errLost ends a lane when another one answers.
+var errLost = errors.New("another try answers")
+
+// wins makes the lane the one that answers, and ends the others. It reports
+// whether the lane answers. The caller holds the lock.
+func (t *task) wins(l *lane) bool {
+	if t.winner != nil {
+		return t.winner == l
+	}
+	t.winner = l
+	for _, other := range t.lanes {
+		if other != l {
+			other.cancel()
+		}
+	}
+	return true
+}
+
+// take passes one frame of a lane on to the caller. It refuses frames of other
+// requests, and gaps and repeats in the text.
+func (t *task) take(l *lane, f wick.Frame) error {
+	if f.Request != l.id {
 		return wick.Unknownf(wick.CodeMismatch, "frame of request %s", f.Request)
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	f.Request = t.ask.Request
 	switch f.Kind {
 	case wick.FrameStart:
@@ -153,20 +220,31 @@
 		}
 		t.begun = true
 	case wick.FrameText:
-		if f.Index != t.haveTokens {
-			return wick.Unknownf(wick.CodeBroken, "text at token %d, want %d", f.Index, t.haveTokens)
-		}
-		if t.haveTokens == 0 {
-			t.firstAfter = time.Since(t.started)
+		if !t.wins(l) {
+			return errLost
 		}
-		t.haveTokens += f.Count
-		t.have.WriteString(f.Text)
+		return t.takeText(f)
 	case wick.FrameEnd:
+		if !t.wins(l) {
+			return errLost
+		}
 		return t.takeEnd(f)
 	}
 	return t.pass(f)
 }
 
+func (t *task) takeText(f wick.Frame) error {
+	if f.Index != t.haveTokens {
+		return wick.Unknownf(wick.CodeBroken, "text at token %d, want %d", f.Index, t.haveTokens)
+	}
+	if t.haveTokens == 0 {
+		t.firstAfter = time.Since(t.started)
+	}
+	t.haveTokens += f.Count
+	t.have.WriteString(f.Text)
+	return t.pass(f)
+}
+
 func (t *task) takeEnd(f wick.Frame) error {
 	if t.work != nil {
 		if f.Count != t.haveTokens {
@@ -190,10 +268,29 @@
 	return nil
 }
 
-// finish judges how a try ended.
-func (t *task) finish(err error) *wick.Error {
-	fail := t.failure(err)
-	if fail == nil || fail.Outcome != wick.Unknown {
+// failure says how a try ended; nil for a whole answer.
+func (t *task) failure(err error) *wick.Error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case errors.Is(err, errCaller):
+		return wick.Unknownf(wick.CodeCanceled, "caller went away")
+	case errors.Is(err, errLost):
+		return wick.Unknownf(wick.CodeCanceled, "another try answers")
+	case err != nil:
+		return wick.AsError(err)
+	case t.end == nil:
+		return wick.Unknownf(wick.CodeBroken, "answer without an end")
+	}
+	return nil
+}
+
+// note takes in the failure of a try, and returns it as it holds for the task.
+func (t *task) note(fail *wick.Error) *wick.Error {
+	if fail.Code == wick.CodeOverload {
+		t.overloads++
+	}
+	if fail.Outcome != wick.Unknown {
 		return fail
 	}
 	t.everUnknown = true
@@ -207,19 +304,6 @@
 	return fail
 }
 
-func (t *task) failure(err error) *wick.Error {
-	if errors.Is(err, errCaller) {
-		return wick.Unknownf(wick.CodeCanceled, "caller went away")
-	}
-	if err != nil {
-		return wick.AsError(err)
-	}
-	if t.end == nil {
-		return wick.Unknownf(wick.CodeBroken, "answer without an end")
-	}
-	return nil
-}
-
 // verdict returns a failure as it holds for the task as a whole.
 func (t *task) verdict(fail *wick.Error) *wick.Error {
 	if fail.Outcome != wick.NotRun || !t.everUnknown {
@@ -234,8 +318,10 @@
 func (t *task) mayRepeat(fail *wick.Error) bool {
 	switch fail.Code {
 	case wick.CodeCanceled, wick.CodeKilled, wick.CodeClaimed, wick.CodeClaimsDown,
-		wick.CodeBadRequest, wick.CodeOverload:
+		wick.CodeBadRequest:
 		return false
+	case wick.CodeOverload:
+		return t.overloads < maxOverloads
 	}
 	if fail.Outcome == wick.NotRun {
 		return true
@@ -243,9 +329,17 @@
 	return fail.Outcome == wick.Unknown && !t.resolved.Route.NonIdempotent
 }
 
-// costs reports whether trying again puts load on endpoints a second time. A
-// try that did not run only moves.
-func (t *task) costs(fail *wick.Error) bool { return fail.Outcome != wick.NotRun }
+// costs reports whether trying again puts load on endpoints a second time, or
+// on ones that may be overloaded too. Any other try that did not run only moves.
+func costs(fail *wick.Error) bool {
+	return fail.Outcome != wick.NotRun || fail.Code == wick.CodeOverload
+}
+
+// short reports whether the task may be hedged: it is idempotent and cheap, and
+// nothing of its answer was passed on.
+func (t *task) short() bool {
+	return !t.resolved.Route.NonIdempotent && t.cost <= hedgeCost && !t.suspect && t.haveTokens == 0
+}
 
 // expired reports that the first token or the reply is overdue. Once a stream
 // has begun, it is finished however long that takes.
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -35,6 +35,7 @@
 	whole    prometheus.Histogram
 	tries    prometheus.Counter
 	resumes  prometheus.Counter
+	hedges   prometheus.Counter
 
 	view     prometheus.Gauge
 	members  prometheus.Gauge
@@ -60,6 +61,7 @@
 		whole:    seconds("request_seconds", "Time from a request to the end of its answer."),
 		tries:    counter("tries_total", "Requests handed to owners, retries included."),
 		resumes:  counter("resumes_total", "Streams that went on after a break."),
+		hedges:   counter("hedges_total", "Second tries beside slow first ones."),
 		view:     gauge("view_number", "Number of the adopted view."),
 		members:  gauge("view_members", "Daemons in the adopted view."),
 		acting:   gauge("acting_endpoints", "Endpoints this daemon acts for."),
@@ -69,7 +71,7 @@
 		reads:    counters("log_read_failures_total", "Failed reads of the platform's log.", "stream"),
 		appends:  counters("log_appends_total", "Appends to the platform's log.", "stream", "result"),
 	}
-	cfg.Registry.MustRegister(s.requests, s.first, s.whole, s.tries, s.resumes, s.view,
+	cfg.Registry.MustRegister(s.requests, s.first, s.whole, s.tries, s.resumes, s.hedges, s.view,
 		s.members, s.acting, s.crashes, s.verdicts, s.refused, s.reads, s.appends)
 	return s
 }
@@ -155,6 +157,9 @@
 // Resume implements wick.TrafficNote.
 func (s *Stats) Resume() { s.resumes.Inc() }
 
+// Hedge implements wick.TrafficNote.
+func (s *Stats) Hedge() { s.hedges.Inc() }
+
 // Ended implements wick.TrafficNote.
 func (s *Stats) Ended(code wick.Code, first, whole time.Duration) {
 	s.requests.WithLabelValues(string(code)).Inc()
