Go on where a view changes but the owner does not

A change of view ended and began ownership of every endpoint anew, also where the owner stayed. The takeover then made the schedule blind until all earlier orders had run out, about 1.3 s, and forgot what the engine held.

Ruled out: a look at the open views when the lease comes back. The adoption of each view is noted instead.

An endpoint of the daemon's own is also no longer dropped while it may not act: nothing took it up again in the same view.

--- a/ctrl/owned.go
+++ b/ctrl/owned.go
@@ -15,6 +15,9 @@
 	runs map[wick.RequestID]*Run
 	// acting tells that the daemon may dispatch and give orders.
 	acting bool
+	// kept is the newest view up to which nobody but the daemon has owned the
+	// endpoint since it acted last; 0 if there is none.
+	kept wick.ViewNumber
 }
 
 // digest describes the endpoint to routers.
@@ -23,17 +26,20 @@
 // idle reports whether the endpoint can be forgotten.
 func (o *owned) idle() bool { return !o.acting && len(o.runs) == 0 }
 
+// mine reports whether the daemon owns an endpoint in the newest view, even
+// while it may not act.
+func (s *state) mine(name wick.EndpointName) bool {
+	m, ok := s.keeper.Owner(lease.EndpointKey(name))
+	_, known := s.known[name]
+	return known && ok && m.Host == s.cfg.Lease.Self.Host
+}
+
 // own starts to keep the state of endpoints that the daemon now owns.
 func (s *state) own(now wick.Instant) {
 	for name, end := range s.known {
-		if s.owned[name] != nil {
-			continue
-		}
-		m, ok := s.keeper.Owner(lease.EndpointKey(name))
-		if !ok || m.Host != s.cfg.Lease.Self.Host {
-			continue
+		if s.owned[name] == nil && s.mine(name) {
+			s.settleOwner(now, s.adopt(end))
 		}
-		s.settleOwner(now, s.adopt(end))
 	}
 }
 
@@ -68,12 +74,34 @@
 		s.perform(now, o, o.sched.Release(now))
 		return
 	}
-	s.perform(now, o, o.sched.Takeover(now, s.keeper.View().Number))
+	s.perform(now, o, s.takeUp(now, o))
 	if s.hosts[o.end.Host] {
 		s.perform(now, o, o.sched.Drain(now))
 	}
 }
 
+// takeUp makes an endpoint's schedule act in the newest view. It goes on where
+// it was if nobody else can have owned the endpoint since it acted last.
+func (s *state) takeUp(now wick.Instant, o *owned) []sched.Action {
+	view := s.keeper.View().Number
+	last := o.kept
+	o.kept = view
+	if last == view {
+		return o.sched.Continue(now, view)
+	}
+	return o.sched.Takeover(now, view)
+}
+
+// keep notes that a view was adopted. It must see each of them, since the
+// earlier ones are forgotten soon.
+func (s *state) keep(o *owned, view wick.ViewNumber) {
+	if o.kept != 0 && s.keeper.Kept(lease.EndpointKey(o.end.Name), o.kept) {
+		o.kept = view
+		return
+	}
+	o.kept = 0
+}
+
 // perform carries out what an endpoint's schedule decided.
 func (s *state) perform(now wick.Instant, o *owned, actions []sched.Action) {
 	for len(actions) > 0 {
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -141,7 +141,7 @@
 		s.settleOwner(now, o)
 		s.routes.Digest(o.digest(now))
 		s.moved = true
-		if o.idle() {
+		if o.idle() && !s.mine(name) {
 			delete(s.owned, name)
 		}
 	}
--- a/ctrl/views.go
+++ b/ctrl/views.go
@@ -41,6 +41,7 @@
 		s.settleRoute(name)
 	}
 	for _, o := range s.owned {
+		s.keep(o, c.New.Number)
 		s.settleOwner(now, o)
 	}
 	s.own(now)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -12,6 +12,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"currantwick"
@@ -268,6 +269,23 @@
 	return until, true
 }
 
+// Kept reports whether self has been the only owner of key in every view from
+// the one numbered since up to the newest, so that what it knew of key still
+// holds. It reports false where an earlier view is not known any more.
+func (k *Keeper) Kept(key Key, since wick.ViewNumber) bool {
+	seen := false
+	for _, v := range append(slices.Clip(k.log.state.Open), k.View()) {
+		if v.Number < since {
+			continue
+		}
+		seen = seen || v.Number == since
+		if m, ok := Owner(v, key); !ok || idOf(m) != k.self {
+			return false
+		}
+	}
+	return seen
+}
+
 // Ready returns the instant from which self may act on key as far as earlier
 // owners go, if that is known.
 func (k *Keeper) Ready(key Key) (at wick.Instant, ok bool) {
--- a/sched/report.go
+++ b/sched/report.go
@@ -169,6 +169,15 @@
 	return e.step(now, nil)
 }
 
+// Continue takes ownership up again after a Release, in view v, where nobody
+// else can have owned the endpoint in between: what was known of its engine
+// still holds.
+func (e *Endpoint) Continue(now wick.Instant, v wick.ViewNumber) []Action {
+	e.view = v
+	e.owner = true
+	return e.step(now, nil)
+}
+
 // Release gives up ownership. The requests that wait are refused, so that
 // their entries hand them to the new owner; those in flight run on.
 func (e *Endpoint) Release(now wick.Instant) []Action {
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -336,3 +336,36 @@
 		})
 	}
 }
+
+// TestContinue compares taking up again with a takeover: an adapter that was
+// ready serves at once, and what was in flight is still counted.
+func TestContinue(t *testing.T) {
+	tests := []struct {
+		name string
+		take func(*Endpoint) []Action
+		want string
+	}{
+		{"continue", func(e *Endpoint) []Action { return e.Continue(4*sec, 8) }, "run:y"},
+		{"takeover", func(e *Endpoint) []Action { return e.Takeover(4*sec, 8) }, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := owned(t, 2, 2)
+			e.Report(2*sec, 2*sec, wick.Report{Boot: "b", Resident: []wick.Resident{{Ref: ref(1)}}})
+			if got := show(e.Submit(2*sec, work("x", 1, 10))); got != "run:x" {
+				t.Fatalf("got %q", got)
+			}
+			e.Release(3 * sec)
+			if got := show(e.Submit(3*sec, work("y", 1, 10))); got != "refuse:y:NotOwner" {
+				t.Errorf("while released: got %q", got)
+			}
+			tt.take(e)
+			if got := show(e.Submit(4*sec, work("y", 1, 10))); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+			if tt.want != "" && show(e.Submit(4*sec, work("z", 1, 10))) != "" {
+				t.Error("dispatched beyond the batch")
+			}
+		})
+	}
+}
