--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -171,7 +171,7 @@
 		s.lookPace(now, o)
 		s.routes.Digest(s.digest(now, o))
 		s.moved = true
-		if o.idle() {
+		if o.idle() && !s.mine(name) {
 			delete(s.owned, name)
 		}
 	}
--- a/ctrl/views.go
+++ b/ctrl/views.go
@@ -39,6 +39,7 @@
 	s.cfg.Note.View(c.New)
 	s.routes.View(c.New, ownerOf)
 	for _, o := range s.owned {
+		s.keep(o, c.New.Number)
 		s.settleOwner(now, o)
 	}
 	s.own(now)
