Keep the audit trail whole

The first member of the view wrote each verdict once and forgot it, so that an append that failed left a gap. Each daemon now reads the trail and keeps its verdicts until they show there; members write what does not show, the first at once, each next one a second later, and again after 5 s. Readers know a verdict by the offset of its change and pass over a second copy.

TestAuditTrailIsWhole cuts the first member off from the log; before, it printed "not within 20s: each verdict on the trail".

A read that found nothing new ended in an error rather than an empty list, since the bound on it and the wait it asked for were both 10 s; a quiet log then never showed that the configuration is current. The wait is now a third of Stale, at most 5 s.

--- a/arch_test.go
+++ b/arch_test.go
@@ -13,7 +13,7 @@
 )
 
 // decisions are the packages that must stay pure.
-var decisions = []string{".", "config", "lease", "claim", "route", "place", "sched", "limit", "eject", "crash", "evict"}
+var decisions = []string{".", "config", "audit", "lease", "claim", "route", "place", "sched", "limit", "eject", "crash", "evict"}
 
 // pure lists what decision packages may import beside the project's own.
 var pure = []string{
--- a/boot/boot.go
+++ b/boot/boot.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"fmt"
 	"log/slog"
+	"time"
 
 	"currantwick"
 	"currantwick/certs"
@@ -30,6 +31,9 @@
 // retention.
 const checkpointParts = 4
 
+// maxWait bounds how long a read of the log waits for a new record.
+const maxWait = wick.Duration(5 * time.Second)
+
 // Config says what to build a daemon from.
 type Config struct {
 	Settings setup.Settings
@@ -52,7 +56,7 @@
 		BodyBytes: s.Limits.BodyBytes,
 		Keys:      cfg.Keys,
 		HostOf:    certs.HostOf,
-		Log:       plog.New(plog.Config{Address: s.Log.Address, HTTP: httpc.Config{Quiet: s.Log.Timeout}}),
+		Log:       platformLog(s),
 		Hosts:     hostList(s.Hosts),
 		Engine:    engine.New(engine.Config{HTTP: ends}),
 		Services:  plain.New(plain.Config{HTTP: ends}),
@@ -74,6 +78,16 @@
 	return n, nil
 }
 
+// platformLog returns the log. A read that finds nothing new returns well
+// before the configuration counts as stale, since it shows that it is not.
+func platformLog(s setup.Settings) wick.Log {
+	return plog.New(plog.Config{
+		Address: s.Log.Address,
+		Wait:    min(s.Stale/3, maxWait),
+		HTTP:    httpc.Config{Quiet: s.Log.Timeout},
+	})
+}
+
 func hostList(h setup.Hosts) wick.Hosts {
 	if h.Address == "" {
 		return nil
@@ -124,4 +138,3 @@
 	}
 	return out
 }
-
--- a/cmd/currantwick/force_test.go
+++ b/cmd/currantwick/force_test.go
@@ -201,6 +201,24 @@
 	c.ready()
 }
 
+// TestAuditTrailIsWhole cuts the daemon that writes the audit trail off from
+// the log while others publish.
+func TestAuditTrailIsWhole(t *testing.T) {
+	const changes = 5
+	c := newCluster(t, 3)
+	c.ready()
+	c.log(fault.Cut, "h1")
+	for i := range changes {
+		at := c.context(c.daemons[1], wick.ChangeID(fmt.Sprintf("change-%d", i)), wick.Tokens(i+1))
+		c.awaitOffset(at, c.daemons...)
+	}
+	c.log(fault.Pass, "h1")
+	c.await("each verdict on the trail", func() bool {
+		got := c.must("audit")
+		return strings.Count(got, "\n") == changes
+	})
+}
+
 // TestReloadOfKeys replaces the authority under running daemons, and checks
 // that they go on as one view.
 func TestReloadOfKeys(t *testing.T) {
--- a/ctrl/conf.go
+++ b/ctrl/conf.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"currantwick"
 	"currantwick/config"
@@ -38,23 +39,30 @@
 }
 
 // judged passes a verdict on to whoever waits for it, and to the audit trail.
-func (s *state) judged(_ wick.Instant, v wick.Verdict) {
+func (s *state) judged(now wick.Instant, v wick.Verdict) {
 	s.cfg.Note.Verdict(v)
 	if reply, ok := s.awaited[v.Change]; ok {
 		delete(s.awaited, v.Change)
 		reply <- v
 	}
-	if s.audits() {
+	s.trail.Judged(now, v)
+	s.audit(now)
+}
+
+// audit writes the verdicts to the audit trail that are this daemon's turn.
+func (s *state) audit(now wick.Instant) {
+	for _, v := range s.trail.Due(now, s.rank()) {
 		s.out.Append(wick.AuditStream, wick.Record{Verdict: &v})
 	}
 }
 
-// audits reports whether this daemon writes the audit trail: the first member
-// of the view does. During a change of view two may, so readers pass over a
-// verdict they have seen.
-func (s *state) audits() bool {
-	members := s.keeper.View().Members
-	return len(members) > 0 && members[0].Host == s.cfg.Lease.Self.Host
+// rank returns the daemon's place among the members of the view, from 0, or -1
+// if it is no member.
+func (s *state) rank() int {
+	self := s.cfg.Lease.Self
+	return slices.IndexFunc(s.keeper.View().Members, func(m wick.Member) bool {
+		return m.Host == self.Host && m.Incarnation == self.Incarnation
+	})
 }
 
 // settleConfig brings endpoints in line with the configuration.
@@ -141,12 +149,12 @@
 func (e Forgotten) apply(s *state, _ wick.Instant) { delete(s.awaited, e.Change) }
 
 // checkpoint writes the configuration to the log again, well before the log
-// drops the records it was made from. The writer of the audit trail does it.
+// drops the records it was made from. The first member of the view does it.
 func (s *state) checkpoint(now wick.Instant) {
 	if m := s.conf.Newest(); m != s.mark {
 		s.mark, s.markedAt = m, now
 	}
-	if !s.audits() || s.conf.Offset() <= s.mark.AsOf || now.Sub(s.markedAt) < s.cfg.Checkpoint {
+	if s.rank() != 0 || s.conf.Offset() <= s.mark.AsOf || now.Sub(s.markedAt) < s.cfg.Checkpoint {
 		return
 	}
 	s.markedAt = now
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/audit"
 	"currantwick/claim"
 	"currantwick/config"
 	"currantwick/lease"
@@ -55,6 +56,7 @@
 	gate   *gate
 	keeper *lease.Keeper
 	conf   *config.State
+	trail  *audit.Trail
 	book   *claim.Book
 	routes *route.Builder
 
@@ -107,6 +109,7 @@
 		gate:     g,
 		keeper:   lease.New(cfg.Lease),
 		conf:     config.New(),
+		trail:    audit.New(audit.Config{}),
 		book:     claim.New(cfg.Claim),
 		routes:   routes,
 		owned:    make(map[wick.EndpointName]*owned),
@@ -146,6 +149,7 @@
 		}
 	}
 	s.unpark(now)
+	s.audit(now)
 	s.checkpoint(now)
 	if s.loadsLook(now) {
 		s.moved = true
--- a/ctrl/views.go
+++ b/ctrl/views.go
@@ -87,6 +87,8 @@
 		for _, entry := range e.List {
 			s.lease(now, s.keeper.OnEntry(now, entry))
 		}
+	case wick.AuditStream:
+		s.trail.Read(e.List, e.More)
 	case wick.ClaimStream:
 		for _, entry := range e.List {
 			s.claims(now, s.book.OnEntry(now, entry))
--- a/node/node.go
+++ b/node/node.go
@@ -194,7 +194,7 @@
 	group.Go(func() error { return n.thread.Run(work, n.out) })
 	group.Go(func() error { return n.peers.Run(work) })
 	group.Go(func() error { return n.entry.Run(front) })
-	for _, stream := range []wick.StreamName{wick.ConfigStream, wick.ViewStream, wick.ClaimStream} {
+	for _, stream := range []wick.StreamName{wick.ConfigStream, wick.ViewStream, wick.ClaimStream, wick.AuditStream} {
 		group.Go(func() error { return n.read(work, stream) })
 	}
 	group.Go(func() error { return n.list(work) })
