--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -14,10 +15,12 @@
 	"currantwick"
 	"currantwick/claim"
 	"currantwick/ctrl"
+	"currantwick/eject"
 	"currantwick/entry"
 	"currantwick/lease"
 	"currantwick/owner"
 	"currantwick/peer"
+	"currantwick/place"
 	"currantwick/relay"
 	"currantwick/route"
 
@@ -46,6 +49,9 @@
 	// Self is this daemon; its addresses may have port 0, and its incarnation
 	// is drawn by New.
 	Self wick.Member
+	// Listen is where other daemons come in if they are told another address;
+	// empty for Self.Peer.
+	Listen wick.Address
 	// EntryTLS is nil where callers come in plain HTTP.
 	EntryTLS  *tls.Config
 	BodyBytes wick.Bytes
@@ -61,6 +67,8 @@
 	Lease  lease.Config
 	Claim  claim.Config
 	Route  route.Config
+	Eject  eject.Config
+	Place  place.Config
 	Policy ctrl.Policy
 	// Retries bounds retries to a share of the requests.
 	Retries wick.RetryBudget
@@ -111,7 +119,7 @@
 	n.client = peer.NewClient(peer.ClientConfig{TLS: cfg.Keys.PeerClient, Quiet: peerQuiet})
 	var err error
 	n.peers, err = peer.Listen(peer.ServerConfig{
-		Address: cfg.Self.Peer,
+		Address: cmp.Or(cfg.Listen, cfg.Self.Peer),
 		TLS:     cfg.Keys.PeerServer(),
 		HostOf:  cfg.HostOf,
 		Quiet:   peerQuiet,
@@ -129,7 +137,10 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("entry side: %w", err), n.peers.Close())
 	}
-	n.cfg.Self.Peer, n.cfg.Self.Entry = n.peers.Address(), n.entry.Address()
+	n.cfg.Self.Entry = n.entry.Address()
+	if cfg.Listen == "" {
+		n.cfg.Self.Peer = n.peers.Address()
+	}
 	if n.cfg.Self.Incarnation, err = drawIncarnation(); err != nil {
 		return nil, errors.Join(err, n.peers.Close(), n.entry.Close())
 	}
@@ -148,6 +159,7 @@
 		Peers:    n.client,
 		Quiet:    peerQuiet,
 		Retries:  n.cfg.Retries,
+		Seen:     n.seen,
 		Note:     n.cfg.Traffic,
 	})
 	var err error
@@ -157,6 +169,8 @@
 		Claim:      n.cfg.Claim,
 		Route:      n.cfg.Route,
 		Policy:     n.cfg.Policy,
+		Eject:      n.cfg.Eject,
+		Place:      n.cfg.Place,
 		InFlight:   n.relay.InFlight(),
 		Stale:      n.cfg.Times.Stale,
 		Checkpoint: n.cfg.Times.Checkpoint,
