--- a/verbs/serve.go
+++ b/verbs/serve.go
@@ -9,10 +9,12 @@
 	"os/signal"
 	"syscall"
 
+	"currantwick"
 	"currantwick/boot"
 	"currantwick/certs"
 	"currantwick/codec"
 	"currantwick/setup"
+	"currantwick/stats"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -78,6 +80,11 @@
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
+	stats.Watch(registry, stats.Watched{
+		Ready:   n.Ready,
+		Config:  func() wick.Offset { return n.Snapshot().Offset },
+		Expires: keys.Expires,
+	})
 	operators, err := doors.operators(settings, n, registry)
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
