--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -180,7 +180,7 @@
 	}
 	s.unpark(now)
 	s.audit(now)
-	s.book.SetWriter(s.rank() == 0)
+	s.book.SetWriter(s.ownsClaims())
 	s.checkpoint(now)
 	s.lookLoads(now)
 	s.plan(now)
