--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/audit"
 	"currantwick/claim"
 	"currantwick/config"
 	"currantwick/crash"
@@ -62,6 +63,7 @@
 	gate   *gate
 	keeper *lease.Keeper
 	conf   *config.State
+	trail  *audit.Trail
 	book   *claim.Book
 	routes *route.Builder
 
@@ -132,6 +134,7 @@
 		gate:     g,
 		keeper:   lease.New(cfg.Lease),
 		conf:     config.New(),
+		trail:    audit.New(audit.Config{}),
 		book:     claim.New(cfg.Claim),
 		routes:   routes,
 		owned:    make(map[wick.EndpointName]*owned),
@@ -176,6 +179,7 @@
 		}
 	}
 	s.unpark(now)
+	s.audit(now)
 	s.book.SetWriter(s.ownsClaims())
 	s.checkpoint(now)
 	s.lookLoads(now)
