--- a/cmd/wickload/main.go
+++ b/cmd/wickload/main.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"currantwick"
 	"currantwick/loads"
 	"currantwick/setup"
 )
@@ -35,6 +36,7 @@
 	variants string
 	json     string
 	bound    time.Duration
+	entries  string
 }
 
 func run(ctx context.Context, args []string) error {
@@ -47,6 +49,8 @@
 		"policies to compare: chosen, baseline, or the names of single policies set to the baseline, joined by +")
 	set.StringVar(&o.json, "json", "", "`file` for the figures of each run")
 	set.DurationVar(&o.bound, "bound", 30*time.Minute, "time after which no more runs are started")
+	set.StringVar(&o.entries, "entries", "",
+		"`addresses` of a running system that has the scene's routes, joined by commas; it gets the load but no faults")
 	if err := set.Parse(args); err != nil {
 		return err
 	}
@@ -85,7 +89,7 @@
 			if time.Until(end) < scene.Length() {
 				return out, errors.New("out of time: some runs are missing")
 			}
-			cfg := loads.Config{Scene: scene, Seed: seed, Policy: v.Policy}
+			cfg := loads.Config{Scene: scene, Seed: seed, Policy: v.Policy, Entries: addresses(o.entries)}
 			result, err := loads.Run(ctx, cfg)
 			if err != nil {
 				return out, fmt.Errorf("%s, seed %d: %w", v.Name, seed, err)
@@ -97,6 +101,16 @@
 	return out, nil
 }
 
+func addresses(list string) []wick.Address {
+	var out []wick.Address
+	for one := range strings.SplitSeq(list, ",") {
+		if one != "" {
+			out = append(out, wick.Address(one))
+		}
+	}
+	return out
+}
+
 // policy returns the policies of a variant.
 func policy(name string) (setup.Policy, error) {
 	const c, b = setup.Chosen, setup.Baseline
--- a/loads/bench.go
+++ b/loads/bench.go
@@ -236,7 +236,7 @@
 // plus returns the sum of s and t.
 func (s seen) plus(t seen) seen { return s.less(seen{}.less(t)) }
 
-// mostTwice returns how often the most repeated command ran.
+// mostRuns returns how often the most repeated command ran.
 func (b *bench) mostRuns() int {
 	most := 0
 	for _, s := range b.set.Services {
--- a/loads/figure.go
+++ b/loads/figure.go
@@ -31,6 +31,7 @@
 	StraggleLast99  FigureName = "stragglers: short end 99th, ms"
 	StraggleOfCalm  FigureName = "stragglers: that as times the calm one"
 	ShiftShort      FigureName = "after shift and restart: short in time, share"
+	ShiftFirst99    FigureName = "after shift and restart: short first token 99th, ms"
 	InTime          FigureName = "all: first token in time, share"
 	RefusedShare    FigureName = "all: refused as not run, share"
 	FailedCount     FigureName = "all: failed or broken off"
@@ -199,6 +200,7 @@
 		{StraggleLast99, straggle99},
 		{StraggleOfCalm, ratio(straggle99, millis(calm.last, 99))},
 		{ShiftShort, shift.share(shift.inTime)},
+		{ShiftFirst99, millis(shift.first, 99)},
 		{InTime, t.all.share(t.all.inTime)},
 		{RefusedShare, t.all.share(t.endings[Refused])},
 		{FailedCount, float64(t.endings[Failed])},
--- a/loads/run.go
+++ b/loads/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"currantwick"
 	"currantwick/setup"
 
 	"golang.org/x/sync/errgroup"
@@ -17,6 +18,36 @@
 	Seed  uint64
 	// Policy names the policies in the daemons' settings.
 	Policy setup.Policy
+	// Entries are where callers reach a system that runs already, with the
+	// scene's routes in force. It gets the load but no faults, and nothing of
+	// its engines is counted. Where empty, a system is started.
+	Entries []wick.Address
+}
+
+// system is what a load is sent to.
+type system interface {
+	entries() []wick.Address
+	// begin causes the faults of a phase.
+	begin(p Phase)
+	seen() seen
+	mostRuns() int
+	close() error
+}
+
+// remote is a system of other processes.
+type remote []wick.Address
+
+func (r remote) entries() []wick.Address { return r }
+func (r remote) begin(Phase)             {}
+func (r remote) seen() seen              { return seen{} }
+func (r remote) mostRuns() int           { return 0 }
+func (r remote) close() error            { return nil }
+
+func open(ctx context.Context, cfg Config) (system, error) {
+	if len(cfg.Entries) > 0 {
+		return remote(cfg.Entries), nil
+	}
+	return startBench(ctx, cfg.Scene, cfg.Policy)
 }
 
 // Outcome is what one run has shown.
@@ -34,31 +65,32 @@
 	if err := cfg.Scene.Check(); err != nil {
 		return Outcome{}, fmt.Errorf("scene: %w", err)
 	}
-	b, err := startBench(ctx, cfg.Scene, cfg.Policy)
+	sys, err := open(ctx, cfg)
 	if err != nil {
 		return Outcome{}, fmt.Errorf("start: %w", err)
 	}
-	out, err := b.run(ctx, cfg)
+	out, err := load(ctx, cfg, sys)
 	if err != nil {
-		return out, errors.Join(err, b.close())
+		return out, errors.Join(err, sys.close())
 	}
-	out.MostRuns = b.mostRuns()
-	if err := b.close(); err != nil {
+	out.MostRuns = sys.mostRuns()
+	if err := sys.close(); err != nil {
 		return out, fmt.Errorf("stop: %w", err)
 	}
 	return out, nil
 }
 
-func (b *bench) run(ctx context.Context, cfg Config) (Outcome, error) {
+// load sends the load and waits for all answers.
+func load(ctx context.Context, cfg Config, sys system) (Outcome, error) {
 	trace := Trace(cfg.Scene, cfg.Seed)
 	out := Outcome{Answers: make([]Answer, len(trace))}
-	c := newCaller(cfg.Scene, b.entries(), fmt.Sprintf("seed-%d", cfg.Seed))
+	c := newCaller(cfg.Scene, sys.entries(), fmt.Sprintf("seed-%d", cfg.Seed))
 	watch := watchMachine()
 	start := time.Now()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		var err error
-		out.Phases, err = b.phases(ctx, start)
+		out.Phases, err = phases(ctx, cfg.Scene, sys, start)
 		return err
 	})
 	group.Go(func() error {
@@ -82,21 +114,21 @@
 
 // phases causes the faults of each phase in its time and returns what the
 // engines counted meanwhile.
-func (b *bench) phases(ctx context.Context, start time.Time) ([]seen, error) {
+func phases(ctx context.Context, s Scene, sys system, start time.Time) ([]seen, error) {
 	var out []seen
 	at := start
-	last := b.seen()
-	for _, p := range b.scene.Phases {
-		b.begin(p)
+	last := sys.seen()
+	for _, p := range s.Phases {
+		sys.begin(p)
 		at = at.Add(p.For.Std())
 		if !sleepUntil(ctx, at) {
 			return out, ctx.Err()
 		}
-		now := b.seen()
+		now := sys.seen()
 		out = append(out, now.less(last))
 		last = now
 	}
-	b.begin(Phase{})
+	sys.begin(Phase{})
 	return out, nil
 }
 
