Weigh a load by the store's time, and simulate a pool under each router

A load costs its own quarter second and the place in the store's queue that another one loses.

Tried and left out: sending cold adapters to the first home with a free slot.

--- a/route/build.go
+++ b/route/build.go
@@ -34,7 +34,7 @@
 	defaultBound       = 1.25
 	defaultSlack       = wick.Cost(0.5)
 	defaultRunningCost = wick.Cost(1)
-	defaultLoadCost    = wick.Cost(1)
+	defaultLoadCost    = wick.Cost(4)
 	defaultPrefixGain  = wick.Cost(0.1)
 	defaultProbes      = 0.02
 )
--- /dev/null
+++ b/route/site_test.go
@@ -0,0 +1,227 @@
+package route
+
+import (
+	"flag"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/tally"
+)
+
+const (
+	simStep    = 25 * time.Millisecond
+	simRunners = 12
+	simEntries = 7
+	simSlots   = 8   // batch slots and adapter slots of a runner
+	simLoads   = 4.0 // loads a second of the store
+	digestGap  = 12  // steps between the digests of a runner
+)
+
+// simLoad is what comes in, and how slow the first runners are.
+type simLoad struct {
+	adapters int
+	mean     float64 // seconds a request runs
+	rate     float64 // requests a second
+	slow     []float64
+}
+
+// simJob is a request in the simulated pool.
+type simJob struct {
+	ref    int
+	cost   wick.Cost
+	at     int // step of arrival
+	ends   int // step of its end, once it runs
+	entry  int
+	target wick.EndpointIndex
+}
+
+// simRunner is an endpoint with a batch, a queue and slots for adapters.
+type simRunner struct {
+	queue, running []simJob
+	used           map[int]int // last use of each adapter it holds
+	loading        int         // adapter that is on its way, -1 none
+	ready          int         // step at which it is there
+	slow           float64
+}
+
+func (r *simRunner) holds(ref int) bool { _, ok := r.used[ref]; return ok }
+
+// step ends, loads and starts what is due, and reports whether it took a load
+// from the store.
+func (r *simRunner) step(now int, mayLoad bool, started func(simJob)) bool {
+	if r.loading >= 0 && now >= r.ready {
+		r.used[r.loading] = now
+		r.loading = -1
+	}
+	r.queue = slices.DeleteFunc(r.queue, func(j simJob) bool {
+		if len(r.running) >= simSlots || !r.holds(j.ref) {
+			return false
+		}
+		r.used[j.ref] = now
+		j.ends = now + int(float64(j.cost)*r.slow/simStep.Seconds())
+		r.running = append(r.running, j)
+		started(j)
+		return true
+	})
+	if r.loading >= 0 || !mayLoad {
+		return false
+	}
+	for _, j := range r.queue {
+		if !r.holds(j.ref) && r.makeRoom() {
+			r.loading, r.ready = j.ref, now+int(250*time.Millisecond/simStep)
+			return true
+		}
+	}
+	return false
+}
+
+// makeRoom evicts the adapter that was used longest ago of those that serve
+// nothing and are waited for by nobody.
+func (r *simRunner) makeRoom() bool {
+	if len(r.used) < simSlots {
+		return true
+	}
+	victim, oldest := -1, math.MaxInt
+	for ref, at := range r.used {
+		busy := func(j simJob) bool { return j.ref == ref }
+		if at < oldest && !slices.ContainsFunc(r.running, busy) && !slices.ContainsFunc(r.queue, busy) {
+			victim, oldest = ref, at
+		}
+	}
+	if victim < 0 {
+		return false
+	}
+	delete(r.used, victim)
+	return true
+}
+
+// simulate plays so many seconds and returns the loads for each request, the
+// part of the batch slots in use, and the waits before the start.
+func simulate(t *testing.T, cfg Config, seed uint64, secs int, l simLoad) (loads, full float64, waits []float64) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	sums := make([]float64, l.adapters)
+	sum := 0.0
+	for i := range sums {
+		sum += 1 / float64(i+1)
+		sums[i] = sum
+	}
+	var runners []*simRunner
+	for i := range simRunners {
+		r := &simRunner{used: make(map[int]int), loading: -1, slow: 1}
+		if i < len(l.slow) {
+			r.slow = l.slow[i]
+		}
+		runners = append(runners, r)
+	}
+	var own [simEntries]tally.Counts
+	var tables [simEntries]*Builder
+	var routers [simEntries]wick.Router
+	for e := range simEntries {
+		tables[e] = build(t, cfg, &own[e], simRunners)
+		routers[e] = tables[e].Publish()
+	}
+	tokens, taken, requests, busy := 0.0, 0, 0, 0
+	for now := range int(float64(secs) / simStep.Seconds()) {
+		for rnd.Float64() < l.rate*simStep.Seconds()/(1+l.rate*simStep.Seconds()) {
+			e := rnd.IntN(simEntries)
+			j := simJob{ref: sort.SearchFloat64s(sums, rnd.Float64()*sum), at: now, entry: e}
+			j.cost = wick.Cost(l.mean * rnd.ExpFloat64())
+			to, _ := routers[e].Pick(&wick.RouteInput{
+				Pool: "p", Ref: ref(j.ref), Cost: j.cost, Random: rnd.Uint64(), Turn: uint64(requests), InFlight: &own[e],
+			})
+			j.target = to.Index
+			own[e].Start(to.Index, j.cost)
+			runners[to.Index].queue = append(runners[to.Index].queue, j)
+			requests++
+		}
+		tokens = min(tokens+simLoads*simStep.Seconds(), 2)
+		for k := range runners {
+			i := (k + now) % simRunners
+			r := runners[i]
+			r.running = slices.DeleteFunc(r.running, func(j simJob) bool {
+				if now < j.ends {
+					return false
+				}
+				own[j.entry].Done(j.target, j.cost)
+				return true
+			})
+			if r.step(now, tokens >= 1, func(j simJob) { waits = append(waits, float64(now-j.at)*simStep.Seconds()) }) {
+				tokens--
+				taken++
+			}
+			busy += len(r.running)
+			if (now+i)%digestGap == 0 {
+				simDigest(r, i, tables[:], routers[:])
+			}
+		}
+	}
+	for _, r := range runners { // Those that still wait count with their wait so far.
+		for _, j := range r.queue {
+			waits = append(waits, float64(secs)-float64(j.at)*simStep.Seconds())
+		}
+	}
+	steps := float64(secs) / simStep.Seconds()
+	return float64(taken) / float64(requests), float64(busy) / steps / simRunners / simSlots, waits
+}
+
+// simDigest tells all entries of a runner.
+func simDigest(r *simRunner, i int, tables []*Builder, routers []wick.Router) {
+	d := wick.Digest{Endpoint: name(i), Running: wick.Slots(len(r.running)), Slow: r.slow}
+	for _, j := range r.queue {
+		d.Queued += j.cost
+	}
+	for ref2 := range r.used {
+		d.Ready = append(d.Ready, ref(ref2))
+	}
+	for e := range tables {
+		tables[e].Digest(d)
+		routers[e] = tables[e].Publish()
+	}
+}
+
+var (
+	simSeeds = flag.Int("seeds", 1, "runs of TestPolicies")
+	simSecs  = flag.Int("secs", 60, "seconds that each run of TestPolicies simulates")
+)
+
+// Affinity lets requests wait less than the baselines do, with many adapters and
+// with few of which some are hot, also beside two slow runners.
+func TestPolicies(t *testing.T) {
+	slow := []float64{1, 4, 1, 1, 1, 1, 1, 4}
+	tests := []struct {
+		name string
+		load simLoad
+	}{
+		{"many adapters", simLoad{3000, 6, 6, nil}},
+		{"many, two slow", simLoad{3000, 6, 6, slow}},
+		{"hot adapters", simLoad{90, 1, 75, nil}},
+		{"hot, two slow", simLoad{90, 1, 50, slow}},
+	}
+	for _, tt := range tests {
+		var mean [3]float64
+		for k, policy := range []wick.RoutePolicy{wick.RouteAffinity, wick.RouteLeastLoaded, wick.RouteRoundRobin} {
+			var loads, full float64
+			var waits []float64
+			for seed := range uint64(*simSeeds) {
+				l, f, w := simulate(t, Config{Policy: policy}, seed, *simSecs, tt.load)
+				loads += l / float64(*simSeeds)
+				full += f / float64(*simSeeds)
+				waits = append(waits, w...)
+			}
+			slices.Sort(waits)
+			for _, w := range waits {
+				mean[k] += w / float64(len(waits))
+			}
+			t.Logf("%-14s %-11s %.3f loads a request, %2.0f%% of slots busy, waits mean %5.2f s, median %5.2f, 99th percentile %6.2f",
+				tt.name, policy, loads, 100*full, mean[k], waits[len(waits)/2], waits[len(waits)*99/100])
+		}
+		if 2*mean[0] >= min(mean[1], mean[2]) {
+			t.Errorf("%s: mean waits %.2f, want the first below half of the others", tt.name, mean)
+		}
+	}
+}
