--- a/setup/setup.go
+++ b/setup/setup.go
@@ -49,6 +49,9 @@
 type Peer struct {
 	// Address is given to other daemons, so it names one IP address.
 	Address wick.Address `json:"Address"`
+	// Listen is where the daemon listens if others reach it at Address
+	// through a translation of addresses; empty for Address itself.
+	Listen wick.Address `json:"Listen,omitempty"`
 }
 
 // Admin is where operators come in.
@@ -79,7 +82,7 @@
 // Log is the platform's log.
 type Log struct {
 	Address wick.Address `json:"Address"`
-	// Retention is how long the log keeps a record; 1 min to 10,000 h.
+	// Retention is how long the log keeps a record; 2 s to 10,000 h.
 	// Checkpoints are written four times within it.
 	Retention wick.Duration `json:"Retention"`
 	// Timeout bounds one append; 50 ms to 1 min.
@@ -110,7 +113,7 @@
 
 // Claim holds the times of claims on commands that run at most once.
 type Claim struct {
-	// Life is how long a key is remembered; 1 min to 10,000 h and no longer
+	// Life is how long a key is remembered; at least 1 s and no longer
 	// than half of Log.Retention.
 	Life wick.Duration `json:"Life"`
 	// Batch is how long steps are gathered into one append; 1 ms to 1 s.
