--- a/lease/owner.go
+++ b/lease/owner.go
@@ -62,7 +62,12 @@
 		r.domains[i] = d
 		r.hosts[i] = xxhash.Sum64String(string(m.Host))
 	}
-	for i, m := range v.Members {
+	return r
+}
+
+// pair computes who vouches for whom.
+func (r *roster) pair() *roster {
+	for i, m := range r.view.Members {
 		r.witnesses[i] = r.witnessesOf(m)
 		for _, w := range r.witnesses[i] {
 			r.wards[w] = append(r.wards[w], i)
@@ -71,6 +76,23 @@
 	return r
 }
 
+// Owner returns the owner of key in a view. Between two views, a key moves only
+// away from a member that left or to one that came.
+func Owner(v wick.View, key Key) (wick.Member, bool) {
+	i := newRoster(v).owner(key)
+	if i < 0 {
+		return wick.Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// Witnesses returns who vouches for a member of a view: other members, of
+// different failure domains first, with the member's own domain last.
+func Witnesses(v wick.View, m wick.Member) []wick.Member {
+	r := newRoster(v)
+	return r.members(r.witnessesOf(m))
+}
+
 // index returns which member the named run is, or -1.
 func (r *roster) index(n id) int {
 	if i := r.seat(n.host); i >= 0 && r.view.Members[i].Incarnation == n.incarnation {
@@ -98,8 +120,7 @@
 	return out
 }
 
-// owner returns the owner of a key, or -1. Between two views, a key moves only
-// away from a member that left or to one that came.
+// owner returns the owner of a key, or -1.
 func (r *roster) owner(key Key) int {
 	sum := key.sum()
 	best, top := -1, uint64(0)
--- a/lease/view.go
+++ b/lease/view.go
@@ -105,7 +105,7 @@
 	enrolled := func(v wick.View) *roster {
 		i := slices.IndexFunc(known, func(r *roster) bool { return r.view.Number == v.Number })
 		if i < 0 {
-			return newRoster(v)
+			return newRoster(v).pair()
 		}
 		return known[i]
 	}
