--- /dev/null
+++ b/proof/bench_test.go
@@ -0,0 +1,506 @@
+package proof
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/certs"
+	"currantwick/codec"
+	"currantwick/fakes"
+	"currantwick/fault"
+	"currantwick/httpc"
+	"currantwick/lease"
+	"currantwick/plog"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	anyPort = wick.Address("127.0.0.1:0")
+	model   = wick.ModelName("urea-7b")
+	// patience bounds every wait for a condition.
+	patience = 20 * time.Second
+	lookEach = 10 * time.Millisecond
+)
+
+// bin is where the programs stand.
+var bin string
+
+// TestMain builds the programs once.
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "proof")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer os.RemoveAll(dir)
+		bin = dir
+		build := exec.Command("go", "build", "-o", dir+"/", "currantwick/cmd/currantwick", "currantwick/cmd/wickfake")
+		build.Dir = ".."
+		if out, err := build.CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
+// process is a program under test. Only the test that started it ends it.
+type process struct {
+	t    *testing.T
+	name string
+	cmd  *exec.Cmd
+	// done closes at its end, after err was set.
+	done chan struct{}
+	err  error
+	mu   sync.Mutex
+	log  bytes.Buffer
+}
+
+// Write implements io.Writer for what the program prints on standard error.
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+func startProcess(t *testing.T, name, program string, args ...string) (*process, *bufio.Reader) {
+	t.Helper()
+	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(bin, program), args...), done: make(chan struct{})}
+	p.cmd.Stderr = p
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.kill)
+	return p, bufio.NewReader(out)
+}
+
+// wait collects the process's end in the background.
+func (p *process) wait() {
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Errorf("signal %s: %v", p.name, err)
+	}
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill() // It may have ended already.
+	<-p.done
+	if p.t.Failed() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.t.Logf("%s printed:\n%s", p.name, p.log.Bytes())
+	}
+}
+
+// ended waits for the process to exit by itself.
+func (p *process) ended(within time.Duration) error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(within):
+		return fmt.Errorf("%s still runs after %v", p.name, within)
+	}
+}
+
+// settings writes a settings file.
+func settings(t *testing.T, v any) string {
+	t.Helper()
+	data, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// startFake starts wickfake and reads its addresses.
+func startFake(t *testing.T, verb string, cfg, ready any) *process {
+	t.Helper()
+	p, out := startProcess(t, "wickfake "+verb, "wickfake", verb, "-settings", settings(t, cfg))
+	line, err := out.ReadBytes('\n')
+	p.wait()
+	if err != nil {
+		t.Fatalf("wickfake %s: %v", verb, err)
+	}
+	if err := json.Unmarshal(line, ready); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// freePort returns an address that nothing listens on now.
+func freePort(t *testing.T, network string) wick.Address {
+	t.Helper()
+	if network == "udp" {
+		c, err := net.ListenPacket(network, string(anyPort))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		return wick.Address(c.LocalAddr().String())
+	}
+	l, err := net.Listen(network, string(anyPort))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return wick.Address(l.Addr().String())
+}
+
+// daemon is one currantwick process.
+type daemon struct {
+	*process
+	host  wick.HostName
+	entry wick.Address
+}
+
+// sizes says how large a bench is.
+type sizes struct {
+	daemons, engines, services int
+	adapters                   int
+	engine                     fakes.EngineConfig
+	store                      fakes.StoreConfig
+	hostLag                    wick.Duration
+}
+
+// bench is a whole system of processes. The daemons reach engines, services,
+// log, host list and each other through the proxy only.
+type bench struct {
+	t       *testing.T
+	sizes   sizes
+	fakes   fakes.Addresses
+	proxy   fault.Addresses
+	daemons []*daemon
+	http    *httpc.Client
+	log     *plog.Client
+	objects wick.Objects
+	changes int
+}
+
+func defaultSizes() sizes {
+	return sizes{
+		daemons: 3, engines: 3, services: 1, adapters: 4,
+		engine: fakes.EngineConfig{
+			Address: anyPort, Model: model, BatchSlots: 16, AdapterSlots: 4,
+			Base: ms(5), PerSequence: wick.Duration(100 * time.Microsecond), ReportLag: ms(100),
+		},
+		store: fakes.StoreConfig{Address: anyPort, Rate: 50, FullSpeed: 8, Knee: 16, LoadTime: ms(30)},
+	}
+}
+
+func ms(n int) wick.Duration { return wick.Duration(time.Duration(n) * time.Millisecond) }
+
+func linkName(kind string, i int) fault.LinkName {
+	return fault.LinkName(fmt.Sprintf("%s-%d", kind, i+1))
+}
+
+// startBench starts everything and waits until requests are served through
+// each entry.
+func startBench(t *testing.T, z sizes) *bench {
+	t.Helper()
+	b := &bench{t: t, sizes: z, http: httpc.New(httpc.Config{Quiet: ms(15_000)})}
+	cfg := fakes.SetConfig{
+		Store: &z.store,
+		Log:   &fakes.LogConfig{Address: anyPort, AppendRate: 300},
+		Hosts: &fakes.HostsConfig{Address: anyPort, Lag: z.hostLag},
+	}
+	for range z.engines {
+		cfg.Engines = append(cfg.Engines, z.engine)
+	}
+	for range z.services {
+		cfg.Services = append(cfg.Services, fakes.ServiceConfig{Address: anyPort})
+	}
+	startFake(t, "all", cfg, &b.fakes)
+	listens := b.startProxy()
+	b.startDaemons(listens)
+	b.log = plog.New(plog.Config{Address: b.fakes.Log})
+	b.objects = b.sample()
+	b.publish(b.objects)
+	b.ready()
+	return b
+}
+
+// startProxy starts the proxy and returns where each daemon is to listen for
+// others.
+func (b *bench) startProxy() []wick.Address {
+	b.t.Helper()
+	cfg := fault.Config{Control: anyPort, Seed: 1}
+	add := func(name fault.LinkName, network fault.Network, target wick.Address) {
+		cfg.Links = append(cfg.Links, fault.Link{Name: name, Network: network, Listen: anyPort, Target: target})
+	}
+	for i, a := range b.fakes.Engines {
+		add(linkName("engine", i), fault.TCP, a)
+	}
+	for i, a := range b.fakes.Services {
+		add(linkName("service", i), fault.TCP, a)
+	}
+	add("log", fault.TCP, b.fakes.Log)
+	add("hosts", fault.TCP, b.fakes.Hosts)
+	var listens []wick.Address
+	for i := range b.sizes.daemons {
+		at := freePort(b.t, "udp")
+		listens = append(listens, at)
+		add(linkName("peer", i), fault.UDP, at)
+	}
+	startFake(b.t, "proxy", cfg, &b.proxy)
+	return listens
+}
+
+func (b *bench) startDaemons(listens []wick.Address) {
+	b.t.Helper()
+	authority, err := certs.NewAuthority(certs.Config{Life: time.Hour})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	dir := b.t.TempDir()
+	ca := b.file(filepath.Join(dir, "ca.pem"), authority.PEM().Cert)
+	for i, listen := range listens {
+		d := &daemon{host: wick.HostName(fmt.Sprintf("host-%d", i+1)), entry: freePort(b.t, "tcp")}
+		pair, err := authority.Issue(certs.Config{Life: time.Hour}, d.host)
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		s := daemonSettings{
+			Host:   d.host,
+			Domain: wick.Domain(fmt.Sprintf("domain-%d", i+1)),
+			Entry:  at{Address: d.entry},
+			Peer:   at{Address: b.proxy.Links[linkName("peer", i)], Listen: listen},
+			Admin:  admin{Address: freePort(b.t, "tcp"), Token: "a-token-for-tests-only"},
+			Log:    at{Address: b.proxy.Links["log"]},
+			Hosts:  at{Address: b.proxy.Links["hosts"]},
+			Keys: keys{
+				CA:   ca,
+				Cert: b.file(filepath.Join(dir, string(d.host)+".pem"), pair.Cert),
+				Key:  b.file(filepath.Join(dir, string(d.host)+".key"), pair.Key),
+			},
+			Stop: stop{Linger: ms(1000)},
+		}
+		d.process, _ = startProcess(b.t, string(d.host), "currantwick", "serve", "-settings", settings(b.t, s))
+		d.wait()
+		b.daemons = append(b.daemons, d)
+	}
+}
+
+// daemonSettings are those settings of a daemon that have no default.
+type daemonSettings struct {
+	Host   wick.HostName
+	Domain wick.Domain
+	Entry  at
+	Peer   at
+	Admin  admin
+	Log    at
+	Hosts  at
+	Keys   keys
+	Stop   stop
+}
+
+type at struct {
+	Address wick.Address
+	Listen  wick.Address `json:",omitempty"`
+}
+
+type admin struct {
+	Address wick.Address
+	Token   string
+}
+
+type keys struct{ CA, Cert, Key string }
+
+type stop struct{ Linger wick.Duration }
+
+func (b *bench) file(name string, data []byte) string {
+	b.t.Helper()
+	if err := os.WriteFile(name, data, 0o600); err != nil {
+		b.t.Fatal(err)
+	}
+	return name
+}
+
+// ref returns the adapter of a route, by number.
+func ref(i int) wick.Ref {
+	return wick.Ref{Adapter: wick.AdapterName(fmt.Sprintf("adapter-%d", i)), Version: "v1"}
+}
+
+func routeName(i int) wick.RouteName { return wick.RouteName(fmt.Sprintf("route-%d", i)) }
+
+// sample returns a configuration for the bench.
+func (b *bench) sample() wick.Objects {
+	z := b.sizes
+	o := wick.Objects{
+		Models:     []wick.Model{{Name: model, Context: 4096}},
+		Stores:     []wick.Store{{Name: "weights", Rate: z.store.Rate, FullSpeed: z.store.FullSpeed, Knee: z.store.Knee}},
+		Priorities: []wick.Priority{{Name: "normal", Level: 5, Deadline: ms(15_000)}},
+		Pools: []wick.Pool{
+			{Name: "drafting", Kind: wick.RunnerEndpoint, Model: model, Store: "weights"},
+			{Name: "booking", Kind: wick.ServiceEndpoint},
+		},
+		Routes: []wick.Route{
+			{Name: "confirm", Pool: "booking", Priority: "normal", Path: "/confirm", NonIdempotent: true},
+		},
+	}
+	for i := range z.adapters {
+		r := ref(i)
+		o.Adapters = append(o.Adapters, wick.Adapter{Name: r.Adapter, Model: model})
+		o.Versions = append(o.Versions, wick.Version{Adapter: r.Adapter, Name: r.Version, Source: "weights/" + r.String(), Size: 1 << 20})
+		o.Routes = append(o.Routes, wick.Route{Name: routeName(i), Pool: "drafting", Priority: "normal", Ref: r})
+	}
+	for i := range z.engines {
+		e := endpoint("engine", i, "drafting", b.proxy.Links[linkName("engine", i)])
+		e.BatchSlots, e.AdapterSlots, e.ChecksFencing = z.engine.BatchSlots, z.engine.AdapterSlots, z.engine.ChecksFencing
+		o.Endpoints = append(o.Endpoints, e)
+	}
+	for i := range z.services {
+		o.Endpoints = append(o.Endpoints, endpoint("service", i, "booking", b.proxy.Links[linkName("service", i)]))
+	}
+	return o
+}
+
+func endpoint(kind string, i int, pool wick.PoolName, addr wick.Address) wick.Endpoint {
+	return wick.Endpoint{
+		Name: wick.EndpointName(linkName(kind, i)), Pool: pool,
+		Host:    wick.HostName(fmt.Sprintf("%s-host-%d", kind, i+1)),
+		Domain:  wick.Domain(fmt.Sprintf("domain-%d", i+1)),
+		Address: addr, BatchSlots: 64,
+	}
+}
+
+// publish appends a change to the platform's log.
+func (b *bench) publish(puts wick.Objects) {
+	b.t.Helper()
+	b.changes++
+	c := wick.Change{ID: wick.ChangeID(fmt.Sprintf("change-%d", b.changes)), Operator: "proof", Puts: puts}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if _, err := b.log.Append(ctx, wick.ConfigStream, wick.Record{Change: &c}); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// ready waits until each entry names all daemons and answers.
+func (b *bench) ready() {
+	b.t.Helper()
+	for i, d := range b.daemons {
+		eventually(b.t, fmt.Sprintf("%s sees all daemons", d.host), func() bool {
+			return len(b.entries(d.entry).Entries) == len(b.daemons)
+		})
+		eventually(b.t, fmt.Sprintf("%s answers", d.host), func() bool {
+			return b.ask(d.entry, routeName(i%b.sizes.adapters), fmt.Sprintf("ready %d", i), 2).whole
+		})
+	}
+}
+
+// owner returns the daemon that owns an engine while all are in the view.
+func (b *bench) owner(engine int) *daemon {
+	b.t.Helper()
+	var v wick.View
+	for _, d := range b.daemons {
+		v.Members = append(v.Members, wick.Member{Host: d.host})
+	}
+	m, _ := lease.Owner(v, lease.EndpointKey(wick.EndpointName(linkName("engine", engine))))
+	return b.daemons[slices.IndexFunc(b.daemons, func(d *daemon) bool { return d.host == m.Host })]
+}
+
+// others returns all daemons but one.
+func (b *bench) others(but *daemon) []*daemon {
+	return slices.DeleteFunc(slices.Clone(b.daemons), func(d *daemon) bool { return d == but })
+}
+
+// entries returns what a daemon names as addresses to use.
+func (b *bench) entries(addr wick.Address) wick.EntryList {
+	var list wick.EntryList
+	_ = b.get(addr, "/v1/entries", &list) // A daemon that starts names none yet.
+	return list
+}
+
+func (b *bench) get(addr wick.Address, path string, v any) error {
+	return b.exchange(addr, fasthttp.MethodGet, path, nil, v)
+}
+
+func (b *bench) exchange(addr wick.Address, method, path string, body []byte, v any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(path)
+	req.SetBodyRaw(body)
+	if err := b.http.Do(ctx, addr, req, resp); err != nil {
+		return err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("%s: status %d: %s", path, resp.StatusCode(), resp.Body())
+	}
+	if v == nil {
+		return nil
+	}
+	return codec.DecodeJSON(resp.Body(), v)
+}
+
+// control sends faults to a stand-in or the proxy.
+func (b *bench) control(addr wick.Address, c any) {
+	b.t.Helper()
+	data, err := json.Marshal(c)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	if err := b.exchange(addr, fasthttp.MethodPost, "/control", data, nil); err != nil {
+		b.t.Error(err)
+	}
+}
+
+// engineStats returns what each engine has seen.
+func (b *bench) engineStats() []fakes.EngineStats {
+	b.t.Helper()
+	var out []fakes.EngineStats
+	for _, a := range b.fakes.Engines {
+		var s fakes.EngineStats
+		eventually(b.t, "an engine tells its figures", func() bool { return b.get(a, "/stats", &s) == nil })
+		out = append(out, s)
+	}
+	return out
+}
+
+// eventually waits for a condition.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	limit := time.After(patience)
+	tick := time.NewTicker(lookEach)
+	defer tick.Stop()
+	for !ok() {
+		select {
+		case <-limit:
+			t.Fatalf("not in time: %s", what)
+		case <-tick.C:
+		}
+	}
+}
--- /dev/null
+++ b/proof/caller_test.go
@@ -0,0 +1,247 @@
+package proof
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/fakes"
+
+	"github.com/valyala/fasthttp"
+)
+
+// answer is what a caller got.
+type answer struct {
+	route  wick.RouteName
+	prompt string
+	tokens wick.Tokens
+	took   time.Duration
+	// status is the HTTP status; 0 if there was none.
+	status int
+	text   string
+	ran    wick.Ran
+	// whole tells that the answer ended with its finish reason and end mark.
+	whole bool
+	// fail is the error the system gave, if any.
+	fail *failure
+	// err is an error of the connection.
+	err error
+}
+
+type failure struct {
+	Message string       `json:"message"`
+	Type    wick.Outcome `json:"type"`
+	Code    wick.Code    `json:"code"`
+}
+
+type event struct {
+	Choices []struct {
+		Text   string  `json:"text"`
+		Finish *string `json:"finish_reason"`
+	} `json:"choices"`
+	Ran   *wick.Ran `json:"Ran"`
+	Error *failure  `json:"error"`
+}
+
+// check reports an answer that looks whole but is not, one that ran on another
+// adapter, and one that neither is whole nor ends with an error.
+func (a *answer) check(t *testing.T, want wick.Ref) {
+	t.Helper()
+	full := fakes.Answer(a.prompt, want.String(), a.tokens)
+	switch {
+	case a.whole && a.text != full:
+		t.Errorf("%s: looks whole but is %q, want %q", a.route, a.text, full)
+	case a.whole && a.ran.Ref != want:
+		t.Errorf("%s: ran on %s, want %s", a.route, a.ran.Ref, want)
+	case a.whole:
+	case len(a.text) > len(full) || a.text != full[:len(a.text)]:
+		t.Errorf("%s: broke off with a wrong text: %q", a.route, a.text)
+	case a.fail == nil && a.err == nil:
+		t.Errorf("%s: neither whole nor an error after %q", a.route, a.text)
+	}
+}
+
+// ask sends a streamed completion and reads it to its end.
+func (b *bench) ask(addr wick.Address, route wick.RouteName, prompt string, n wick.Tokens) *answer {
+	return b.askWatched(addr, route, prompt, n, func(int) {})
+}
+
+// askWatched calls seen with the length of the text after each event.
+func (b *bench) askWatched(addr wick.Address, route wick.RouteName, prompt string, n wick.Tokens, seen func(int)) *answer {
+	a := &answer{route: route, prompt: prompt, tokens: n}
+	start := time.Now()
+	defer func() { a.took = time.Since(start) }()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+	defer cancel()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	body, _ := json.Marshal(struct {
+		Model     wick.RouteName `json:"model"`
+		Prompt    string         `json:"prompt"`
+		MaxTokens wick.Tokens    `json:"max_tokens"`
+		Stream    bool           `json:"stream"`
+	}{route, prompt, n, true}) // It never fails.
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("/v1/completions")
+	req.SetBodyRaw(body)
+	x, err := b.http.Open(ctx, addr, req, resp)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer x.Close()
+	a.status = resp.StatusCode()
+	if a.status != fasthttp.StatusOK {
+		var e event
+		a.err = json.Unmarshal(resp.Body(), &e)
+		a.fail = e.Error
+		return a
+	}
+	a.read(bufio.NewReader(x.Body()), seen)
+	return a
+}
+
+func (a *answer) read(r *bufio.Reader, seen func(int)) {
+	finished := false
+	for {
+		line, err := r.ReadBytes('\n')
+		if err != nil {
+			a.err = err
+			return
+		}
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			a.whole = finished && a.fail == nil
+			return
+		}
+		var e event
+		if a.err = json.Unmarshal(data, &e); a.err != nil {
+			return
+		}
+		if e.Error != nil {
+			a.fail = e.Error
+			return
+		}
+		a.text += e.Choices[0].Text
+		finished = finished || e.Choices[0].Finish != nil
+		if e.Ran != nil {
+			a.ran = *e.Ran
+		}
+		seen(len(a.text))
+	}
+}
+
+// crowd is a group of callers.
+type crowd struct {
+	wg  sync.WaitGroup
+	mu  sync.Mutex
+	all []*answer
+}
+
+func (c *crowd) add(a *answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all = append(c.all, a)
+}
+
+// tally waits for all callers and checks their answers.
+func (c *crowd) tally(t *testing.T) (whole, broken int) {
+	t.Helper()
+	c.wg.Wait()
+	codes := map[string]int{}
+	var times []time.Duration
+	for _, a := range c.all {
+		var i int
+		if _, err := fmt.Sscanf(string(a.route), "route-%d", &i); err != nil {
+			t.Fatal(err)
+		}
+		a.check(t, ref(i))
+		times = append(times, a.took.Round(time.Millisecond))
+		if a.whole {
+			whole++
+			continue
+		}
+		broken++
+		codes[a.why()]++
+	}
+	slices.Sort(times)
+	t.Logf("%d whole, %d not: %v; took %v in the middle, %v at most",
+		whole, broken, codes, times[len(times)/2], times[len(times)-1])
+	return whole, broken
+}
+
+// slowest returns the longest time an answer took.
+func (c *crowd) slowest() time.Duration {
+	c.wg.Wait()
+	var most time.Duration
+	for _, a := range c.all {
+		most = max(most, a.took)
+	}
+	return most
+}
+
+// why says in a word why an answer is not whole.
+func (a *answer) why() string {
+	if a.fail != nil {
+		return fmt.Sprintf("%s (%s)", a.fail.Code, a.fail.Type)
+	}
+	return fmt.Sprintf("connection: %v", a.err)
+}
+
+// burst starts callers at each entry, and returns when each has some text.
+func (b *bench) burst(each int, n wick.Tokens) *crowd {
+	b.t.Helper()
+	c := &crowd{}
+	var begun atomic.Int64
+	for i := range each * len(b.daemons) {
+		c.wg.Go(func() {
+			var once sync.Once
+			mark := func(length int) {
+				if length > 0 {
+					once.Do(func() { begun.Add(1) })
+				}
+			}
+			r := i % b.sizes.adapters
+			prompt := fmt.Sprintf("caller %d wants the tide want:%s of day %d", i, ref(r), time.Now().UnixNano())
+			c.add(b.askWatched(b.daemons[i%len(b.daemons)].entry, routeName(r), prompt, n, mark))
+		})
+	}
+	eventually(b.t, "all callers have text", func() bool { return int(begun.Load()) == each*len(b.daemons) })
+	return c
+}
+
+// steady runs callers that ask again and again until stop is called.
+func (b *bench) steady(callers int, n wick.Tokens, entry func(i int) wick.Address) (c *crowd, stop func()) {
+	c = &crowd{}
+	done := make(chan struct{})
+	for i := range callers {
+		c.wg.Go(func() {
+			for turn := i; ; turn++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				r := (turn * 7) % b.sizes.adapters
+				prompt := fmt.Sprintf("caller %d turn %d want:%s now", i, turn, ref(r))
+				c.add(b.ask(entry(turn), routeName(r), prompt, n))
+			}
+		})
+	}
+	return c, sync.OnceFunc(func() { close(done) })
+}
+
+// anyEntry spreads callers over all daemons.
+func (b *bench) anyEntry(i int) wick.Address { return b.daemons[i%len(b.daemons)].entry }
--- /dev/null
+++ b/proof/leave_test.go
@@ -0,0 +1,87 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/fakes"
+)
+
+// leaveWithin is how soon a leaving endpoint gets no new work.
+const leaveWithin = 3 * time.Second
+
+// TestLeavingGetsNoWork marks an endpoint as leaving under load. After 3 s
+// nothing new may run on it, while the others go on.
+func TestLeavingGetsNoWork(t *testing.T) {
+	tests := []struct {
+		name  string
+		leave func(b *bench, i int)
+	}{
+		{"by the list of hosts", func(b *bench, i int) {
+			b.control(b.fakes.Hosts, fakes.HostsControl{Set: []wick.HostStatus{
+				{Host: b.objects.Endpoints[i].Host, State: wick.HostLeaving},
+			}})
+		}},
+		{"by configuration", func(b *bench, i int) {
+			e := b.objects.Endpoints[i]
+			e.Leaving = true
+			b.publish(wick.Objects{Endpoints: []wick.Endpoint{e}})
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			z := defaultSizes()
+			z.hostLag = ms(1000)
+			b := startBench(t, z)
+			c, stop := b.steady(12, 10, b.anyEntry)
+			eventually(t, "the engines work", func() bool { return total(b.engineStats()) > 100 })
+			i := busiest(b.engineStats())
+			test.leave(b, i)
+			wait(leaveWithin)
+			before := b.engineStats()
+			eventually(t, "the others work on", func() bool {
+				return total(b.engineStats()) > total(before)+200
+			})
+			after := b.engineStats()
+			stop()
+			if _, broken := c.tally(t); broken > 0 {
+				t.Errorf("%d requests failed", broken)
+			}
+			if fresh := runs(after[i]) - runs(before[i]); fresh > 0 {
+				t.Errorf("%d requests ran on the leaving endpoint after %v", fresh, leaveWithin)
+			}
+			t.Logf("it ran %d requests, and the others %d more without it", runs(before[i]), total(after)-total(before))
+		})
+	}
+}
+
+// wait lets a bound of a promise pass.
+func wait(d time.Duration) { <-time.After(d) }
+
+func runs(s fakes.EngineStats) int {
+	n := 0
+	for _, r := range s.Runs {
+		n += r
+	}
+	return n
+}
+
+func total(all []fakes.EngineStats) int {
+	n := 0
+	for _, s := range all {
+		n += runs(s)
+	}
+	return n
+}
+
+// busiest returns the engine that ran the most requests.
+func busiest(all []fakes.EngineStats) int {
+	best := 0
+	for i, s := range all {
+		if runs(s) > runs(all[best]) {
+			best = i
+		}
+	}
+	return best
+}
