--- a/ctrl/views.go
+++ b/ctrl/views.go
@@ -26,7 +26,7 @@
 	r.Claims = s.book.Offset()
 	for _, o := range s.owned {
 		if o.acting {
-			r.Digests = append(r.Digests, o.digest(now))
+			r.Digests = append(r.Digests, s.digest(now, o))
 		}
 	}
 	return r
@@ -37,9 +37,7 @@
 func (s *state) changeView(now wick.Instant, c lease.Changed) {
 	s.gate.move(c.New.Number)
 	s.cfg.Note.View(c.New)
-	for name := range s.known {
-		s.settleRoute(name)
-	}
+	s.routes.View(c.New, ownerOf)
 	for _, o := range s.owned {
 		s.keep(o, c.New.Number)
 		s.settleOwner(now, o)
@@ -48,6 +46,11 @@
 	s.urgent = true
 }
 
+// ownerOf returns the owner of an endpoint in a view.
+func ownerOf(v wick.View, name wick.EndpointName) (wick.Member, bool) {
+	return lease.Owner(v, lease.EndpointKey(name))
+}
+
 // settleRoute tells the router who owns an endpoint.
 func (s *state) settleRoute(name wick.EndpointName) {
 	m, _ := s.keeper.Owner(lease.EndpointKey(name))
@@ -58,6 +61,7 @@
 func (e Renewed) apply(s *state, now wick.Instant) {
 	for _, d := range e.Renewal.Digests {
 		s.routes.Digest(d)
+		s.pace.Heard(now, d)
 		s.digests[d.Endpoint] = d
 	}
 	s.hear(e.Renewal.From, e.Renewal.Config, e.Renewal.Claims)
@@ -88,6 +92,8 @@
 		for _, entry := range e.List {
 			s.lease(now, s.keeper.OnEntry(now, entry))
 		}
+	case wick.AuditStream:
+		s.trail.Read(e.List, e.More)
 	case wick.ClaimStream:
 		for _, entry := range e.List {
 			s.claims(now, s.book.OnEntry(now, entry))
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -17,6 +17,9 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// askWithin bounds the question to an endpoint whether it has crashed.
+const askWithin = 500 * time.Millisecond
+
 // Config sets up a Server.
 type Config struct {
 	Thread   *ctrl.Thread
@@ -79,13 +82,32 @@
 	default:
 		res = s.invoke(ctx, run, d.Endpoint, out)
 	}
-	s.cfg.Thread.Post(ctrl.Finished{Run: run, Result: res})
+	crashed := s.crashed(ctx, d, res.Err)
+	if crashed {
+		res.Err = wick.Unknownf(wick.CodeCrashed, "endpoint %s crashed", d.Endpoint.Name)
+	}
+	s.cfg.Thread.Post(ctrl.Finished{Run: run, Result: res, Crashed: crashed})
 	if res.Err != nil {
 		return res.Err
 	}
 	return nil
 }
 
+// crashed reports whether the endpoint crashed under a request that broke off,
+// by asking the engine for its start over a new connection.
+func (s *Server) crashed(ctx context.Context, d ctrl.Decision, fail *wick.Error) bool {
+	if fail == nil || fail.Code != wick.CodeBroken || fail.Outcome != wick.Unknown || d.Boot == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askWithin)
+	defer cancel()
+	rep, err := s.cfg.Engine.Report(ctx, d.Endpoint.Address)
+	if err != nil {
+		return wick.AsError(err).Outcome == wick.NotRun
+	}
+	return rep.Boot != d.Boot
+}
+
 // decision waits until the control thread has decided. A caller that goes away
 // meanwhile is reported, which brings the decision about.
 func (s *Server) decision(ctx context.Context, run *ctrl.Run) (ctrl.Decision, error) {
@@ -113,19 +135,54 @@
 		Work:     *run.Sub.Work,
 	}
 	var res sched.Result
+	meter := progress{thread: s.cfg.Thread, run: run}
 	err := s.cfg.Engine.Generate(ctx, end.Address, job, func(f wick.Frame) error {
 		if f.Kind == wick.FrameText {
 			res.Tokens += f.Count
-			s.cfg.Thread.Post(ctrl.Progressed{Run: run, Tokens: f.Count})
+			meter.add(f.Count, s.cfg.Clock.Now())
 		}
 		return out.send(f)
 	})
+	meter.flush()
 	if err != nil {
 		res.Err = wick.AsError(err)
 	}
 	return res
 }
 
+// progress tells the control thread of a run's tokens: at once of the first
+// ones, and then in groups, so that tokens do not become its load.
+type progress struct {
+	thread *ctrl.Thread
+	run    *ctrl.Run
+	// held counts tokens that were not told of yet.
+	held  wick.Tokens
+	told  wick.Instant
+	begun bool
+}
+
+const (
+	// progressTokens and progressEvery bound what is held back.
+	progressTokens wick.Tokens = 16
+	progressEvery              = 250 * time.Millisecond
+)
+
+func (p *progress) add(n wick.Tokens, now wick.Instant) {
+	p.held += n
+	if p.begun && p.held < progressTokens && now.Sub(p.told) < progressEvery {
+		return
+	}
+	p.begun, p.told = true, now
+	p.flush()
+}
+
+func (p *progress) flush() {
+	if p.held > 0 {
+		p.thread.Post(ctrl.Progressed{Run: p.run, Tokens: p.held})
+	}
+	p.held = 0
+}
+
 // invoke calls a plain service, once.
 func (s *Server) invoke(ctx context.Context, run *ctrl.Run, end wick.Endpoint, out *sink) sched.Result {
 	reply, err := s.cfg.Services.Invoke(ctx, end.Address, run.Sub.Request, *run.Sub.Call)
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -35,10 +35,12 @@
 	whole    prometheus.Histogram
 	tries    prometheus.Counter
 	resumes  prometheus.Counter
+	hedges   prometheus.Counter
 
 	view     prometheus.Gauge
 	members  prometheus.Gauge
 	acting   prometheus.Gauge
+	crashes  prometheus.Counter
 	verdicts *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 	reads    *prometheus.CounterVec
@@ -59,16 +61,18 @@
 		whole:    seconds("request_seconds", "Time from a request to the end of its answer."),
 		tries:    counter("tries_total", "Requests handed to owners, retries included."),
 		resumes:  counter("resumes_total", "Streams that went on after a break."),
+		hedges:   counter("hedges_total", "Second tries beside slow first ones."),
 		view:     gauge("view_number", "Number of the adopted view."),
 		members:  gauge("view_members", "Daemons in the adopted view."),
 		acting:   gauge("acting_endpoints", "Endpoints this daemon acts for."),
+		crashes:  counter("endpoint_crashes_total", "Crashes of endpoints with requests in flight."),
 		verdicts: counters("verdicts_total", "Judged changes of the configuration.", "result"),
 		refused:  counters("refused_inputs_total", "Inputs from outside that could not be used.", "input"),
 		reads:    counters("log_read_failures_total", "Failed reads of the platform's log.", "stream"),
 		appends:  counters("log_appends_total", "Appends to the platform's log.", "stream", "result"),
 	}
-	cfg.Registry.MustRegister(s.requests, s.first, s.whole, s.tries, s.resumes, s.view,
-		s.members, s.acting, s.verdicts, s.refused, s.reads, s.appends)
+	cfg.Registry.MustRegister(s.requests, s.first, s.whole, s.tries, s.resumes, s.hedges, s.view,
+		s.members, s.acting, s.crashes, s.verdicts, s.refused, s.reads, s.appends)
 	return s
 }
 
@@ -114,6 +118,12 @@
 	s.log.Info("acting changed", "endpoint", e, "acts", acts)
 }
 
+// Crashed implements wick.ControlNote.
+func (s *Stats) Crashed(e wick.EndpointName, inFlight int) {
+	s.crashes.Inc()
+	s.log.Warn("endpoint crashed", "endpoint", e, "in_flight", inFlight)
+}
+
 // Verdict implements wick.ControlNote.
 func (s *Stats) Verdict(v wick.Verdict) {
 	result := "accepted"
@@ -147,6 +157,9 @@
 // Resume implements wick.TrafficNote.
 func (s *Stats) Resume() { s.resumes.Inc() }
 
+// Hedge implements wick.TrafficNote.
+func (s *Stats) Hedge() { s.hedges.Inc() }
+
 // Ended implements wick.TrafficNote.
 func (s *Stats) Ended(code wick.Code, first, whole time.Duration) {
 	s.requests.WithLabelValues(string(code)).Inc()
