--- a/ctrl/views.go
+++ b/ctrl/views.go
@@ -39,6 +39,7 @@
 	s.cfg.Note.View(c.New)
 	s.routes.View(c.New, ownerOf)
 	for _, o := range s.owned {
+		s.keep(o, c.New.Number)
 		s.settleOwner(now, o)
 	}
 	s.own(now)
@@ -91,6 +92,8 @@
 		for _, entry := range e.List {
 			s.lease(now, s.keeper.OnEntry(now, entry))
 		}
+	case wick.AuditStream:
+		s.trail.Read(e.List, e.More)
 	case wick.ClaimStream:
 		for _, entry := range e.List {
 			s.claims(now, s.book.OnEntry(now, entry))
