--- a/boot/boot.go
+++ b/boot/boot.go
@@ -85,6 +85,7 @@
 		Times:   times(s),
 		Control: note,
 		Traffic: note,
+		Peers:   note,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("daemon on %s: %w", s.Host, err)
--- a/ctrl/snap.go
+++ b/ctrl/snap.go
@@ -11,6 +11,9 @@
 // keepEntries is how long callers may keep an answer on the addresses to use.
 const keepEntries = 5 * time.Second
 
+// maxEntries bounds the addresses in one answer.
+const maxEntries = 16
+
 // Snapshot is the control state as traffic goroutines see it. It never
 // changes.
 type Snapshot struct {
@@ -40,22 +43,38 @@
 	return nil
 }
 
-// Entries returns the addresses callers should use, those in their own failure
-// domain first, in an order that spreads callers.
-func (s *Snapshot) Entries(near wick.Domain) wick.EntryList {
+// Entries returns addresses that callers should use, those in their own failure
+// domain first. Which ones, and in which order, is drawn at random, so that
+// callers spread over the entries; draw returns a number from 0 to below n.
+func (s *Snapshot) Entries(near wick.Domain, draw func(n int) int) wick.EntryList {
 	list := wick.EntryList{Keep: wick.Duration(keepEntries)}
 	for _, m := range s.View.Members {
-		if s.leaving[m.Host] {
-			continue
+		if !s.leaving[m.Host] {
+			list.Entries = append(list.Entries, wick.EntryPoint{Address: m.Entry, Host: m.Host, Domain: m.Domain})
 		}
-		list.Entries = append(list.Entries, wick.EntryPoint{Address: m.Entry, Host: m.Host, Domain: m.Domain})
+	}
+	for i := len(list.Entries) - 1; i > 0; i-- {
+		j := draw(i + 1)
+		list.Entries[i], list.Entries[j] = list.Entries[j], list.Entries[i]
 	}
 	slices.SortStableFunc(list.Entries, func(a, b wick.EntryPoint) int {
 		return rank(a, near) - rank(b, near)
 	})
+	list.Entries = sample(list.Entries)
 	return list
 }
 
+// sample cuts a list that is too long. It keeps the first half of the sample,
+// and fills the rest from behind, where the other failure domains are.
+func sample(list []wick.EntryPoint) []wick.EntryPoint {
+	if len(list) <= maxEntries {
+		return list
+	}
+	head := list[:maxEntries/2]
+	tail := list[len(list)-maxEntries/2:]
+	return append(slices.Clone(head), tail...)
+}
+
 func rank(e wick.EntryPoint, near wick.Domain) int {
 	if e.Domain == near {
 		return 0
--- a/node/node.go
+++ b/node/node.go
@@ -79,6 +79,7 @@
 
 	Control wick.ControlNote
 	Traffic wick.TrafficNote
+	Peers   wick.PeerNote
 }
 
 // Times are the daemon's bounds on waiting; all are positive.
@@ -119,7 +120,7 @@
 // New opens the daemon's sockets and builds its parts.
 func New(cfg Config) (*Node, error) {
 	n := &Node{cfg: cfg, clock: newClock(), drain: make(chan struct{})}
-	n.client = peer.NewClient(peer.ClientConfig{TLS: cfg.Keys.PeerClient, Quiet: peerQuiet})
+	n.client = peer.NewClient(peer.ClientConfig{TLS: cfg.Keys.PeerClient, Quiet: peerQuiet, Note: cfg.Peers})
 	var err error
 	n.peers, err = peer.Listen(peer.ServerConfig{
 		Address: cmp.Or(cfg.Listen, cfg.Self.Peer),
@@ -127,6 +128,7 @@
 		HostOf:  cfg.HostOf,
 		Quiet:   peerQuiet,
 		Handler: n,
+		Note:    cfg.Peers,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("peer side: %w", err)
--- a/note.go
+++ b/note.go
@@ -21,6 +21,14 @@
 	Appended(stream StreamName, err error)
 }
 
+// PeerNote counts the control messages between daemons. Implementations are
+// safe for concurrent use.
+type PeerNote interface {
+	// Call counts one control message with its answer, and the bytes of both,
+	// without those of the transport.
+	Call(sent, received Bytes)
+}
+
 // TrafficNote counts what happens to requests. Implementations are safe for
 // concurrent use.
 type TrafficNote interface {
--- a/peer/client.go
+++ b/peer/client.go
@@ -19,6 +19,8 @@
 	TLS func() *tls.Config
 	// Quiet bounds the silence on a connection before it is given up.
 	Quiet time.Duration
+	// Note counts calls.
+	Note wick.PeerNote
 }
 
 // Client implements wick.Peers. It keeps one connection to each daemon it
@@ -115,16 +117,19 @@
 	defer s.CancelRead(0)
 	stop := context.AfterFunc(ctx, func() { cancelStream(s) })
 	defer stop()
-	if err := writeValue(s, opening{Call: &msg}); err != nil {
+	sent, err := writeValue(s, opening{Call: &msg})
+	if err != nil {
 		return wick.PeerMessage{}, fmt.Errorf("send call: %w", err)
 	}
 	if err := s.Close(); err != nil {
 		return wick.PeerMessage{}, fmt.Errorf("finish call: %w", err)
 	}
 	var answer wick.PeerMessage
-	if err := readValue(s, &answer); err != nil {
+	received, err := readValue(s, &answer)
+	if err != nil {
 		return wick.PeerMessage{}, fmt.Errorf("read answer: %w", err)
 	}
+	c.cfg.Note.Call(sent, received)
 	if answer.Error != nil {
 		return wick.PeerMessage{}, answer.Error
 	}
@@ -137,7 +142,7 @@
 	if err != nil {
 		return nil, wick.NotRunf(wick.CodeNoEndpoint, "owner unreachable: %v", err)
 	}
-	if err := writeValue(s, opening{Submit: &sub}); err != nil {
+	if _, err := writeValue(s, opening{Submit: &sub}); err != nil {
 		cancelStream(s)
 		return nil, wick.Unknownf(wick.CodeBroken, "submit: %v", err)
 	}
@@ -161,7 +166,7 @@
 	stop := context.AfterFunc(ctx, func() { cancelStream(a.s) })
 	defer stop()
 	var f wick.Frame
-	if err := readValue(a.s, &f); err != nil {
+	if _, err := readValue(a.s, &f); err != nil {
 		return wick.Frame{}, wick.Unknownf(wick.CodeBroken, "answer from owner: %v", err)
 	}
 	if f.Request != a.request {
--- a/peer/server.go
+++ b/peer/server.go
@@ -27,6 +27,8 @@
 	Quiet time.Duration
 	// Handler answers what arrives.
 	Handler wick.PeerServer
+	// Note counts calls.
+	Note wick.PeerNote
 }
 
 // Server accepts what other daemons send.
@@ -105,25 +107,29 @@
 func (s *Server) serveStream(ctx context.Context, from wick.HostName, st *quic.Stream) {
 	defer func() { _ = st.Close() }()
 	var open opening
-	if err := readValue(st, &open); err != nil {
+	received, err := readValue(st, &open)
+	if err != nil {
 		cancelStream(st)
 		return
 	}
 	if open.Call != nil {
-		s.serveCall(ctx, from, st, *open.Call)
+		s.serveCall(ctx, from, st, *open.Call, received)
 		return
 	}
 	s.serveSubmit(ctx, from, st, *open.Submit)
 }
 
-func (s *Server) serveCall(ctx context.Context, from wick.HostName, st *quic.Stream, msg wick.PeerMessage) {
+func (s *Server) serveCall(ctx context.Context, from wick.HostName, st *quic.Stream, msg wick.PeerMessage, received wick.Bytes) {
 	answer, err := s.cfg.Handler.HandleCall(ctx, from, msg)
 	if err != nil {
 		answer = wick.PeerMessage{Error: wick.AsError(err)}
 	}
-	if err := writeValue(st, answer); err != nil {
+	sent, err := writeValue(st, answer)
+	if err != nil {
 		cancelStream(st)
+		return
 	}
+	s.cfg.Note.Call(sent, received)
 }
 
 // serveSubmit runs a request. Its context ends when the entry closes the
@@ -141,7 +147,8 @@
 	emit := func(f wick.Frame) error {
 		mu.Lock()
 		defer mu.Unlock()
-		return writeValue(st, f)
+		_, err := writeValue(st, f)
+		return err
 	}
 	if err := s.cfg.Handler.HandleSubmit(ctx, from, sub, emit); err != nil {
 		fail := wick.Frame{Request: sub.Request, Kind: wick.FrameFail, Fail: wick.AsError(err)}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -42,33 +42,38 @@
 	return errors.New("stream opens with neither call nor submission")
 }
 
-func writeValue(w io.Writer, v any) error {
+// writeValue returns how many bytes the value took.
+func writeValue(w io.Writer, v any) (wick.Bytes, error) {
 	body, err := codec.EncodeCBOR(v)
 	if err != nil {
-		return err
+		return 0, fmt.Errorf("write value: %w", err)
 	}
 	buf := make([]byte, lengthBytes, lengthBytes+len(body))
 	binary.BigEndian.PutUint32(buf, uint32(len(body)))
 	if _, err := w.Write(append(buf, body...)); err != nil {
-		return fmt.Errorf("write value: %w", err)
+		return 0, fmt.Errorf("write value: %w", err)
 	}
-	return nil
+	return wick.Bytes(lengthBytes + len(body)), nil
 }
 
-func readValue(r io.Reader, v any) error {
+// readValue returns how many bytes the value took.
+func readValue(r io.Reader, v any) (wick.Bytes, error) {
 	var head [lengthBytes]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return fmt.Errorf("read length: %w", err)
+		return 0, fmt.Errorf("read length: %w", err)
 	}
 	size := binary.BigEndian.Uint32(head[:])
 	if size > maxValueBytes {
-		return fmt.Errorf("value of %d bytes is over the limit", size)
+		return 0, fmt.Errorf("value of %d bytes is over the limit", size)
 	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(r, body); err != nil {
-		return fmt.Errorf("read value: %w", err)
+		return 0, fmt.Errorf("read value: %w", err)
 	}
-	return codec.DecodeCBOR(body, v)
+	if err := codec.DecodeCBOR(body, v); err != nil {
+		return 0, fmt.Errorf("read value: %w", err)
+	}
+	return wick.Bytes(lengthBytes + len(body)), nil
 }
 
 // quicConfig returns the settings of both ends. A connection on which nothing
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -107,7 +107,7 @@
 
 // Entries implements wick.Front.
 func (r *Relay) Entries(near wick.Domain) wick.EntryList {
-	return r.cfg.Snapshot().Entries(near)
+	return r.cfg.Snapshot().Entries(near, rand.IntN)
 }
 
 // begin resolves the route of a request.
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -37,6 +37,10 @@
 	resumes  prometheus.Counter
 	hedges   prometheus.Counter
 
+	calls    prometheus.Counter
+	sent     prometheus.Counter
+	received prometheus.Counter
+
 	view     prometheus.Gauge
 	members  prometheus.Gauge
 	acting   prometheus.Gauge
@@ -50,6 +54,7 @@
 var (
 	_ wick.ControlNote = (*Stats)(nil)
 	_ wick.TrafficNote = (*Stats)(nil)
+	_ wick.PeerNote    = (*Stats)(nil)
 )
 
 // New registers the metrics. The registry must not hold them yet.
@@ -62,6 +67,9 @@
 		tries:    counter("tries_total", "Requests handed to owners, retries included."),
 		resumes:  counter("resumes_total", "Streams that went on after a break."),
 		hedges:   counter("hedges_total", "Second tries beside slow first ones."),
+		calls:    counter("peer_calls_total", "Control messages to and from other daemons, with their answers."),
+		sent:     counter("peer_sent_bytes_total", "Bytes of control messages to other daemons."),
+		received: counter("peer_received_bytes_total", "Bytes of control messages from other daemons."),
 		view:     gauge("view_number", "Number of the adopted view."),
 		members:  gauge("view_members", "Daemons in the adopted view."),
 		acting:   gauge("acting_endpoints", "Endpoints this daemon acts for."),
@@ -71,7 +79,7 @@
 		reads:    counters("log_read_failures_total", "Failed reads of the platform's log.", "stream"),
 		appends:  counters("log_appends_total", "Appends to the platform's log.", "stream", "result"),
 	}
-	cfg.Registry.MustRegister(s.requests, s.first, s.whole, s.tries, s.resumes, s.hedges, s.view,
+	cfg.Registry.MustRegister(s.requests, s.first, s.whole, s.tries, s.resumes, s.hedges, s.calls, s.sent, s.received, s.view,
 		s.members, s.acting, s.crashes, s.verdicts, s.refused, s.reads, s.appends)
 	return s
 }
@@ -151,6 +159,13 @@
 	s.appends.WithLabelValues(string(stream), result).Inc()
 }
 
+// Call implements wick.PeerNote.
+func (s *Stats) Call(sent, received wick.Bytes) {
+	s.calls.Inc()
+	s.sent.Add(float64(sent))
+	s.received.Add(float64(received))
+}
+
 // Try implements wick.TrafficNote.
 func (s *Stats) Try() { s.tries.Inc() }
 
