--- a/fault/fault_test.go
+++ b/fault/fault_test.go
@@ -185,6 +185,36 @@
 	}
 }
 
+// TestMirrorsRefusal holds that connections are refused while the target
+// refuses them, and taken again when it is back.
+func TestMirrorsRefusal(t *testing.T) {
+	p, addr := startLink(t, TCP)
+	back := p.states["a"].to()
+	if err := p.Set(Control{Target: "127.0.0.1:1"}); err != nil {
+		t.Fatal(err)
+	}
+	dial := func() string {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return "refused"
+		}
+		defer c.Close()
+		return ask(c, patience)
+	}
+	until := func(want string) {
+		for limit := time.Now().Add(patience); dial() != want; {
+			if time.Now().After(limit) {
+				t.Fatalf("not %s in time", want)
+			}
+		}
+	}
+	until("refused")
+	if err := p.Set(Control{Target: wick.Address(back)}); err != nil {
+		t.Fatal(err)
+	}
+	until("echo")
+}
+
 func TestDuplicate(t *testing.T) {
 	p, addr := startLink(t, UDP)
 	c, err := net.Dial("udp", addr)
--- a/fault/tcp.go
+++ b/fault/tcp.go
@@ -18,6 +18,8 @@
 const (
 	dialWithin = 2 * time.Second
 	chunkBytes = 32 << 10
+	// probeEvery is the time between two looks at a target that refused.
+	probeEvery = 10 * time.Millisecond
 )
 
 func listenTCP(addr wick.Address) (net.Listener, error) {
@@ -33,11 +35,14 @@
 	state *state
 	addr  wick.Address
 	group *errgroup.Group
+	done  chan struct{} // closes at the end
 
-	mu     sync.Mutex
-	ln     net.Listener // nil while the link refuses connections
-	closed bool
-	pairs  map[*pair]struct{}
+	mu sync.Mutex
+	ln net.Listener // nil while the link refuses connections
+	// cut tells that the mode refuses connections, down that the target does.
+	cut, down bool
+	closed    bool
+	pairs     map[*pair]struct{}
 }
 
 func openTCP(addr wick.Address, s *state, group *errgroup.Group) (carrier, error) {
@@ -45,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &tcpLink{state: s, addr: wick.Address(ln.Addr().String()), group: group}
+	l := &tcpLink{state: s, addr: wick.Address(ln.Addr().String()), group: group, done: make(chan struct{})}
 	l.pairs = map[*pair]struct{}{}
 	l.listen(ln)
 	return l, nil
@@ -73,10 +78,18 @@
 func (l *tcpLink) refuse(on bool) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if on == (l.ln == nil) || l.closed {
+	l.cut = on
+	return l.settle()
+}
+
+// settle opens or closes the listener as the faults and the target say; l.mu is
+// held.
+func (l *tcpLink) settle() error {
+	open := !l.cut && !l.down && !l.closed
+	if open == (l.ln != nil) {
 		return nil
 	}
-	if on {
+	if !open {
 		_ = l.ln.Close()
 		l.ln = nil
 		return nil
@@ -89,11 +102,42 @@
 	return nil
 }
 
+// mirror refuses connections while the target does, so that those who connect
+// see what they would see without the proxy.
+func (l *tcpLink) mirror() {
+	l.mu.Lock()
+	if l.down || l.closed {
+		l.mu.Unlock()
+		return
+	}
+	l.down = true
+	_ = l.settle() // It only closes here.
+	l.mu.Unlock()
+	t := time.NewTicker(probeEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-t.C:
+		}
+		if c, err := net.DialTimeout("tcp", l.state.to(), dialWithin); err == nil {
+			_ = c.Close()
+			break
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = false
+	_ = l.settle() // A port that was taken meanwhile stays refused.
+}
+
 // carry connects a connection with the target until either side ends.
 func (l *tcpLink) carry(near net.Conn) {
 	far, err := net.DialTimeout("tcp", l.state.to(), dialWithin)
 	if err != nil {
 		abort(near)
+		l.mirror()
 		return
 	}
 	p := &pair{state: l.state, near: near, far: far, done: make(chan struct{})}
@@ -101,11 +145,24 @@
 	var both errgroup.Group
 	both.Go(func() error { return p.copy(far, near) })
 	both.Go(func() error { return p.copy(near, far) })
-	_ = both.Wait() // A broken connection was passed on by closing the other.
+	broken := both.Wait()
 	p.abort()
 	l.mu.Lock()
 	delete(l.pairs, p)
 	l.mu.Unlock()
+	if broken != nil {
+		l.probe()
+	}
+}
+
+// probe looks whether the target of a broken connection has gone.
+func (l *tcpLink) probe() {
+	c, err := net.DialTimeout("tcp", l.state.to(), dialWithin)
+	if err != nil {
+		l.mirror()
+		return
+	}
+	_ = c.Close()
 }
 
 // add keeps a pair for later faults, unless one has met it already.
@@ -132,10 +189,11 @@
 
 func (l *tcpLink) close() {
 	l.mu.Lock()
-	l.closed = true
-	if l.ln != nil {
-		_ = l.ln.Close()
+	if !l.closed {
+		close(l.done)
 	}
+	l.closed = true
+	_ = l.settle() // It only closes here.
 	l.mu.Unlock()
 	l.reset()
 }
