--- a/owner/owner.go
+++ b/owner/owner.go
@@ -17,8 +17,12 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// askWithin bounds the question to an endpoint whether it has crashed.
-const askWithin = 500 * time.Millisecond
+const (
+	// askWithin bounds the question to an endpoint whether it has crashed.
+	askWithin = 500 * time.Millisecond
+	// askAgain is the pause after a question that broke off.
+	askAgain = 20 * time.Millisecond
+)
 
 // Config sets up a Server.
 type Config struct {
@@ -101,11 +105,30 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
 	defer cancel()
-	rep, err := s.cfg.Engine.Report(ctx, d.Endpoint.Address)
-	if err != nil {
-		return wick.AsError(err).Outcome == wick.NotRun
+	for {
+		rep, err := s.cfg.Engine.Report(ctx, d.Endpoint.Address)
+		if err == nil {
+			return rep.Boot != d.Boot
+		}
+		if wick.AsError(err).Outcome == wick.NotRun {
+			return ctx.Err() == nil
+		}
+		// An engine that is just going down may break the question, too.
+		if !pause(ctx, askAgain) {
+			return false
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return rep.Boot != d.Boot
 }
 
 // decision waits until the control thread has decided. A caller that goes away
