Weigh waiting loads by urgency and level, not by cost

The store's budget gives loads to the greatest weight. By cost, a digest of 30 s outweighed thirty short requests, though each load serves its requests alike; now each counts 1 to 2 by the time it has used, doubled for each level.

--- a/sched/action.go
+++ b/sched/action.go
@@ -30,12 +30,14 @@
 type Order struct{ Order wick.Order }
 
 // WantLoad asks for the store's leave to load an adapter, answered by Granted
-// or Denied. It is repeated with the new cost while the leave is awaited.
+// or Denied. It is repeated with the new weight while the leave is awaited.
 type WantLoad struct {
 	Ref    wick.Ref
 	Source string
-	// Waiting is the cost of the requests that wait for the adapter; 0 for a
-	// prefetch.
+	// Waiting weighs the requests that wait for the adapter; 0 for a prefetch.
+	// Each counts 1 as it comes and up to 2 as its time to the first token
+	// passes, doubled for each level, however long it will run: a load serves
+	// a short request as well as a long one.
 	Waiting wick.Cost
 }
 
--- a/sched/adapter.go
+++ b/sched/adapter.go
@@ -56,10 +56,10 @@
 	pins int
 	// proved tells that no request of an earlier owner runs on the adapter.
 	proved bool
-	// queued counts the requests that wait for the adapter or behind others,
-	// and cost is their cost.
+	// queued counts the requests that wait for the adapter or behind others.
 	queued int
-	cost   wick.Cost
+	// weight is that of the queued requests as of the last step.
+	weight wick.Cost
 
 	// uses counts the requests for the adapter.
 	uses evict.Counter
@@ -68,7 +68,7 @@
 	listed bool
 	want   want
 	// asked is when the store's leave was last asked for or given, and told
-	// the cost named then.
+	// the weight named then.
 	asked wick.Instant
 	told  wick.Cost
 	// first is when the wish for the adapter arose.
--- a/sched/item.go
+++ b/sched/item.go
@@ -84,7 +84,6 @@
 	e.queue = append(e.queue, t)
 	if t.adapter != nil {
 		t.adapter.queued++
-		t.adapter.cost += t.Cost
 	}
 	if t.sub.Work != nil {
 		t.prefix = e.holdPrefix(t.sub.Work.Prompt)
@@ -95,12 +94,8 @@
 func (e *Endpoint) dequeue(t *item) {
 	i := slices.Index(e.queue, t)
 	e.queue = slices.Delete(e.queue, i, i+1)
-	if a := t.adapter; a != nil {
-		a.queued--
-		a.cost -= t.Cost
-		if a.queued == 0 {
-			a.cost = 0
-		}
+	if t.adapter != nil {
+		t.adapter.queued--
 	}
 }
 
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"currantwick"
@@ -26,12 +27,33 @@
 	if !e.owner || e.blind || e.cfg.Kind != wick.RunnerEndpoint {
 		return out
 	}
-	slices.SortStableFunc(e.wanted, func(a, b *adapter) int { return cmp.Compare(b.cost, a.cost) })
+	e.weigh(now)
+	slices.SortStableFunc(e.wanted, func(a, b *adapter) int { return cmp.Compare(b.weight, a.weight) })
 	out = e.start(now, out)
 	out = e.ask(now, out)
 	return e.shrink(now, out)
 }
 
+// weigh brings the weights of the wanted adapters up to now.
+func (e *Endpoint) weigh(now wick.Instant) {
+	if len(e.wanted) == 0 {
+		return
+	}
+	for _, a := range e.wanted {
+		a.weight = 0
+	}
+	for _, t := range e.queue {
+		if a := t.adapter; a != nil && a.listed {
+			a.weight += wick.Cost(math.Exp2(float64(t.Level)) * (1 + t.used(now)))
+		}
+	}
+}
+
+// used returns the share of a request's time to the first token that is used.
+func (t *item) used(now wick.Instant) float64 {
+	return min(1, float64(now.Sub(t.Arrived))/float64(max(1, t.Due.Sub(t.Arrived))))
+}
+
 // prune strikes off the list what is not wanted any more.
 func (e *Endpoint) prune(now wick.Instant, out []Action) []Action {
 	kept := e.wanted[:0]
@@ -110,9 +132,12 @@
 	return out
 }
 
-// remind repeats a wish whose cost has grown.
+// remindFrom is how many times its weight a wish must have to be repeated.
+const remindFrom = 1.25
+
+// remind repeats a wish that has grown.
 func (e *Endpoint) remind(now wick.Instant, a *adapter, out []Action) []Action {
-	if a.want != wantAsked || a.cost <= a.told || now.Sub(a.asked) < e.cfg.AskEvery {
+	if a.want != wantAsked || a.weight < remindFrom*a.told || now.Sub(a.asked) < e.cfg.AskEvery {
 		return out
 	}
 	return e.tell(now, a, out)
@@ -120,8 +145,8 @@
 
 func (e *Endpoint) tell(now wick.Instant, a *adapter, out []Action) []Action {
 	a.asked = now
-	a.told = a.cost
-	return append(out, WantLoad{a.ref, a.source, a.cost})
+	a.told = a.weight
+	return append(out, WantLoad{a.ref, a.source, a.weight})
 }
 
 // shrink unloads what exceeds the slots, which happens when they were lowered
@@ -171,8 +196,7 @@
 	h := wick.Holding{Ref: a.ref, Heat: e.clock.Heat(&a.uses), Used: a.uses.Last()}
 	for _, t := range e.queue {
 		if t.adapter == a {
-			share := float64(now.Sub(t.Arrived)) / float64(max(1, t.Due.Sub(t.Arrived)))
-			h.Urgency = max(h.Urgency, share)
+			h.Urgency = max(h.Urgency, t.used(now))
 		}
 	}
 	return h
