--- a/loads/figure.go
+++ b/loads/figure.go
@@ -263,8 +263,8 @@
 	return out
 }
 
-// fullTokens returns how many tokens all runners generate with full batches in
-// the phases of a name.
+// fullTokens returns how many tokens the first pool generates with full batches
+// in the phases of a name.
 func (s Scene) fullTokens(name PhaseName) float64 {
 	var d wick.Duration
 	for _, p := range s.Phases {
@@ -272,9 +272,5 @@
 			d += p.For
 		}
 	}
-	rate := 0.0
-	for _, p := range s.Pools {
-		rate += s.fullRate(p.Name)
-	}
-	return rate * d.Std().Seconds()
+	return s.fullRate(s.Pools[0].Name) * d.Std().Seconds()
 }
