Count loads of closed views, and go on after a lapse of the lease

Three holes in how budgets follow views. A view that was just closed dropped out of what a new owner waits for, although loads of its lost members could still be in flight: for as long as a load may last, Recent now keeps it, for budgets and for static shares. An owner whose lease lapsed and came back in the same view waited 6 s for members that had nothing to say; it goes on at once, because nobody else can have owned the budget. And members did not tell a restarted owner on the same host what they had in flight, so that it waited 6 s as well.

--- a/ctrl/loads.go
+++ b/ctrl/loads.go
@@ -28,6 +28,8 @@
 	budget *limit.Budget
 	// owned tells that budget answers for the store.
 	owned bool
+	// recent are the views in which loads may have started.
+	recent *limit.Recent
 	// asks are the loads that wait for leave.
 	asks []*ask
 	// passes are the permissions of loads that were given leave.
@@ -82,6 +84,7 @@
 		config: c,
 		side:   limit.NewLoads(cfg, self.Host, self.Incarnation),
 		budget: limit.NewBudget(cfg),
+		recent: limit.NewRecent(cfg),
 		passes: make(map[loadKey]limit.Pass),
 	}
 	if old := s.loads.stores[c.Name]; old != nil {
@@ -94,10 +97,12 @@
 // settleStore takes up or ends the ownership of a budget, and sets the static
 // share, as the views say.
 func (s *state) settleStore(now wick.Instant, st *store) {
-	views := append(slices.Clone(s.keeper.State().Open), s.keeper.View())
+	views := st.recent.Note(now, append(slices.Clone(s.keeper.State().Open), s.keeper.View()))
 	_, acts := s.keeper.Acts(now, lease.StoreKey(st.config.Name))
 	switch {
-	case acts && !st.owned:
+	case acts && st.owned:
+		st.budget.Own(now, s.keeper.View().Number, nil)
+	case acts:
 		var members []wick.Member
 		for _, v := range views {
 			members = append(members, v.Members...)
@@ -227,7 +232,7 @@
 		return
 	}
 	st.askAt = now.Add(st.side.Interval(len(s.keeper.View().Members)))
-	g, ok := st.side.Ask(now, s.keeper.View().Number, owner.Host, st.question())
+	g, ok := st.side.Ask(now, s.keeper.View().Number, owner, st.question())
 	if !ok {
 		return
 	}
--- a/limit/budget.go
+++ b/limit/budget.go
@@ -29,9 +29,10 @@
 	unheard map[wick.Incarnation]bool
 	since   wick.Instant
 	// view is the one in which this daemon began to own the budget; a question
-	// from before it may tell of a state long past.
-	view  wick.ViewNumber
-	owned bool
+	// from before it may tell of a state long past. latest is the one in which
+	// it owned the budget last.
+	view, latest wick.ViewNumber
+	owned        bool
 	// pass is the least pass of those that want something.
 	pass float64
 }
@@ -62,12 +63,19 @@
 	return &Budget{config: cfg.withDefaults(), share: granted(cfg.Store)}
 }
 
-// Own begins ownership in a view; it is not called again while ownership goes on
-// in later views. members are all daemons that may have loads in flight under
-// an earlier owner, those that are gone included. Until each of them has asked,
-// or its loads must have ended, nothing is given.
+// Own tells that this daemon owns the budget in a view; while it does, it may be
+// told again and again. members are all runs of daemons that may have loads in
+// flight under an earlier owner, those that are gone included, see Recent. Until
+// each of them has asked, or its loads must have ended, nothing is given. An
+// owner whose lease lapsed goes on where it was if it has the lease again in the
+// same view, in which nobody else can have owned the budget.
 func (b *Budget) Own(now wick.Instant, view wick.ViewNumber, members []wick.Member) {
+	goesOn := b.owned || b.askers != nil && view == b.latest
 	b.owned = true
+	b.latest = view
+	if goesOn {
+		return
+	}
 	b.since = now
 	b.view = view
 	b.bucket = bucket{at: now}
--- a/limit/loads.go
+++ b/limit/loads.go
@@ -24,8 +24,9 @@
 	loading  wick.Slots
 	asked    wick.Instant
 	sequence wick.Sequence
-	// owner is whom the last question went to.
-	owner wick.HostName
+	// owner is the run of a daemon to which the last question went, 0 if it
+	// was not answered.
+	owner wick.Incarnation
 	// reports tells that a question is due although nothing is wanted.
 	reports bool
 }
@@ -67,12 +68,12 @@
 // owner is told what is in flight, and is then asked while there is something
 // to want or to report. It ends what earlier grants left. owner is the owner of
 // the budget in the given view.
-func (l *Loads) Ask(now wick.Instant, view wick.ViewNumber, owner wick.HostName, w Want) (wick.Grant, bool) {
-	due := owner != l.owner || l.reports || w.Loads > 0 || w.Prefetch > 0
-	if owner == "" || !due {
+func (l *Loads) Ask(now wick.Instant, view wick.ViewNumber, owner wick.Member, w Want) (wick.Grant, bool) {
+	due := owner.Incarnation != l.owner || l.reports || w.Loads > 0 || w.Prefetch > 0
+	if !due {
 		return wick.Grant{}, false
 	}
-	l.owner = owner
+	l.owner = owner.Incarnation
 	l.left = 0
 	l.asked = now
 	l.sequence++
@@ -100,7 +101,7 @@
 
 // Failed notes that the last question got no answer, so that the next one is
 // due.
-func (l *Loads) Failed() { l.owner = "" }
+func (l *Loads) Failed() { l.owner = 0 }
 
 // Start returns the permission for one load that starts now, or PassNone.
 func (l *Loads) Start(now wick.Instant) Pass {
--- a/limit/store_test.go
+++ b/limit/store_test.go
@@ -196,6 +196,12 @@
 	s.daemons[to].budget.Own(instant(now), s.view, members)
 }
 
+// lapse ends the ownership of the budget and begins it in the same view again.
+func (s *site) lapse(now int) {
+	s.daemons[s.owner].budget.Disown()
+	s.daemons[s.owner].budget.Own(instant(now), s.view, nil)
+}
+
 // restart replaces daemon i; its loads run on.
 func (s *site) restart(now, i int) {
 	gone := []wick.Member{s.daemons[i].member}
@@ -208,7 +214,7 @@
 
 // ask lets daemon i send its question.
 func (s *site) ask(now, i int, w Want, delay int, lost bool) {
-	g, ok := s.daemons[i].loads.Ask(instant(now), s.view, s.daemons[s.owner].host, w)
+	g, ok := s.daemons[i].loads.Ask(instant(now), s.view, s.daemons[s.owner].member, w)
 	if ok && !lost {
 		s.wire = append(s.wire, message{at: now + delay, to: s.owner, back: i, grant: g})
 	}
@@ -293,9 +299,11 @@
 		for now := range 600 {
 			s.end(now)
 			s.deliver(now, r.IntN(3)*r.IntN(10))
-			switch r.IntN(2 * moves) {
+			switch r.IntN(3 * moves) {
 			case 0:
 				s.own(now, r.IntN(4), nil)
+			case 2:
+				s.lapse(now)
 			case 1:
 				s.restart(now, r.IntN(4))
 			}
@@ -342,6 +350,8 @@
 		{name: "later view", view: 2, run: 1, sequence: 2, want: true},
 		{name: "restarted asker", view: 2, run: 2, sequence: 1, want: true},
 		{name: "disowned", disown: true, view: 2, run: 2, sequence: 2},
+		{name: "lease back in the same view", own: 1, view: 2, run: 2, sequence: 2, want: true},
+		{name: "disowned again", disown: true, view: 2, run: 2, sequence: 3},
 		{name: "from before it was owned again", own: 4, view: 2, run: 2, sequence: 3},
 		{name: "owned again", view: 4, run: 2, sequence: 4, want: true},
 	}
@@ -359,6 +369,57 @@
 	}
 }
 
+// An owner whose lease lapsed goes on at once in the same view, and waits in a
+// later one.
+func TestOwnAgain(t *testing.T) {
+	tests := []struct {
+		name  string
+		view  wick.ViewNumber
+		given wick.Slots
+	}{
+		{"same view", 1, 1},
+		{"later view", 2, 0},
+	}
+	for _, tt := range tests {
+		b := NewBudget(StoreConfig{Store: abay})
+		idle := []wick.Member{{Host: "idle", Incarnation: 9}}
+		b.Own(0, 1, idle)
+		now := wick.Instant(time.Minute)
+		b.Disown()
+		b.Own(now, tt.view, idle)
+		g, _ := b.Ask(now.Add(time.Second), wick.Grant{From: "h", Incarnation: 1, View: 2, Sequence: 1, Wanted: 1, Loads: 1})
+		if g.Given != tt.given {
+			t.Errorf("%s: %d given, want %d", tt.name, g.Given, tt.given)
+		}
+	}
+}
+
+func TestRecent(t *testing.T) {
+	view := func(n wick.ViewNumber) wick.View { return wick.View{Number: n} }
+	tests := []struct {
+		at   time.Duration
+		open []wick.View
+		want string
+	}{
+		{0, []wick.View{view(1)}, "[1]"},
+		{time.Second, []wick.View{view(1), view(4)}, "[1 4]"},
+		{2 * time.Second, []wick.View{view(4)}, "[1 4]"},
+		{6900 * time.Millisecond, []wick.View{view(4), view(6)}, "[1 4 6]"},
+		{7 * time.Second, []wick.View{view(6)}, "[4 6]"},
+		{20 * time.Second, []wick.View{view(6)}, "[6]"},
+	}
+	r := NewRecent(StoreConfig{})
+	for _, tt := range tests {
+		var got []wick.ViewNumber
+		for _, v := range r.Note(wick.Instant(tt.at), tt.open) {
+			got = append(got, v.Number)
+		}
+		if fmt.Sprint(got) != tt.want {
+			t.Errorf("after %v: %v, want %v", tt.at, got, tt.want)
+		}
+	}
+}
+
 // Prefetch leaves a token for the next request, and takes none while one waits.
 func TestPrefetchComesLast(t *testing.T) {
 	b := NewBudget(StoreConfig{Store: abay})
