Remove a member that others cannot reach, though it reaches them

A member whose own renewals were answered kept its lease, and the endpoints it owned, while nobody could hand it requests. A witness now counts a member as silent too if it does not answer, and a daemon joins only once a quorum both answers it and sends to it; the wait to join without that doubles until it has held a lease for a while.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -134,9 +134,10 @@
 	adopted wick.ViewNumber
 	// gone tells that the run is known to have ended.
 	gone bool
-	// heard and healthy are when any message came last, and when the last one
-	// came that told of no lapsed lease.
-	heard, healthy wick.Instant
+	// heard is when any message came last. renewing and answering are when
+	// the last renewal and the last answer to one of self's came; those that
+	// tell of a lapsed lease do not count.
+	heard, renewing, answering wick.Instant
 	// vouched is the latest sending of a renewal that this run acknowledged
 	// for the current view, if vouches is set.
 	vouched wick.Instant
@@ -170,8 +171,9 @@
 	lapses map[lapse]wick.Instant
 	// witnesses are those of self in the current view.
 	witnesses []wick.Member
-	// watched are the members of the current view that send messages to self.
-	watched []wick.Member
+	// wards are the members of the current view that self is a witness of, and
+	// watched all those that send messages to self: witnesses and wards.
+	wards, watched []wick.Member
 
 	sequence wick.Sequence
 	// last is when Tick ran last.
@@ -197,10 +199,10 @@
 	backoff   time.Duration
 	// quorumAt is when self last was in touch with a quorum, or proposed
 	// without one. orphan is how long it then waits to join; it doubles until
-	// self gets a lease.
-	quorumAt wick.Instant
-	orphan   time.Duration
-	stopping bool
+	// self has held a lease for a while, which began at leaseAt.
+	quorumAt, leaseAt wick.Instant
+	orphan            time.Duration
+	stopping          bool
 }
 
 // New returns a Keeper that knows no view yet.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -154,3 +154,24 @@
 		}
 	}
 }
+
+// TestDeafMember cuts off what others send to a member, which still reaches
+// them. Others must take over from it, and views must not come and go.
+func TestDeafMember(t *testing.T) {
+	const last = 60 * time.Second
+	for seed := range uint64(5) {
+		f := fault{kind: deaf, node: 2, at: 10 * time.Second, last: last}
+		m := newModel(plan{nodes: 7, seed: seed, limit: 7, lag: 5 * time.Millisecond, faults: []fault{f}}, sound)
+		m.step(f.at)
+		before := len(m.log)
+		m.step(f.at + 5*time.Second)
+		if len(m.idle()) > 0 || len(m.nodes[2].acts) > 0 {
+			t.Errorf("seed %d: idle %v, and the deaf member acts on %v", seed, m.idle(), m.nodes[2].acts)
+		}
+		m.step(f.at + last)
+		t.Logf("seed %d: %d records while one member was deaf for %v", seed, len(m.log)-before, last)
+		if len(m.log)-before > 60 {
+			t.Errorf("seed %d: too many", seed)
+		}
+	}
+}
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -27,6 +27,7 @@
 	logCut  // the log is out of reach for node
 	stop    // graceful, restart later
 	blind   // the log and messages to node are lost, so it learns of nothing
+	deaf    // renewals to node are lost, and answers to its own are not
 	lossy   // messages are lost or late all over
 	kinds
 )
@@ -307,7 +308,7 @@
 	}
 	for range 1 + m.rand.IntN(20)/19 { // Some are doubled.
 		d, ok := m.delay(n.index, to)
-		if !ok {
+		if !ok || m.active(deaf, func(f fault) bool { return f.node == to }) {
 			continue
 		}
 		m.at(m.now+d, m.nodes[to], func() { m.receive(n, m.nodes[to], sent, a.Renewal) })
--- a/lease/plan.go
+++ b/lease/plan.go
@@ -27,11 +27,7 @@
 	if before := k.View(); k.log.restart(now, forgetAfter*k.cfg.Checkpoint) {
 		acts = k.after(now, before)
 	}
-	if _, ok := k.Lease(now); ok {
-		k.quorumAt, k.orphan = now, k.cfg.Orphan
-	} else if !k.Member() && k.inTouch(now) {
-		k.quorumAt = now
-	}
+	k.count(now)
 	if now >= k.renewAt || len(k.silentHosts(now)) > k.suspects {
 		acts = append(acts, k.renew(now)...)
 	}
@@ -43,6 +39,22 @@
 	return append(acts, k.checkpoint(now)...)
 }
 
+// count notes since when self is in touch with a quorum, or without one.
+func (k *Keeper) count(now wick.Instant) {
+	_, ok := k.Lease(now)
+	switch {
+	case ok:
+		k.quorumAt = now
+		if now.Sub(k.leaseAt) >= k.cfg.Orphan {
+			k.orphan = k.cfg.Orphan
+		}
+		return
+	case !k.Member() && k.inTouch(now):
+		k.quorumAt = now
+	}
+	k.leaseAt = now
+}
+
 // Next returns when Tick wants to run next at the latest. It is also when Acts
 // may change by the mere passing of time.
 func (k *Keeper) Next() wick.Instant {
@@ -85,16 +97,25 @@
 func (k *Keeper) wake(now wick.Instant) {
 	for _, m := range k.watched {
 		p := k.peer(idOf(m))
-		p.heard, p.healthy = now, now
+		p.heard, p.renewing, p.answering = now, now, now
 	}
 	k.quorumAt = now
 	k.planned = false
 }
 
-// silent reports whether nothing healthy was heard of a member for too long.
+// silent reports whether a member failed for too long to renew its lease with
+// self, its witness, or to answer self as a witness. Both count: a member that
+// only sends cannot be handed requests, and one that only answers lost its
+// lease.
 func (k *Keeper) silent(now wick.Instant, m wick.Member) bool {
 	p := k.peers[idOf(m)]
-	return p != nil && now.Sub(p.healthy) > k.cfg.Suspect
+	if p == nil {
+		return false
+	}
+	same := func(o wick.Member) bool { return idOf(o) == idOf(m) }
+	late := func(at wick.Instant) bool { return now.Sub(at) > k.cfg.Suspect }
+	return late(p.renewing) && slices.ContainsFunc(k.wards, same) ||
+		late(p.answering) && slices.ContainsFunc(k.witnesses, same)
 }
 
 func (k *Keeper) silentHosts(now wick.Instant) []wick.HostName {
@@ -107,20 +128,22 @@
 	return out
 }
 
-// inTouch reports whether a quorum of self's contacts answered of late. After
-// a restart of most of a view the runs that answer are new ones, so hosts are
+// inTouch reports whether a quorum of self's contacts answered and sent
+// renewals of late, so that self reaches them and they reach self. After a
+// restart of most of a view the runs that answer are new ones, so hosts are
 // counted.
 func (k *Keeper) inTouch(now wick.Instant) bool {
 	contacts := k.contacts()
-	heard := make(map[wick.HostName]bool)
+	lately := func(at wick.Instant) bool { return at > 0 && now.Sub(at) <= k.cfg.Suspect }
+	touched := make(map[wick.HostName]bool)
 	for n, p := range k.peers {
-		if p.acked > 0 && now.Sub(p.heard) <= k.cfg.Suspect {
-			heard[n.host] = true
+		if lately(p.answering) && lately(p.renewing) {
+			touched[n.host] = true
 		}
 	}
 	count := 0
 	for _, m := range contacts {
-		if heard[m.Host] {
+		if touched[m.Host] {
 			count++
 		}
 	}
@@ -247,15 +270,15 @@
 	return time.Duration(rank) * k.cfg.Renew / 2
 }
 
-// joiners returns who asked to join of late, and knows the view it joins: that
+// joiners returns who asked to join of late, answers, and knows the view it joins: that
 // it ran after that view was on the log is what others conclude from its name
 // in the next one.
 func (k *Keeper) joiners(now wick.Instant) []wick.Member {
 	v := k.View()
 	var out []wick.Member
 	for n, p := range k.peers {
-		if p.joining && p.adopted == v.Number && now.Sub(p.heard) <= k.cfg.Suspect &&
-			n != k.self && n.host != k.self.host && !v.Has(p.member) {
+		if p.joining && p.adopted == v.Number && n.host != k.self.host && !v.Has(p.member) &&
+			now.Sub(p.renewing) <= k.cfg.Suspect && now.Sub(p.answering) <= k.cfg.Suspect {
 			out = append(out, p.member)
 		}
 	}
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -41,7 +41,10 @@
 		p.renewed = r.Sequence
 		p.stopping = r.Stopping
 		p.joining = r.Self != nil && !r.Stopping
-		k.hear(now, p, r.Lapsed, r.Silent)
+		p.heard, p.silent = now, r.Silent
+		if !r.Lapsed {
+			p.renewing = now
+		}
 	}
 	k.adopted(now, p, r.View)
 	return k.ack(now, r), acts
@@ -73,7 +76,10 @@
 	p := k.peer(id{a.From, a.Incarnation})
 	if a.Sequence > p.acked {
 		p.acked = a.Sequence
-		k.hear(now, p, a.Lapsed, a.Silent)
+		p.heard, p.silent = now, a.Silent
+		if !a.Lapsed {
+			p.answering = now
+		}
 	}
 	k.adopted(now, p, a.View)
 	v := k.View()
@@ -86,15 +92,6 @@
 	return acts
 }
 
-// hear notes that a run sent something.
-func (k *Keeper) hear(now wick.Instant, p *peer, lapsed bool, silent []wick.HostName) {
-	p.heard = now
-	if !lapsed {
-		p.healthy = now
-	}
-	p.silent = silent
-}
-
 // adopted notes that a run knows a view, and what follows from that.
 func (k *Keeper) adopted(now wick.Instant, p *peer, v wick.ViewNumber) {
 	if v > p.adopted {
@@ -140,7 +137,7 @@
 }
 
 // targets returns whom self sends renewals: its witnesses; the witnesses of
-// members that are silent, for their opinion; and those whose adoption of a
+// members that are silent, for their opinion; who wants to join; and those whose adoption of a
 // later view self has to learn of.
 func (k *Keeper) targets(now wick.Instant) []wick.Member {
 	all := make(map[id]wick.Member)
@@ -155,6 +152,11 @@
 			add(k.current.members(k.current.witnessesOf(m))...)
 		}
 	}
+	for _, p := range k.peers {
+		if p.joining && now.Sub(p.heard) <= k.cfg.Suspect {
+			add(p.member) // It shows by its answer that it can be reached.
+		}
+	}
 	closer := k.closer()
 	for _, r := range k.open {
 		for i, o := range r.view.Members {
--- a/lease/view.go
+++ b/lease/view.go
@@ -55,9 +55,10 @@
 	for _, p := range k.peers {
 		p.vouches = false
 	}
-	k.witnesses, k.watched = nil, nil
+	k.witnesses, k.wards, k.watched = nil, nil, nil
 	if i := k.current.index(k.self); i >= 0 {
 		k.witnesses = k.current.members(k.current.witnesses[i])
+		k.wards = k.current.members(k.current.wards[i])
 		k.watched = k.current.members(union(k.current.witnesses[i], k.current.wards[i]))
 	}
 	for _, m := range k.watched {
@@ -73,7 +74,7 @@
 func (k *Keeper) freshen(now wick.Instant, m wick.Member, before wick.View) {
 	p := k.peer(idOf(m))
 	if !before.Has(m) || !before.Has(k.cfg.Self) {
-		p.heard, p.healthy = now, now
+		p.heard, p.renewing, p.answering = now, now, now
 		p.silent = nil
 	}
 	p.joining = false
