--- a/boot/boot.go
+++ b/boot/boot.go
@@ -5,16 +5,19 @@
 	"crypto/tls"
 	"fmt"
 	"log/slog"
+	"time"
 
 	"currantwick"
 	"currantwick/certs"
 	"currantwick/claim"
 	"currantwick/ctrl"
+	"currantwick/eject"
 	"currantwick/engine"
 	"currantwick/evict"
 	"currantwick/hosts"
 	"currantwick/httpc"
 	"currantwick/lease"
+	"currantwick/limit"
 	"currantwick/node"
 	"currantwick/plain"
 	"currantwick/plog"
@@ -22,6 +25,7 @@
 	"currantwick/sched"
 	"currantwick/setup"
 	"currantwick/stats"
+	"currantwick/tally"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -30,6 +34,9 @@
 // retention.
 const checkpointParts = 4
 
+// maxWait bounds how long a read of the log waits for a new record.
+const maxWait = wick.Duration(5 * time.Second)
+
 // Config says what to build a daemon from.
 type Config struct {
 	Settings setup.Settings
@@ -46,6 +53,14 @@
 	s := cfg.Settings
 	note := stats.New(stats.Config{Log: cfg.Log, Registry: cfg.Registry})
 	ends := httpc.Config{Quiet: s.Limits.Silence}
+	retries, err := limit.NewRetries(limit.RetryConfig{})
+	if err != nil {
+		return nil, fmt.Errorf("daemon on %s: %w", s.Host, err)
+	}
+	hedge := limit.HedgeConfig{Policy: hedger(s.Policy.Hedge)}
+	if _, err := limit.NewHedger(hedge); err != nil {
+		return nil, fmt.Errorf("daemon on %s: %w", s.Host, err)
+	}
 	n, err := node.New(node.Config{
 		Self:      wick.Member{Host: s.Host, Domain: s.Domain, Peer: s.Peer.Address, Entry: s.Entry.Address},
 		Listen:    s.Peer.Listen,
@@ -53,7 +68,7 @@
 		BodyBytes: s.Limits.BodyBytes,
 		Keys:      cfg.Keys,
 		HostOf:    certs.HostOf,
-		Log:       plog.New(plog.Config{Address: s.Log.Address, HTTP: httpc.Config{Quiet: s.Log.Timeout}}),
+		Log:       platformLog(s),
 		Hosts:     hostList(s.Hosts),
 		Engine:    engine.New(engine.Config{HTTP: ends}),
 		Services:  plain.New(plain.Config{HTTP: ends}),
@@ -64,7 +79,9 @@
 		},
 		Route:   route.Config{Policy: router(s.Policy.Router)},
 		Policy:  policies(s.Policy),
-		Retries: newRetries(),
+		Eject:   eject.Config{Policy: ejector(s.Policy.Eject)},
+		Retries: tally.NewRetries(retries),
+		Hedge:   hedge,
 		Times:   times(s),
 		Control: note,
 		Traffic: note,
@@ -75,6 +92,16 @@
 	return n, nil
 }
 
+// platformLog returns the log. A read that finds nothing new returns well
+// before the configuration counts as stale, since it shows that it is not.
+func platformLog(s setup.Settings) wick.Log {
+	return plog.New(plog.Config{
+		Address: s.Log.Address,
+		Wait:    min(s.Stale/3, maxWait),
+		HTTP:    httpc.Config{Quiet: s.Log.Timeout},
+	})
+}
+
 func hostList(h setup.Hosts) wick.Hosts {
 	if h.Address == "" {
 		return nil
@@ -112,6 +139,20 @@
 	return wick.RouteAffinity
 }
 
+func ejector(c setup.Choice) wick.EjectPolicy {
+	if c == setup.Baseline {
+		return wick.EjectNone
+	}
+	return wick.EjectOutliers
+}
+
+func hedger(c setup.Choice) wick.HedgePolicy {
+	if c == setup.Baseline {
+		return wick.HedgeNone
+	}
+	return wick.HedgePercentile
+}
+
 func policies(p setup.Policy) ctrl.Policy {
 	out := ctrl.Policy{Order: sched.Shortest{}, Evict: evict.Heat{}, Admit: sched.Deadline{}}
 	if p.Order == setup.Baseline {
--- a/node/node.go
+++ b/node/node.go
@@ -15,10 +15,13 @@
 	"currantwick"
 	"currantwick/claim"
 	"currantwick/ctrl"
+	"currantwick/eject"
 	"currantwick/entry"
 	"currantwick/lease"
+	"currantwick/limit"
 	"currantwick/owner"
 	"currantwick/peer"
+	"currantwick/place"
 	"currantwick/relay"
 	"currantwick/route"
 
@@ -65,10 +68,14 @@
 	Lease  lease.Config
 	Claim  claim.Config
 	Route  route.Config
+	Eject  eject.Config
+	Place  place.Config
 	Policy ctrl.Policy
 	// Retries bounds retries to a share of the requests.
 	Retries wick.RetryBudget
-	Times   Times
+	// Hedge sets up the hedger of each pool.
+	Hedge limit.HedgeConfig
+	Times Times
 
 	Control wick.ControlNote
 	Traffic wick.TrafficNote
@@ -155,6 +162,8 @@
 		Peers:    n.client,
 		Quiet:    peerQuiet,
 		Retries:  n.cfg.Retries,
+		Hedge:    n.cfg.Hedge,
+		Seen:     n.seen,
 		Note:     n.cfg.Traffic,
 	})
 	var err error
@@ -164,6 +173,8 @@
 		Claim:      n.cfg.Claim,
 		Route:      n.cfg.Route,
 		Policy:     n.cfg.Policy,
+		Eject:      n.cfg.Eject,
+		Place:      n.cfg.Place,
 		InFlight:   n.relay.InFlight(),
 		Stale:      n.cfg.Times.Stale,
 		Checkpoint: n.cfg.Times.Checkpoint,
@@ -201,7 +212,7 @@
 	group.Go(func() error { return n.thread.Run(work, n.out) })
 	group.Go(func() error { return n.peers.Run(work) })
 	group.Go(func() error { return n.entry.Run(front) })
-	for _, stream := range []wick.StreamName{wick.ConfigStream, wick.ViewStream, wick.ClaimStream} {
+	for _, stream := range []wick.StreamName{wick.ConfigStream, wick.ViewStream, wick.ClaimStream, wick.AuditStream} {
 		group.Go(func() error { return n.read(work, stream) })
 	}
 	group.Go(func() error { return n.list(work) })
--- a/note.go
+++ b/note.go
@@ -9,6 +9,8 @@
 	View(v View)
 	// Acting notes that the daemon began or ceased to act for an endpoint.
 	Acting(e EndpointName, acts bool)
+	// Crashed notes that an endpoint crashed with requests in flight.
+	Crashed(e EndpointName, inFlight int)
 	// Verdict notes the judgement on a change.
 	Verdict(v Verdict)
 	// Refused notes something from outside that could not be used.
@@ -26,6 +28,8 @@
 	Try()
 	// Resume counts a stream that went on after a break.
 	Resume()
+	// Hedge counts a second try beside a slow first one.
+	Hedge()
 	// Ended counts a finished request; code is empty for an answer. first and
 	// whole are the times to the first token and to the end.
 	Ended(code Code, first, whole time.Duration)
