--- a/demo/demo.go
+++ b/demo/demo.go
@@ -9,18 +9,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"time"
 
 	"currantwick"
-	"currantwick/boot"
-	"currantwick/certs"
 	"currantwick/fakes"
-	"currantwick/node"
+	"currantwick/fleet"
 	"currantwick/setup"
-
-	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -28,10 +22,9 @@
 	runners = 3
 	// readyWithin bounds the wait until the daemons act together.
 	readyWithin = 20 * time.Second
-	// keyLife is how long the keys of the demo hold.
-	keyLife    = time.Hour
-	readyCheck = 20 * time.Millisecond
-	anyPort    = wick.Address("127.0.0.1:0")
+	keyLife     = time.Hour
+	readyCheck  = 20 * time.Millisecond
+	anyPort     = wick.Address("127.0.0.1:0")
 )
 
 // Run shows the path and writes what happened to out.
@@ -73,7 +66,7 @@
 type show struct {
 	out   io.Writer
 	set   *fakes.Set
-	nodes []*node.Node
+	fleet *fleet.Fleet
 }
 
 func (s *show) printf(format string, args ...any) {
@@ -81,66 +74,25 @@
 }
 
 func (s *show) run(ctx context.Context) error {
-	if err := s.build(); err != nil {
-		return err
-	}
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	var group errgroup.Group
-	for _, n := range s.nodes {
-		group.Go(func() error { return n.Run(ctx) })
-	}
-	err := s.scenes(ctx)
-	stop()
-	err = errors.Join(err, group.Wait())
-	if err == nil {
-		s.printf("stopped cleanly")
-	}
-	return err
-}
-
-// build makes the daemons with keys that live in memory only.
-func (s *show) build() error {
-	authority, err := certs.NewAuthority(certs.Config{Life: keyLife})
+	var err error
+	s.fleet, err = fleet.New(fleet.Config{
+		Daemons: daemons,
+		Domains: []wick.Domain{"domain-1", "domain-2", "domain-3"},
+		Log:     s.set.Log.Address(),
+		Hosts:   s.set.Hosts.Address(),
+		Policy:  setup.Default().Policy,
+	})
 	if err != nil {
-		return fmt.Errorf("authority: %w", err)
+		return fmt.Errorf("daemons: %w", err)
 	}
-	for i := range daemons {
-		n, err := s.daemon(authority, i)
-		if err != nil {
-			return err
-		}
-		s.nodes = append(s.nodes, n)
+	s.fleet.Start(ctx)
+	if err := errors.Join(s.scenes(ctx), s.fleet.Close()); err != nil {
+		return err
 	}
+	s.printf("stopped cleanly")
 	return nil
 }
 
-func (s *show) daemon(authority *certs.Authority, i int) (*node.Node, error) {
-	host := wick.HostName(fmt.Sprintf("host-%d", i+1))
-	pair, err := authority.Issue(certs.Config{Life: keyLife}, host)
-	if err != nil {
-		return nil, fmt.Errorf("keys of %s: %w", host, err)
-	}
-	material, err := certs.NewMaterial(authority.PEM().Cert, pair)
-	if err != nil {
-		return nil, fmt.Errorf("keys of %s: %w", host, err)
-	}
-	settings := setup.Default()
-	settings.Host = host
-	settings.Domain = wick.Domain(fmt.Sprintf("domain-%d", i+1))
-	settings.Entry.Address = anyPort
-	settings.Peer.Address = anyPort
-	settings.Log.Address = s.set.Log.Address()
-	settings.Hosts.Address = s.set.Hosts.Address()
-	settings.Stop.Linger = 0
-	return boot.Node(boot.Config{
-		Settings: settings,
-		Keys:     certs.Static(material),
-		Log:      slog.New(slog.DiscardHandler),
-		Registry: prometheus.NewRegistry(),
-	})
-}
-
 // scenes shows the path step by step.
 func (s *show) scenes(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWithin)
@@ -152,7 +104,7 @@
 		return err
 	}
 	c := newCaller()
-	entries, err := c.entries(s.nodes[0].Self().Entry)
+	entries, err := c.entries(s.fleet.Nodes()[0].Self().Entry)
 	if err != nil {
 		return err
 	}
@@ -166,7 +118,7 @@
 }
 
 func (s *show) publish(ctx context.Context) error {
-	v, err := s.nodes[0].Publish(ctx, sample(s.set.Addresses()))
+	v, err := s.fleet.Nodes()[0].Publish(ctx, sample(s.set.Addresses()))
 	if err != nil {
 		return fmt.Errorf("publish: %w", err)
 	}
@@ -179,29 +131,14 @@
 
 // ready waits until all daemons are one view and hold the configuration.
 func (s *show) ready(ctx context.Context) error {
-	for !s.isReady() {
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("wait for one view: %w", ctx.Err())
-		case <-time.After(readyCheck):
-		}
+	if err := s.fleet.Ready(ctx, 1); err != nil {
+		return fmt.Errorf("wait for one view: %w", err)
 	}
-	snap := s.nodes[0].Snapshot()
-	s.printf("view %d with %d daemons", snap.View.Number, len(snap.View.Members))
+	view := s.fleet.Nodes()[0].Snapshot().View
+	s.printf("view %d with %d daemons", view.Number, len(view.Members))
 	return nil
 }
 
-func (s *show) isReady() bool {
-	first := s.nodes[0].Snapshot()
-	for _, n := range s.nodes {
-		snap := n.Snapshot()
-		if len(snap.View.Members) != daemons || snap.View.Number != first.View.Number || snap.Offset == 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // completions sends one streamed request through each of two entries.
 func (s *show) completions(c *caller, entries []wick.EntryPoint) error {
 	for i, route := range []wick.RouteName{"notices", "digests"} {
--- a/scale/fleet_test.go
+++ b/scale/fleet_test.go
@@ -3,20 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"syscall"
 	"testing"
 	"time"
 
 	"currantwick"
-	"currantwick/boot"
-	"currantwick/certs"
 	"currantwick/fakes"
-	"currantwick/node"
+	"currantwick/fleet"
 	"currantwick/setup"
-
-	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -26,13 +20,11 @@
 	fleetPort   = wick.Address("127.0.0.1:0")
 )
 
-// fleet is a number of daemons in this process, which talk over loopback.
-type fleet struct {
-	b          *testing.B
-	log        *fakes.Log
-	hosts      *fakes.Hosts
-	nodes      []*node.Node
-	registries []*prometheus.Registry
+// running is a fleet with its stand-ins.
+type running struct {
+	b     *testing.B
+	log   *fakes.Log
+	fleet *fleet.Fleet
 }
 
 // BenchmarkFleet measures what control costs daemons that serve nobody: run it
@@ -40,101 +32,51 @@
 func BenchmarkFleet(b *testing.B) {
 	for _, size := range []int{7, 20, 60} {
 		b.Run(fmt.Sprintf("daemons=%d", size), func(b *testing.B) {
-			f := newFleet(b, size)
-			ctx, stop := context.WithCancel(context.Background())
-			var group errgroup.Group
-			for _, n := range f.nodes {
-				group.Go(func() error { return n.Run(ctx) })
+			r := newRunning(b, size)
+			r.fleet.Start(context.Background())
+			ctx, cancel := context.WithTimeout(context.Background(), fleetReady)
+			defer cancel()
+			if err := r.fleet.Ready(ctx, 0); err != nil {
+				b.Fatal(err)
 			}
-			f.ready()
-			f.measure()
-			stop()
-			if err := group.Wait(); err != nil {
+			time.Sleep(fleetSettle)
+			r.measure()
+			if err := r.fleet.Close(); err != nil {
 				b.Error(err)
 			}
 		})
 	}
 }
 
-func newFleet(b *testing.B, size int) *fleet {
-	f := &fleet{b: b}
-	var err error
-	if f.log, err = fakes.StartLog(fakes.LogConfig{Address: fleetPort}); err != nil {
-		b.Fatal(err)
-	}
-	if f.hosts, err = fakes.StartHosts(fakes.HostsConfig{Address: fleetPort}); err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() {
-		_ = f.log.Close()
-		_ = f.hosts.Close()
+func newRunning(b *testing.B, size int) *running {
+	set, err := fakes.StartSet(fakes.SetConfig{
+		Log:   &fakes.LogConfig{Address: fleetPort},
+		Hosts: &fakes.HostsConfig{Address: fleetPort},
 	})
-	authority, err := certs.NewAuthority(certs.Config{Life: time.Hour})
 	if err != nil {
 		b.Fatal(err)
 	}
-	for i := range size {
-		f.add(authority, i)
-	}
-	return f
-}
-
-func (f *fleet) add(authority *certs.Authority, i int) {
-	host := hostName(i)
-	pair, err := authority.Issue(certs.Config{Life: time.Hour}, host)
-	if err != nil {
-		f.b.Fatal(err)
-	}
-	material, err := certs.NewMaterial(authority.PEM().Cert, pair)
-	if err != nil {
-		f.b.Fatal(err)
+	b.Cleanup(func() { _ = set.Close() })
+	var domains []wick.Domain
+	for i := range 18 {
+		domains = append(domains, wick.Domain(fmt.Sprintf("d%d", i)))
 	}
-	s := setup.Default()
-	s.Host, s.Domain = host, wick.Domain(fmt.Sprintf("d%d", i%18))
-	s.Entry.Address, s.Peer.Address = fleetPort, fleetPort
-	s.Log.Address, s.Hosts.Address = f.log.Address(), f.hosts.Address()
-	s.Stop.Linger = 0
-	registry := prometheus.NewRegistry()
-	n, err := boot.Node(boot.Config{
-		Settings: s, Keys: certs.Static(material),
-		Log: slog.New(slog.DiscardHandler), Registry: registry,
+	f, err := fleet.New(fleet.Config{
+		Daemons: size, Domains: domains,
+		Log: set.Log.Address(), Hosts: set.Hosts.Address(), Policy: setup.Default().Policy,
 	})
 	if err != nil {
-		f.b.Fatal(err)
-	}
-	f.nodes = append(f.nodes, n)
-	f.registries = append(f.registries, registry)
-}
-
-// ready waits for one view of all daemons.
-func (f *fleet) ready() {
-	deadline := time.Now().Add(fleetReady)
-	for !f.isReady() {
-		if time.Now().After(deadline) {
-			f.b.Fatal("no view of all daemons in time")
-		}
-		time.Sleep(lookEvery)
-	}
-	time.Sleep(fleetSettle)
-}
-
-const lookEvery = 50 * time.Millisecond
-
-func (f *fleet) isReady() bool {
-	for _, n := range f.nodes {
-		if len(n.Snapshot().View.Members) != len(f.nodes) {
-			return false
-		}
+		b.Fatal(err)
 	}
-	return true
+	return &running{b: b, log: set.Log, fleet: f}
 }
 
 // measure reports the rates over a while, for one daemon.
-func (f *fleet) measure() {
+func (f *running) measure() {
 	before, cpu, appends := f.counters(), processTime(f.b), f.log.Stats().Appends
 	time.Sleep(fleetFor)
 	after := f.counters()
-	each := float64(len(f.nodes)) * fleetFor.Seconds()
+	each := float64(len(f.fleet.Nodes())) * fleetFor.Seconds()
 	for _, name := range []string{"peer_calls_total", "peer_sent_bytes_total", "peer_received_bytes_total"} {
 		f.b.ReportMetric((after[name]-before[name])/each, name+"/s")
 	}
@@ -144,9 +86,9 @@
 }
 
 // counters sums the daemons' counters by name.
-func (f *fleet) counters() map[string]float64 {
+func (f *running) counters() map[string]float64 {
 	out := make(map[string]float64)
-	for _, r := range f.registries {
+	for _, r := range f.fleet.Registries() {
 		families, err := r.Gather()
 		if err != nil {
 			f.b.Fatal(err)
