--- a/boot/boot.go
+++ b/boot/boot.go
@@ -3,7 +3,6 @@
 
 import (
 	"crypto/tls"
-	"fmt"
 	"log/slog"
 	"time"
 
@@ -28,6 +27,7 @@
 	"currantwick/tally"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/oops"
 )
 
 // checkpointParts is how many checkpoints are written within the log's
@@ -55,11 +55,11 @@
 	ends := httpc.Config{Quiet: s.Limits.Silence}
 	retries, err := limit.NewRetries(limit.RetryConfig{})
 	if err != nil {
-		return nil, fmt.Errorf("daemon on %s: %w", s.Host, err)
+		return nil, fault(s).Errorf("build daemon: %w", err)
 	}
 	hedge := limit.HedgeConfig{Policy: hedger(s.Policy.Hedge)}
 	if _, err := limit.NewHedger(hedge); err != nil {
-		return nil, fmt.Errorf("daemon on %s: %w", s.Host, err)
+		return nil, fault(s).Errorf("build daemon: %w", err)
 	}
 	n, err := node.New(node.Config{
 		Self:      wick.Member{Host: s.Host, Domain: s.Domain, Peer: s.Peer.Address, Entry: s.Entry.Address},
@@ -88,7 +88,7 @@
 		Peers:   note,
 	})
 	if err != nil {
-		return nil, fmt.Errorf("daemon on %s: %w", s.Host, err)
+		return nil, fault(s).Errorf("build daemon: %w", err)
 	}
 	return n, nil
 }
@@ -103,6 +103,11 @@
 	})
 }
 
+// fault starts an error that carries where the daemon was to run.
+func fault(s setup.Settings) oops.OopsErrorBuilder {
+	return oops.In("boot").With("host", s.Host, "domain", s.Domain)
+}
+
 func hostList(h setup.Hosts) wick.Hosts {
 	if h.Address == "" {
 		return nil
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
 
@@ -189,8 +190,7 @@
 		_ = writeEvent(w, failureOf(wick.AsError(fd.fail)))
 		return
 	}
-	_, _ = w.WriteString("data: [DONE]\n\n")
-	_ = w.Flush()
+	_ = writeLine(w, "data: [DONE]")
 }
 
 func writeFrame(w *bufio.Writer, ask wick.Ask, f wick.Frame) error {
@@ -211,25 +211,24 @@
 // writeComment keeps the connection busy and shows whether the caller is still
 // there.
 func writeComment(w *bufio.Writer) error {
-	if _, err := w.WriteString(": beat\n\n"); err != nil {
-		return err
-	}
-	return w.Flush()
+	return writeLine(w, ": beat")
 }
 
 func writeEvent(w *bufio.Writer, v any) error {
 	data, err := codec.EncodeJSON(v)
 	if err != nil {
-		return err
-	}
-	if _, err := w.WriteString("data: "); err != nil {
-		return err
-	}
-	if _, err := w.Write(data); err != nil {
-		return err
+		return fmt.Errorf("event: %w", err)
 	}
-	if _, err := w.WriteString("\n\n"); err != nil {
-		return err
+	return writeLine(w, "data: "+string(data))
+}
+
+// writeLine sends one event or comment at once.
+func writeLine(w *bufio.Writer, line string) error {
+	// A failed write shows in Flush.
+	_, _ = w.WriteString(line)
+	_, _ = w.WriteString("\n\n")
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("write to caller: %w", err)
 	}
-	return w.Flush()
+	return nil
 }
--- a/verbs/serve.go
+++ b/verbs/serve.go
@@ -78,6 +78,7 @@
 		Registry: registry,
 	})
 	if err != nil {
+		log.Error("daemon not started", "error", err)
 		return fmt.Errorf("start: %w", err)
 	}
 	stats.Watch(registry, stats.Watched{
