--- a/proof/bench_test.go
+++ b/proof/bench_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -157,18 +158,20 @@
 	return p
 }
 
-// freePort returns an address that nothing listens on now.
+// freePort returns an address that nothing listens on now. It is on a loopback
+// address of its own, so that nobody else takes the port before its daemon does.
 func freePort(t *testing.T, network string) wick.Address {
 	t.Helper()
+	at := fmt.Sprintf("127.%d.%d.%d:0", 1+rand.N(250), rand.N(250), 2+rand.N(250))
 	if network == "udp" {
-		c, err := net.ListenPacket(network, string(anyPort))
+		c, err := net.ListenPacket(network, at)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer c.Close()
 		return wick.Address(c.LocalAddr().String())
 	}
-	l, err := net.Listen(network, string(anyPort))
+	l, err := net.Listen(network, at)
 	if err != nil {
 		t.Fatal(err)
 	}
