Check that a caller that waits for Next never spins

Two guards stand against it: the due time of a wish counts from the last step, and Next lies at least 1 ms after it. With either one taken away the test still passes; with both: 'next tick at, so that the caller spins'. Also dropped a field of Backlog that no policy used.

--- a/policy_sched.go
+++ b/policy_sched.go
@@ -73,8 +73,6 @@
 	Waiting Slots
 	// Wait is the estimated time until the request would be dispatched.
 	Wait time.Duration
-	// Drain is the estimated time until the queue is empty.
-	Drain time.Duration
 	// Lowest is the queued request that is the first to be shed, or nil.
 	Lowest *Queued
 }
--- a/sched/item.go
+++ b/sched/item.go
@@ -141,9 +141,9 @@
 }
 
 // overload returns the refusal of a request that can't be served in time.
-func (e *Endpoint) overload(now wick.Instant, t *item) Refuse {
+func (e *Endpoint) overload(t *item) Refuse {
 	err := wick.NotRunf(wick.CodeOverload, "endpoint %s is overloaded", e.end.Name)
-	err.RetryAfter = wick.Duration(max(minRetryAfter, e.drain(now)))
+	err.RetryAfter = wick.Duration(max(minRetryAfter, e.drain()))
 	return Refuse{t.Request, err}
 }
 
@@ -152,7 +152,7 @@
 
 // backlog describes the work before t, which is not queued yet.
 func (e *Endpoint) backlog(now wick.Instant, t *item) wick.Backlog {
-	b := wick.Backlog{Now: now, Waiting: wick.Slots(len(e.queue)), Drain: e.drain(now)}
+	b := wick.Backlog{Now: now, Waiting: wick.Slots(len(e.queue))}
 	var ahead wick.Cost
 	for _, q := range e.queue {
 		if q.Level > t.Level || q.Level == t.Level && q.Cost <= t.Cost {
@@ -173,7 +173,7 @@
 }
 
 // drain estimates the time until the queue is empty.
-func (e *Endpoint) drain(wick.Instant) time.Duration {
+func (e *Endpoint) drain() time.Duration {
 	return e.costs.wait(e.queued(), e.end.BatchSlots)
 }
 
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -316,6 +316,9 @@
 		}
 		if s.now >= s.e.Next() {
 			s.do(s.e.Tick(s.now))
+			if next := s.e.Next(); next <= s.now {
+				s.t.Fatalf("%v: next tick at %v, so that the caller spins", s.now, next)
+			}
 		}
 	}
 }
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -16,7 +16,6 @@
 	a.listed = true
 	a.want = wantNone
 	a.first = now
-	// A denied or forgone wish is not repeated at once.
 	e.wanted = append(e.wanted, a)
 }
 
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -166,11 +166,11 @@
 	case wick.Admit:
 	case wick.Displace:
 		if b.Lowest == nil {
-			return append(out, e.overload(now, t))
+			return append(out, e.overload(t))
 		}
-		out = e.refuse(out, e.find(b.Lowest.Request), e.overload(now, t).Err)
+		out = e.refuse(out, e.find(b.Lowest.Request), e.overload(t).Err)
 	default:
-		return append(out, e.overload(now, t))
+		return append(out, e.overload(t))
 	}
 	e.enqueue(t)
 	return e.step(now, out)
--- a/sched/step.go
+++ b/sched/step.go
@@ -52,7 +52,7 @@
 			i++
 			continue
 		}
-		out = e.refuse(out, t, e.overload(now, t).Err)
+		out = e.refuse(out, t, e.overload(t).Err)
 	}
 	return out
 }
