Know nothing of the engine behind a new address

Update kept what was known of the old address's engine, so that requests would have gone to adapters that the new one does not hold, and its adapters would have been counted against it. Seen failing without: 'step 5: got "run:x", want ""' (see the table's row).

--- a/sched/report.go
+++ b/sched/report.go
@@ -153,22 +153,33 @@
 		return nil
 	}
 	e.owner = true
+	return e.step(now, e.unsure(now))
+}
+
+// unsure forgets what was known of the engine.
+func (e *Endpoint) unsure(now wick.Instant) []Action {
 	e.taken = now
 	e.clear = now.Add(e.cfg.OrderWithin + orderSlack)
 	e.newest = now - 1
 	e.asked = now - wick.Instant(e.cfg.ReportEvery)
+	var out []Action
+	for _, a := range e.wanted {
+		if a.want != wantNone {
+			out = append(out, Forgo{a.ref})
+		}
+	}
+	e.wanted = nil
 	for _, a := range e.adapters {
 		e.enter(-1, a, absent)
 		a.proved = false
 		a.want, a.listed = wantNone, false
 		a.order = wick.Order{}
 	}
-	e.wanted = nil
 	if e.cfg.Kind == wick.RunnerEndpoint {
 		e.blind = true
 		e.foreign = e.end.BatchSlots
 	}
-	return e.step(now, nil)
+	return out
 }
 
 // Continue takes ownership up again after a Release, in view v, where nobody
@@ -216,14 +227,17 @@
 	return e.prune(now, out)
 }
 
-// Update takes in a changed configuration of the endpoint.
+// Update takes in a changed configuration of the endpoint. Behind another
+// address stands another engine, of which nothing is known.
 func (e *Endpoint) Update(now wick.Instant, end wick.Endpoint) []Action {
+	moved := end.Address != e.end.Address
 	if end.AdapterSlots != e.end.AdapterSlots {
 		e.clock.Resize(end.AdapterSlots)
 	}
 	e.end = end
-	if out := e.turnAway(now); out != nil {
-		return out
+	var out []Action
+	if moved {
+		out = e.unsure(now)
 	}
-	return e.step(now, nil)
+	return e.step(now, append(out, e.turnAway(now)...))
 }
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -215,6 +215,25 @@
 			{submit(work("y", 0, 10)), ""},
 			{done("s", nil), "run:y"},
 		}},
+		{"another engine behind a new address", 4, 1, append(load(1), []step{
+			{func(e *Endpoint, now wick.Instant) []Action {
+				end := runner(4, 1)
+				end.Address = "127.0.0.1:2"
+				return e.Update(now, end)
+			}, ""},
+			{submit(work("x", 1, 10)), ""},
+			{report(2 * sec), "want:a1@1"},
+		}...)},
+		{"leaving by configuration", 1, 1, []step{
+			{submit(work("x", 0, 10)), "run:x"},
+			{submit(work("y", 0, 10)), ""},
+			{func(e *Endpoint, now wick.Instant) []Action {
+				end := runner(1, 1)
+				end.Leaving = true
+				return e.Update(now, end)
+			}, "refuse:y:Stopping"},
+			{submit(work("z", 0, 10)), "refuse:z:Stopping"},
+		}},
 		{"release sends the queue to the new owner", 1, 1, []step{
 			{submit(work("x", 0, 10)), "run:x"},
 			{submit(work("y", 0, 10)), ""},
