Give loads in the simulated pool to the runner that needs them most

The simulated store served runners in a fixed turn, and one of them starved at the cold start: waits of 23 and 51 s at the 99th percentile with few hot adapters came from there.

--- a/route/build.go
+++ b/route/build.go
@@ -14,10 +14,11 @@
 type Config struct {
 	Policy wick.RoutePolicy
 	// Bound is how many times the pool's mean load an endpoint may have and
-	// still be preferred for the adapters it holds; above 1.
+	// still be an adapter's home; at least 1.
 	Bound float64
-	// Slack is the load up to which an endpoint is always within bounds, in
-	// seconds of work for each batch slot.
+	// Slack is the load, in seconds of work for each batch slot, up to which
+	// an endpoint that holds the adapter is taken at once, and by which a home
+	// may exceed Bound.
 	Slack wick.Cost
 	// RunningCost is the work assumed to be left of a request that runs.
 	RunningCost wick.Cost
--- a/route/pick.go
+++ b/route/pick.go
@@ -102,8 +102,9 @@
 	return better(s.any(list, mix(s.in.Random)), s.any(list, mix(s.in.Random+1)))
 }
 
-// Affinity prefers the endpoints that hold the request's adapter, then the
-// adapter's homes on the ring, each as long as its load is within bounds.
+// Affinity prefers the endpoints that hold the request's adapter, unless their
+// load exceeds that of the adapter's home by more than a load is worth. The home
+// is the first endpoint on the ring whose load is within bounds.
 type Affinity struct {
 	Table  *Table
 	Config Config
@@ -173,13 +174,12 @@
 // is ready there.
 func (a *Affinity) adapted(s *search) (choice, bool) {
 	key := refKey(a.Table.byName[s.in.Pool], s.in.Ref)
-	limit := a.limit(s.pool)
 	nodes := a.Table.holdersOf(key)
 	warm := a.warm(s, nodes)
-	if warm.ok && warm.load <= limit {
+	if warm.ok && warm.load <= float64(a.Config.Slack) {
 		return warm, true
 	}
-	cold := a.home(s, key, limit)
+	cold := a.home(s, key, a.limit(s.pool))
 	if !cold.ok {
 		cold = s.two()
 	}
@@ -189,7 +189,7 @@
 	return cold, false
 }
 
-// limit is the load up to which an endpoint keeps the adapters it holds.
+// limit is the load up to which an endpoint is a home.
 func (a *Affinity) limit(p *pool) float64 {
 	mean := 0.0
 	if p.slots > 0 {
--- a/route/site_test.go
+++ b/route/site_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"flag"
 	"math"
 	"math/rand/v2"
@@ -140,8 +141,7 @@
 			requests++
 		}
 		tokens = min(tokens+simLoads*simStep.Seconds(), 2)
-		for k := range runners {
-			i := (k + now) % simRunners
+		for _, i := range byNeed(runners) {
 			r := runners[i]
 			r.running = slices.DeleteFunc(r.running, func(j simJob) bool {
 				if now < j.ends {
@@ -169,6 +169,23 @@
 	return float64(taken) / float64(requests), float64(busy) / steps / simRunners / simSlots, waits
 }
 
+// byNeed orders the runners by the work that waits for loads, the most first, as
+// the owner of a store's budget would.
+func byNeed(runners []*simRunner) []int {
+	need := make([]wick.Cost, len(runners))
+	order := make([]int, len(runners))
+	for i, r := range runners {
+		order[i] = i
+		for _, j := range r.queue {
+			if !r.holds(j.ref) {
+				need[i] += j.cost
+			}
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(need[b], need[a]) })
+	return order
+}
+
 // simDigest tells all entries of a runner.
 func simDigest(r *simRunner, i int, tables []*Builder, routers []wick.Router) {
 	d := wick.Digest{Endpoint: name(i), Running: wick.Slots(len(r.running)), Slow: r.slow}
