--- /dev/null
+++ b/proof/claim_test.go
@@ -0,0 +1,206 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/fakes"
+
+	"github.com/valyala/fasthttp"
+)
+
+// command is one non-idempotent command and what its caller was told.
+type command struct {
+	key      wick.ClaimKey
+	tries    int
+	answered bool
+	// unknown and notRun count the tries that ended so.
+	unknown, notRun int
+	codes           map[wick.Code]int
+}
+
+// invoke sends a command once and returns the outcome the system told; one of
+// a broken connection is unknown.
+func (b *bench) invoke(addr wick.Address, key wick.ClaimKey) (wick.Outcome, wick.Code) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("/v1/calls/confirm")
+	req.Header.Set("Idempotency-Key", string(key))
+	req.SetBodyString(`{"Slot":12}`)
+	if err := b.http.Do(ctx, addr, req, resp); err != nil {
+		return wick.Unknown, "Connection"
+	}
+	if resp.StatusCode() == fasthttp.StatusOK {
+		return wick.Answered, ""
+	}
+	var e event
+	if err := json.Unmarshal(resp.Body(), &e); err != nil || e.Error == nil {
+		return wick.Unknown, wick.Code(fmt.Sprint("Status ", resp.StatusCode()))
+	}
+	return e.Error.Type, e.Error.Code
+}
+
+// desk sends commands from several callers. Each command is tried again
+// through another entry until it was answered, or the limit is reached.
+type desk struct {
+	b    *bench
+	wg   sync.WaitGroup
+	mu   sync.Mutex
+	all  []*command
+	next atomic.Int64
+}
+
+func (b *bench) startDesk(callers, limit int) (*desk, func()) {
+	d := &desk{b: b}
+	done := make(chan struct{})
+	for range callers {
+		d.wg.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					d.run(int(d.next.Add(1)), limit)
+				}
+			}
+		})
+	}
+	return d, sync.OnceFunc(func() { close(done) })
+}
+
+func (d *desk) run(n, limit int) {
+	c := &command{key: wick.ClaimKey(fmt.Sprint("order-", n)), codes: make(map[wick.Code]int)}
+	for c.tries < limit && !c.answered {
+		outcome, code := d.b.invoke(d.b.anyEntry(n+c.tries), c.key)
+		c.tries++
+		c.codes[code]++
+		switch outcome {
+		case wick.Answered:
+			c.answered = true
+		case wick.NotRun:
+			c.notRun++
+			wait(50 * time.Millisecond)
+		default:
+			c.unknown++
+			wait(50 * time.Millisecond)
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.all = append(d.all, c)
+}
+
+// verdict compares what the callers were told with what the services ran.
+func (d *desk) verdict() {
+	d.wg.Wait()
+	t := d.b.t
+	ran := make(map[wick.ClaimKey]int)
+	for _, a := range d.b.fakes.Services {
+		var s fakes.ServiceStats
+		eventually(t, "a service tells its figures", func() bool { return d.b.get(a, "/stats", &s) == nil })
+		for key, n := range s.RunsOf {
+			ran[key] += n
+		}
+	}
+	answered, unknown, notRun, retried := 0, 0, 0, 0
+	codes := make(map[wick.Code]int)
+	for _, c := range d.all {
+		for code, n := range c.codes {
+			codes[code] += n
+		}
+		if c.tries > 1 {
+			retried++
+		}
+		switch {
+		case c.answered:
+			answered++
+		case c.unknown > 0:
+			unknown++
+		default:
+			notRun++
+		}
+		switch n := ran[c.key]; {
+		case n > 1:
+			t.Errorf("%s ran %d times", c.key, n)
+		case n == 0 && c.answered:
+			t.Errorf("%s was answered and never ran", c.key)
+		case n == 1 && !c.answered && c.unknown == 0:
+			t.Errorf("%s ran, and its caller was told %d times that it did not", c.key, c.notRun)
+		}
+	}
+	t.Logf("%d commands, %d tried again: %d answered, %d unknown, %d not run; codes of tries %v",
+		len(d.all), retried, answered, unknown, notRun, codes)
+	if answered == 0 {
+		t.Error("no command was answered")
+	}
+}
+
+// TestCommandsAtMostOnce sends commands, tried again through other entries,
+// under one failure after the other.
+func TestCommandsAtMostOnce(t *testing.T) {
+	yes, no, some := true, false, 5
+	tests := []struct {
+		name string
+		fail func(b *bench, w *watcher)
+	}{
+		{"owner killed", func(b *bench, w *watcher) {
+			i := w.owner("service-1")
+			b.daemons[i].kill()
+			w.all(without(3, i)...)
+			b.restart(i)
+			w.all(without(3)...)
+		}},
+		{"entry killed", func(b *bench, w *watcher) {
+			i := (w.owner("service-1") + 1) % 3
+			b.daemons[i].kill()
+			b.restart(i)
+			w.all(without(3)...)
+		}},
+		{"service crashes and loses answers", func(b *bench, _ *watcher) {
+			b.control(b.fakes.Services[0], fakes.ServiceControl{CrashAfter: true, DownFor: ms(300)})
+			wait(time.Second)
+			b.control(b.fakes.Services[0], fakes.ServiceControl{LoseAnswers: &some})
+			wait(time.Second)
+		}},
+		{"log down and an owner killed", func(b *bench, w *watcher) {
+			b.control(b.fakes.Log, fakes.LogControl{Down: &yes})
+			wait(2 * time.Second)
+			i := w.owner("service-1")
+			b.daemons[i].kill()
+			wait(2 * time.Second)
+			b.control(b.fakes.Log, fakes.LogControl{Down: &no})
+			b.restart(i)
+			w.all(without(3)...)
+		}},
+		{"answers of the log lost", func(b *bench, _ *watcher) {
+			for range 5 {
+				b.control(b.fakes.Log, fakes.LogControl{LoseAnswers: &some})
+				wait(300 * time.Millisecond)
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := startBench(t, defaultSizes())
+			w := b.watch()
+			w.all(without(3)...)
+			d, stop := b.startDesk(8, 40)
+			wait(500 * time.Millisecond)
+			test.fail(b, w)
+			wait(500 * time.Millisecond)
+			stop()
+			d.verdict()
+			w.verdict()
+		})
+	}
+}
