Bound the time between checkpoints of views and claims

A daemon that finds no checkpoint for three intervals begins anew. With an interval of a quarter of a long retention, a start after all had forgotten would have waited for most of that; the interval is now two minutes at most, and that of the claims follows a short retention too. Runs that asked to join and were never heard again are dropped.

--- a/boot/boot.go
+++ b/boot/boot.go
@@ -76,6 +76,8 @@
 		Claim: claim.Config{
 			Life:  s.Claim.Life.Std(),
 			Batch: s.Claim.Batch.Std(),
+
+			Checkpoint: s.Log.Retention.Std() / checkpointParts,
 		},
 		Route:   route.Config{Policy: router(s.Policy.Router)},
 		Policy:  policies(s.Policy),
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -41,8 +41,8 @@
 	Patience time.Duration
 	// Batch is the least time between two appends of claims.
 	Batch time.Duration
-	// Checkpoint is the time between checkpoints, by the platform's clock. It
-	// must be a small fraction of the log's retention.
+	// Checkpoint is the time between checkpoints, by the platform's clock: a
+	// small fraction of the log's retention, and DefaultCheckpoint at most.
 	Checkpoint time.Duration
 	// Steps bounds the steps in one record, and Limit the commands that wait.
 	Steps, Limit int
@@ -60,7 +60,7 @@
 	c.Life = orElse(c.Life, DefaultLife)
 	c.Patience = orElse(c.Patience, DefaultPatience)
 	c.Batch = orElse(c.Batch, DefaultBatch)
-	c.Checkpoint = orElse(c.Checkpoint, DefaultCheckpoint)
+	c.Checkpoint = min(orElse(c.Checkpoint, DefaultCheckpoint), DefaultCheckpoint)
 	c.Steps = orElse(c.Steps, DefaultSteps)
 	c.Limit = orElse(c.Limit, DefaultLimit)
 	return c
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -61,8 +61,8 @@
 	// Orphan is how long a daemon waits for a quorum of its peers before it
 	// proposes a view without one.
 	Orphan time.Duration
-	// Checkpoint is the time between checkpoints, by the platform's clock. It
-	// must be a small fraction of the log's retention.
+	// Checkpoint is the time between checkpoints, by the platform's clock: a
+	// small fraction of the log's retention, and DefaultCheckpoint at most.
 	Checkpoint time.Duration
 	// Seed feeds the jitter.
 	Seed uint64
@@ -83,7 +83,7 @@
 	c.Renew = orElse(c.Renew, DefaultRenew)
 	c.Suspect = orElse(c.Suspect, DefaultSuspect)
 	c.Orphan = orElse(c.Orphan, DefaultOrphan)
-	c.Checkpoint = orElse(c.Checkpoint, DefaultCheckpoint)
+	c.Checkpoint = min(orElse(c.Checkpoint, DefaultCheckpoint), DefaultCheckpoint)
 	return c
 }
 
--- a/lease/view.go
+++ b/lease/view.go
@@ -66,7 +66,7 @@
 	}
 	k.planned, k.proposed = false, 0
 	k.observe(now)
-	k.drop()
+	k.drop(now)
 	return append([]Action{Changed{Old: before, New: v}}, k.renew(now)...)
 }
 
@@ -126,7 +126,7 @@
 }
 
 // drop removes the runs that no open view names and nobody heard of lately.
-func (k *Keeper) drop() {
+func (k *Keeper) drop(now wick.Instant) {
 	named := map[id]bool{k.self: true}
 	for _, v := range k.views() {
 		for _, m := range v.Members {
@@ -134,7 +134,7 @@
 		}
 	}
 	for n, p := range k.peers {
-		if named[n] || p.joining {
+		if named[n] || now.Sub(p.heard) < k.cfg.Orphan {
 			continue
 		}
 		delete(k.peers, n)
