--- a/cmd/currantwick/verbs_test.go
+++ b/cmd/currantwick/verbs_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"currantwick"
 )
@@ -60,6 +62,39 @@
 	}
 }
 
+// TestLargeConfiguration publishes 6,000 adapters, which do not fit into one
+// record of the log.
+func TestLargeConfiguration(t *testing.T) {
+	const adapters = 6000
+	c := newCluster(t, 3)
+	c.ready()
+	o := c.sample()
+	for i := range adapters {
+		v := wick.Version{Adapter: wick.AdapterName(fmt.Sprintf("adapter-%d", i)), Name: "v1", Source: fmt.Sprintf("weights/adapter-%d/v1", i), Size: 64 << 20}
+		o.Adapters = append(o.Adapters, wick.Adapter{Name: v.Adapter, Model: "base"})
+		o.Versions = append(o.Versions, v)
+		o.Routes = append(o.Routes, wick.Route{Name: wick.RouteName(v.Adapter), Pool: "draft", Priority: "short", Ref: v.Ref()})
+	}
+	c.writeJSON("large.json", file{Objects: o})
+	if got := c.wick("apply", "-file", "large.json"); got.code != 1 || !strings.Contains(got.err, "try it as several changes with -split") {
+		t.Errorf("in one record: exit code %d, %s", got.code, got.err)
+	}
+	start := time.Now()
+	if got := c.must("apply", "-file", "large.json", "-split", "-id", "large"); strings.Count(got, "accepted: ") != 19 {
+		t.Errorf("split: %d changes accepted", strings.Count(got, "accepted: "))
+	}
+	t.Logf("split: accepted within %v", time.Since(start).Round(time.Millisecond))
+	for _, d := range c.daemons {
+		c.await("all objects", func() bool {
+			s, ok := c.status(d)
+			return ok && s.Objects[1].Count == adapters+1 && s.Objects[7].Count == adapters+2
+		})
+	}
+	if got := c.must("diff", "-file", "large.json", "-prune"); got != "" {
+		t.Errorf("differs afterwards: %s", got[:min(len(got), 200)])
+	}
+}
+
 // TestVerbsAgainstDaemons publishes, breaks, fixes and rolls a configuration.
 func TestVerbsAgainstDaemons(t *testing.T) {
 	c := newCluster(t, 3)
--- a/plog/plog.go
+++ b/plog/plog.go
@@ -93,7 +93,9 @@
 // the platform documents leave the log as it was.
 func refusal(status int) *wick.Error {
 	switch status {
-	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusBadRequest:
+	case fasthttp.StatusBadRequest:
+		return wick.NotRunf(wick.CodeTooLarge, "the log refuses the record (status %d), which may be too large", status)
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
 		return wick.NotRunf(wick.CodeOverload, "log: status %d", status)
 	}
 	return wick.Unknownf(wick.CodeBroken, "log: status %d", status)
--- a/verbs/apply.go
+++ b/verbs/apply.go
@@ -114,7 +114,11 @@
 
 // failedPublish tells what is known about a change that got no verdict.
 func failedPublish(change wick.Change, err error) (Code, error) {
-	if wick.AsError(err).Outcome == wick.NotRun {
+	e := wick.AsError(err)
+	if e.Code == wick.CodeTooLarge {
+		return Failed, fmt.Errorf("change %s was not published: %w\ntry it as several changes with -split", change.ID, err)
+	}
+	if e.Outcome == wick.NotRun {
 		return Failed, fmt.Errorf("change %s was not published: %w", change.ID, err)
 	}
 	return Unknown, fmt.Errorf("change %s may take effect: %w\nlook for its verdict with: currantwick audit -change %s", change.ID, err, change.ID)
--- a/verbs/status.go
+++ b/verbs/status.go
@@ -7,6 +7,7 @@
 	"io"
 	"strconv"
 	"text/tabwriter"
+	"time"
 
 	"currantwick"
 )
@@ -50,7 +51,7 @@
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
 	lease := "none"
 	if s.Lease > 0 {
-		lease = s.Lease.String()
+		lease = s.Lease.Std().Round(time.Millisecond).String()
 	}
 	fmt.Fprintf(w, "daemon %s in %s, view %d, lease %s, configuration %d%s\n",
 		s.Self.Host, s.Self.Domain, s.View, lease, s.Config, flagsOf(s))
