Hold the floor between owners, and judge on still more evidence

Owners that each have one endpoint eject by themselves. With 6 of 12 endpoints slow at once, each saw only itself and all 6 stayed ejected: 7.9 s over the floor of a third in a run of 8 s after it.

One check in some ten thousand still ejected an ordinary endpoint, 140 ms after the start: ten notes weigh less there than later, when older ones add to them.

--- a/eject/eject.go
+++ b/eject/eject.go
@@ -49,7 +49,7 @@
 	seenFor = 3 * time.Second
 	// leastSeen is the weight of what was seen, in notes of progress, from
 	// which an endpoint is judged.
-	leastSeen = 10.0
+	leastSeen = 13.0
 	// heardFor is how long the digest of another owner counts.
 	heardFor = 5 * time.Second
 	// forget is the time in which a verdict without new evidence loses half
@@ -58,6 +58,8 @@
 	// leastPeers is the number of endpoints with a known pace from which
 	// a median means something.
 	leastPeers = 3
+	// rounding makes up for a floor that is no binary fraction.
+	rounding = 1e-9
 	// medianOf bounds how many endpoints the median is taken of, and medianFor
 	// how long it is good for.
 	medianOf  = 128
@@ -228,14 +230,30 @@
 	case e.ejected && slow < w.config.Back:
 		e.setEjected(false)
 		e.rest = w.config.Rest
+	case e.ejected && e.pool.crowded(w.config.Floor) && !e.slowest(now, w.config.Floor):
+		e.setEjected(false)
 	case e.ejected:
 		e.until = e.at.Add(e.rest)
-	case slow >= w.config.Eject && e.pool.room(w.config.Floor):
+	case slow >= w.config.Eject && e.pool.room(w.config.Floor) && e.slowest(now, w.config.Floor):
 		e.setEjected(true)
 		e.until = e.at.Add(e.rest)
 	}
 }
 
+// slowest reports whether e is among the slowest endpoints of its pool that may
+// be ejected at once. Owners that eject at the same moment agree on them as soon
+// as they have heard of one another.
+func (e *end) slowest(now wick.Instant, floor float64) bool {
+	pace, _ := e.known(now)
+	rank := 1
+	for _, o := range e.pool.ends {
+		if other, ok := o.known(now); ok && other > pace {
+			rank++
+		}
+	}
+	return float64(rank) <= floor*float64(len(e.pool.ends))+rounding
+}
+
 // fade lets go of a verdict for which there is no fresh evidence, so that work
 // comes back by and by and shows what the endpoint is like now.
 func (w *Watch) fade(now wick.Instant, e *end) {
@@ -291,7 +309,12 @@
 
 // room reports whether one more endpoint may be ejected.
 func (p *pool) room(floor float64) bool {
-	return float64(p.ejected+1) <= floor*float64(len(p.ends))+1e-9
+	return float64(p.ejected+1) <= floor*float64(len(p.ends))+rounding
+}
+
+// crowded reports whether more endpoints are ejected than may be.
+func (p *pool) crowded(floor float64) bool {
+	return float64(p.ejected) > floor*float64(len(p.ends))+rounding
 }
 
 // medianAt returns the median pace of the pool.
