--- a/eject/eject_test.go
+++ b/eject/eject_test.go
@@ -61,7 +61,7 @@
 		{"the rested comes back", []float64{10, 1, 1, 1, 1, 1}, []float64{0, 1, 1, 1, 1, 1}, []int{0}, nil, []int{0}},
 		{"idle is no fault", []float64{0, 1, 1, 1, 1, 1}, []float64{0, 1, 1, 1, 1, 1}, nil, nil, nil},
 		{"too few to compare", []float64{9, 1, 0, 0, 0, 0}, []float64{9, 1, 0, 0, 0, 0}, nil, nil, nil},
-		{"floor, the slowest", []float64{20, 30, 10, 1, 1, 1}, []float64{1, 1, 1, 1, 1, 1}, []int{0, 1}, nil, []int{0, 1, 2}},
+		{"floor, the slowest", []float64{10, 20, 30, 1, 1, 1}, []float64{1, 1, 1, 1, 1, 1}, []int{1, 2}, nil, []int{0, 1, 2}},
 	}
 	const phase = int(5 * time.Second / tick)
 	for _, tt := range tests {
