--- a/sched/item.go
+++ b/sched/item.go
@@ -84,7 +84,6 @@
 	e.queue = append(e.queue, t)
 	if t.adapter != nil {
 		t.adapter.queued++
-		t.adapter.cost += t.Cost
 	}
 	if t.sub.Work != nil {
 		t.prefix = e.holdPrefix(t.sub.Work.Prompt)
@@ -95,12 +94,8 @@
 func (e *Endpoint) dequeue(t *item) {
 	i := slices.Index(e.queue, t)
 	e.queue = slices.Delete(e.queue, i, i+1)
-	if a := t.adapter; a != nil {
-		a.queued--
-		a.cost -= t.Cost
-		if a.queued == 0 {
-			a.cost = 0
-		}
+	if t.adapter != nil {
+		t.adapter.queued--
 	}
 }
 
@@ -146,9 +141,9 @@
 }
 
 // overload returns the refusal of a request that can't be served in time.
-func (e *Endpoint) overload(now wick.Instant, t *item) Refuse {
+func (e *Endpoint) overload(t *item) Refuse {
 	err := wick.NotRunf(wick.CodeOverload, "endpoint %s is overloaded", e.end.Name)
-	err.RetryAfter = wick.Duration(max(minRetryAfter, e.drain(now)))
+	err.RetryAfter = wick.Duration(max(minRetryAfter, e.drain()))
 	return Refuse{t.Request, err}
 }
 
@@ -157,7 +152,7 @@
 
 // backlog describes the work before t, which is not queued yet.
 func (e *Endpoint) backlog(now wick.Instant, t *item) wick.Backlog {
-	b := wick.Backlog{Now: now, Waiting: wick.Slots(len(e.queue)), Drain: e.drain(now)}
+	b := wick.Backlog{Now: now, Waiting: wick.Slots(len(e.queue))}
 	var ahead wick.Cost
 	for _, q := range e.queue {
 		if q.Level > t.Level || q.Level == t.Level && q.Cost <= t.Cost {
@@ -178,7 +173,7 @@
 }
 
 // drain estimates the time until the queue is empty.
-func (e *Endpoint) drain(wick.Instant) time.Duration {
+func (e *Endpoint) drain() time.Duration {
 	return e.costs.wait(e.queued(), e.end.BatchSlots)
 }
 
