--- a/route/route_test.go
+++ b/route/route_test.go
@@ -173,6 +173,41 @@
 	}
 }
 
+// Requests that share the start of their prompt share an endpoint, as long as
+// that costs little.
+func TestPrefix(t *testing.T) {
+	both := []wick.Ref{ref(1)}
+	tests := []struct {
+		name     string
+		ref      wick.Ref
+		prefix   wick.Fingerprint
+		queued   wick.Cost // at the endpoint that the prefix prefers
+		together bool
+	}{
+		{"base", wick.Ref{}, 77, 0, true},
+		{"base, loaded", wick.Ref{}, 77, 90, false},
+		{"base, no prefix", wick.Ref{}, 0, 0, false},
+		{"copies", ref(1), 78, 0, true},
+		{"copies, loaded", ref(1), 78, 90, false},
+		{"copies, no prefix", ref(1), 0, 0, false},
+	}
+	for _, tt := range tests {
+		b := build(t, Config{}, nil, 6)
+		for i := range 6 {
+			b.Digest(wick.Digest{Endpoint: name(i), Ready: both})
+		}
+		in := wick.RouteInput{Pool: "p", Ref: tt.ref, Prefix: tt.prefix, Cost: 0.1}
+		home := only(shares(b.Publish(), in, 50))
+		if tt.queued > 0 {
+			b.Digest(wick.Digest{Endpoint: home, Queued: tt.queued, Ready: both})
+			home = only(shares(b.Publish(), in, 50))
+		}
+		if (home != "") != tt.together {
+			t.Errorf("%s: all at %q, want that %v", tt.name, home, tt.together)
+		}
+	}
+}
+
 func TestPickUnknownPool(t *testing.T) {
 	r := build(t, Config{}, nil, 1).Publish()
 	if _, ok := r.Pick(&wick.RouteInput{Pool: "q"}); ok {
