--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -129,11 +129,19 @@
 	tests := []struct {
 		nodes int
 		kills int
+		// back is when the killed start again; 0 means never.
+		back time.Duration
 	}{
 		{nodes: 2, kills: 1},
 		{nodes: 3, kills: 1},
 		{nodes: 7, kills: 1},
 		{nodes: 7, kills: 3},
+		{nodes: 1, kills: 1, back: time.Second},
+		{nodes: 2, kills: 2, back: time.Second},
+		{nodes: 7, kills: 4, back: time.Second},
+		{nodes: 7, kills: 6, back: 10 * time.Second},
+		{nodes: 7, kills: 7, back: time.Second},
+		{nodes: 7, kills: 7, back: 60 * time.Second},
 	}
 	for _, test := range tests {
 		for seed := range uint64(5) {
@@ -143,11 +151,18 @@
 			for i := range test.kills {
 				m.die(m.nodes[i])
 			}
+			if test.back > 0 {
+				start += test.back
+				m.step(start)
+				for i := range test.kills {
+					m.start(i)
+				}
+			}
 			for len(m.idle()) > 0 && m.now < start+10*time.Second {
 				m.step(m.now + 10*time.Millisecond)
 			}
 			took := m.now - start
-			t.Logf("%d of %d killed: served again after %v", test.kills, test.nodes, took)
+			t.Logf("%d of %d killed, back after %v: served again after %v", test.kills, test.nodes, test.back, took)
 			if took >= 5*time.Second || m.broken != "" {
 				t.Errorf("took %v, %s", took, m.broken)
 			}
--- a/proof/view_test.go
+++ b/proof/view_test.go
@@ -383,23 +383,32 @@
 
 // TestMostKilled kills most of a view at once and starts the next runs.
 func TestMostKilled(t *testing.T) {
-	b := startBench(t, sevenDaemons())
-	w := b.watch()
-	w.all(without(7)...)
-	dead := []int{0, 2, 4, 5, 6}
-	for _, i := range dead {
-		b.daemons[i].kill()
-	}
-	wait(pastLease)
-	for e, i := range w.acting() {
-		t.Logf("with five of seven dead, daemon %d acts for %s", i+1, e)
+	tests := []struct {
+		name string
+		dead []int
+	}{
+		{"five of seven", []int{0, 2, 4, 5, 6}},
+		{"all", without(7)},
 	}
-	for _, i := range dead {
-		b.restart(i)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := startBench(t, sevenDaemons())
+			w := b.watch()
+			w.all(without(7)...)
+			for _, i := range test.dead {
+				b.daemons[i].kill()
+			}
+			wait(pastLease)
+			for e, i := range w.acting() {
+				t.Logf("meanwhile daemon %d acts for %s", i+1, e)
+			}
+			for _, i := range test.dead {
+				b.restart(i)
+			}
+			t.Logf("all endpoints served again %v after the restarts", w.all(without(7)...))
+			w.verdict()
+		})
 	}
-	took := w.all(without(7)...)
-	t.Logf("all endpoints served again %v after the restarts", took)
-	w.verdict()
 }
 
 // TestJoinsAndLeaves stops two daemons gracefully and kills two, all at once,
