--- a/claim/claim.go
+++ b/claim/claim.go
@@ -15,7 +15,7 @@
 	DefaultLife       = 10 * time.Minute
 	DefaultPatience   = 2 * time.Second
 	DefaultBatch      = 50 * time.Millisecond
-	DefaultCheckpoint = 2 * time.Minute
+	DefaultCheckpoint = 10 * time.Minute
 	DefaultSteps      = 500
 	DefaultLimit      = 20_000
 )
