--- a/boot/boot.go
+++ b/boot/boot.go
@@ -18,6 +18,7 @@
 	"currantwick/lease"
 	"currantwick/limit"
 	"currantwick/node"
+	"currantwick/place"
 	"currantwick/plain"
 	"currantwick/plog"
 	"currantwick/route"
@@ -53,35 +54,41 @@
 	s := cfg.Settings
 	note := stats.New(stats.Config{Log: cfg.Log, Registry: cfg.Registry})
 	ends := httpc.Config{Quiet: s.Limits.Silence}
-	retries, err := limit.NewRetries(limit.RetryConfig{})
+	retries, err := limit.NewRetries(limit.RetryConfig{Policy: choose(s.Policy.Retry, wick.RetryShare, wick.RetryUnlimited)})
 	if err != nil {
 		return nil, fault(s).Errorf("build daemon: %w", err)
 	}
-	hedge := limit.HedgeConfig{Policy: hedger(s.Policy.Hedge)}
+	hedge := limit.HedgeConfig{Policy: choose(s.Policy.Hedge, wick.HedgePercentile, wick.HedgeNone)}
 	if _, err := limit.NewHedger(hedge); err != nil {
 		return nil, fault(s).Errorf("build daemon: %w", err)
 	}
 	n, err := node.New(node.Config{
-		Self:      wick.Member{Host: s.Host, Domain: s.Domain, Peer: s.Peer.Address, Entry: s.Entry.Address},
-		Listen:    s.Peer.Listen,
-		EntryTLS:  cfg.EntryTLS,
-		BodyBytes: s.Limits.BodyBytes,
-		Keys:      cfg.Keys,
-		HostOf:    certs.HostOf,
-		Log:       platformLog(s),
-		Hosts:     hostList(s.Hosts),
-		Engine:    engine.New(engine.Config{HTTP: ends}),
-		Services:  plain.New(plain.Config{HTTP: ends}),
-		Lease:     leaseConfig(s),
+		Self:     wick.Member{Host: s.Host, Domain: s.Domain, Peer: s.Peer.Address, Entry: s.Entry.Address},
+		Listen:   s.Peer.Listen,
+		EntryTLS: cfg.EntryTLS,
+		Limits: node.Limits{
+			BodyBytes:   s.Limits.BodyBytes,
+			Requests:    s.Limits.Requests,
+			Connections: s.Limits.Connections,
+			Idle:        s.Limits.Idle.Std(),
+		},
+		Keys:     cfg.Keys,
+		HostOf:   certs.HostOf,
+		Log:      platformLog(s),
+		Hosts:    hostList(s.Hosts),
+		Engine:   engine.New(engine.Config{HTTP: ends}),
+		Services: plain.New(plain.Config{HTTP: ends}),
+		Lease:    leaseConfig(s),
 		Claim: claim.Config{
 			Life:  s.Claim.Life.Std(),
 			Batch: s.Claim.Batch.Std(),
 
 			Checkpoint: s.Log.Retention.Std() / checkpointParts,
 		},
-		Route:   route.Config{Policy: router(s.Policy.Router)},
+		Route:   route.Config{Policy: choose(s.Policy.Router, wick.RouteAffinity, wick.RouteRoundRobin)},
 		Policy:  policies(s.Policy),
-		Eject:   eject.Config{Policy: ejector(s.Policy.Eject)},
+		Eject:   eject.Config{Policy: choose(s.Policy.Eject, wick.EjectOutliers, wick.EjectNone)},
+		Place:   place.Config{Policy: choose(s.Policy.Place, wick.PlaceByShare, wick.PlaceOnDemand)},
 		Retries: tally.NewRetries(retries),
 		Hedge:   hedge,
 		Times:   times(s),
@@ -140,37 +147,18 @@
 	}
 }
 
-func router(c setup.Choice) wick.RoutePolicy {
-	if c == setup.Baseline {
-		return wick.RouteRoundRobin
-	}
-	return wick.RouteAffinity
-}
-
-func ejector(c setup.Choice) wick.EjectPolicy {
+// choose returns the chosen policy, or the baseline if the settings say so.
+func choose[T any](c setup.Choice, chosen, baseline T) T {
 	if c == setup.Baseline {
-		return wick.EjectNone
+		return baseline
 	}
-	return wick.EjectOutliers
-}
-
-func hedger(c setup.Choice) wick.HedgePolicy {
-	if c == setup.Baseline {
-		return wick.HedgeNone
-	}
-	return wick.HedgePercentile
+	return chosen
 }
 
 func policies(p setup.Policy) ctrl.Policy {
-	out := ctrl.Policy{Order: sched.Shortest{}, Evict: evict.Heat{}, Admit: sched.Deadline{}}
-	if p.Order == setup.Baseline {
-		out.Order = sched.FIFO{}
-	}
-	if p.Evict == setup.Baseline {
-		out.Evict = evict.LRU{}
-	}
-	if p.Admit == setup.Baseline {
-		out.Admit = sched.Bounded{}
+	return ctrl.Policy{
+		Order: choose[wick.Orderer](p.Order, sched.Shortest{}, sched.FIFO{}),
+		Evict: choose[wick.Evictor](p.Evict, evict.Heat{}, evict.LRU{}),
+		Admit: choose[wick.Admitter](p.Admit, sched.Deadline{}, sched.Bounded{}),
 	}
-	return out
 }
--- a/cmd/wickload/main.go
+++ b/cmd/wickload/main.go
@@ -113,35 +113,32 @@
 
 // policy returns the policies of a variant.
 func policy(name string) (setup.Policy, error) {
-	const c, b = setup.Chosen, setup.Baseline
 	if name == "baseline" {
-		return setup.Policy{Router: b, Order: b, Evict: b, Admit: b, Eject: b, Hedge: b}, nil
+		return setup.Uniform(setup.Baseline), nil
 	}
-	p := setup.Policy{Router: c, Order: c, Evict: c, Admit: c, Eject: c, Hedge: c}
+	p := setup.Uniform(setup.Chosen)
 	if name == "chosen" {
 		return p, nil
 	}
-	for _, one := range strings.Split(name, "+") {
-		switch one {
-		case "Router":
-			p.Router = b
-		case "Order":
-			p.Order = b
-		case "Evict":
-			p.Evict = b
-		case "Admit":
-			p.Admit = b
-		case "Eject":
-			p.Eject = b
-		case "Hedge":
-			p.Hedge = b
-		default:
+	for one := range strings.SplitSeq(name, "+") {
+		if !setBaseline(&p, one) {
 			return p, fmt.Errorf("there is no variant or policy %q", one)
 		}
 	}
 	return p, nil
 }
 
+// setBaseline sets the named policy to its baseline, if there is one.
+func setBaseline(p *setup.Policy, name string) bool {
+	for n, choice := range p.Each {
+		if n == name {
+			*choice = setup.Baseline
+			return true
+		}
+	}
+	return false
+}
+
 func report(s loads.Summary, o options) error {
 	if err := s.Write(os.Stdout); err != nil {
 		return err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,10 +43,10 @@
 	pathCalls       = "/v1/calls/"
 	jsonType        = "application/json"
 	requestIDBytes  = 12
+	// busyRetry is when a caller may come back to an entry that is full.
+	busyRetry = time.Second
 	// readTimeout bounds how long a caller may take to send a request.
 	readTimeout = 30 * time.Second
-	// idleTimeout bounds how long an unused connection is kept.
-	idleTimeout = 2 * time.Minute
 )
 
 // Config sets up a Server.
@@ -57,6 +57,11 @@
 	TLS *tls.Config
 	// BodyBytes bounds the body of a request; positive.
 	BodyBytes wick.Bytes
+	// Requests and Connections bound what is served at once; positive.
+	Requests    int
+	Connections int
+	// Idle is how long an unused connection is kept; positive.
+	Idle time.Duration
 	// Front serves what arrives.
 	Front wick.Front
 }
@@ -87,7 +92,8 @@
 		ErrorHandler:          s.refuse,
 		MaxRequestBodySize:    int(cfg.BodyBytes),
 		ReadTimeout:           readTimeout,
-		IdleTimeout:           idleTimeout,
+		IdleTimeout:           cfg.Idle,
+		Concurrency:           cfg.Connections,
 		CloseOnShutdown:       true,
 		NoDefaultServerHeader: true,
 		Logger:                quietLogger{},
@@ -140,8 +146,17 @@
 }
 
 func (s *Server) handle(c *fasthttp.RequestCtx) {
-	s.active.Add(1)
 	defer s.active.Add(-1)
+	if s.active.Add(1) > int64(s.cfg.Requests) {
+		busy := wick.NotRunf(wick.CodeOverload, "this entry serves %d requests already", s.cfg.Requests)
+		busy.RetryAfter = wick.Duration(busyRetry)
+		writeError(c, busy)
+		return
+	}
+	s.serve(c)
+}
+
+func (s *Server) serve(c *fasthttp.RequestCtx) {
 	path := string(c.Path())
 	switch {
 	case path == pathEntries && c.IsGet():
--- a/node/node.go
+++ b/node/node.go
@@ -54,9 +54,9 @@
 	// empty for Self.Peer.
 	Listen wick.Address
 	// EntryTLS is nil where callers come in plain HTTP.
-	EntryTLS  *tls.Config
-	BodyBytes wick.Bytes
-	Keys      Keys
+	EntryTLS *tls.Config
+	Limits   Limits
+	Keys     Keys
 	// HostOf returns the host that a verified certificate names.
 	HostOf func(*x509.Certificate) (wick.HostName, error)
 
@@ -82,6 +82,17 @@
 	Peers   wick.PeerNote
 }
 
+// Limits bound what callers may ask of the daemon; all are positive.
+type Limits struct {
+	// BodyBytes bounds the body of a request.
+	BodyBytes wick.Bytes
+	// Requests and Connections bound what is served at once.
+	Requests    int
+	Connections int
+	// Idle is how long an unused connection of a caller is kept.
+	Idle time.Duration
+}
+
 // Times are the daemon's bounds on waiting; all are positive.
 type Times struct {
 	// Append bounds one append to the log, Order one order to an engine.
@@ -134,10 +145,13 @@
 		return nil, fmt.Errorf("peer side: %w", err)
 	}
 	n.entry, err = entry.Listen(entry.Config{
-		Address:   cfg.Self.Entry,
-		TLS:       cfg.EntryTLS,
-		BodyBytes: cfg.BodyBytes,
-		Front:     n,
+		Address:     cfg.Self.Entry,
+		TLS:         cfg.EntryTLS,
+		BodyBytes:   cfg.Limits.BodyBytes,
+		Requests:    cfg.Limits.Requests,
+		Connections: cfg.Limits.Connections,
+		Idle:        cfg.Limits.Idle,
+		Front:       n,
 	})
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("entry side: %w", err), n.peers.Close())
--- a/setup/check.go
+++ b/setup/check.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"slices"
 	"time"
 
 	"currantwick"
@@ -149,20 +148,9 @@
 }
 
 func (s Settings) checkPolicy(c *checker) {
-	choices := []struct {
-		path   string
-		choice Choice
-	}{
-		{"Policy.Router", s.Policy.Router},
-		{"Policy.Order", s.Policy.Order},
-		{"Policy.Evict", s.Policy.Evict},
-		{"Policy.Admit", s.Policy.Admit},
-		{"Policy.Eject", s.Policy.Eject},
-		{"Policy.Hedge", s.Policy.Hedge},
-	}
-	for _, ch := range choices {
-		if !slices.Contains([]Choice{Chosen, Baseline}, ch.choice) {
-			c.add(ch.path, "must be %s or %s, not %q", Chosen, Baseline, string(ch.choice))
+	for name, choice := range s.Policy.Each {
+		if *choice != Chosen && *choice != Baseline {
+			c.add("Policy."+name, "must be %s or %s, not %q", Chosen, Baseline, string(*choice))
 		}
 	}
 }
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -155,6 +155,29 @@
 	Admit  Choice `json:"Admit"`
 	Eject  Choice `json:"Eject"`
 	Hedge  Choice `json:"Hedge"`
+	Place  Choice `json:"Place"`
+	Retry  Choice `json:"Retry"`
+}
+
+// Uniform returns the same choice for every policy.
+func Uniform(c Choice) Policy {
+	var p Policy
+	for _, choice := range p.Each {
+		*choice = c
+	}
+	return p
+}
+
+// Each calls yield with the name and the choice of every policy.
+func (p *Policy) Each(yield func(name string, c *Choice) bool) {
+	_ = yield("Router", &p.Router) &&
+		yield("Order", &p.Order) &&
+		yield("Evict", &p.Evict) &&
+		yield("Admit", &p.Admit) &&
+		yield("Eject", &p.Eject) &&
+		yield("Hedge", &p.Hedge) &&
+		yield("Place", &p.Place) &&
+		yield("Retry", &p.Retry)
 }
 
 // Stop holds the times of a graceful stop.
@@ -182,7 +205,7 @@
 		Claim:  Claim{Life: hours(24), Batch: millis(50)},
 		Stale:  millis(9000),
 		Limits: Limits{BodyBytes: 16 * mebibyte, Requests: 20_000, Connections: 20_000, Idle: millis(60_000), Silence: millis(2000)},
-		Policy: Policy{Chosen, Chosen, Chosen, Chosen, Chosen, Chosen},
+		Policy: Uniform(Chosen),
 		Stop:   Stop{Grace: hours(1), Linger: millis(5000)},
 	}
 }
