Free the key of a command before saying that it was not run

A command that an endpoint refuses is tried elsewhere. The next try found the key still held by the first one: with one of three services down, 15 of 30 commands ended as Claimed, of unknown outcome, though none had run.

The price is an append, batched with others, for each try at a key that another try holds.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -89,9 +89,17 @@
 	Err     *wick.Error
 }
 
-func (Append) isAction()  {}
-func (Granted) isAction() {}
-func (Refused) isAction() {}
+// Released tells that the release of a granted claim stands on the log, so that
+// another try may have the key.
+type Released struct {
+	Key     wick.ClaimKey
+	Request wick.RequestID
+}
+
+func (Append) isAction()   {}
+func (Granted) isAction()  {}
+func (Refused) isAction()  {}
+func (Released) isAction() {}
 
 // try names one try of a command.
 type try struct {
@@ -179,7 +187,7 @@
 	if len(b.tries) >= b.cfg.Limit {
 		return refuse(t, claimsDown(b.cfg.Patience))
 	}
-	if e, ok := b.ledger.live(c.Key, b.ledger.guess(now)); ok {
+	if e, ok := b.ledger.live(c.Key, b.ledger.guess(now)); ok && final(e.claim, c) {
 		return refuse(t, refusal(e.claim, c))
 	}
 	b.tries[t] = &own{claim: c, since: now}
@@ -251,8 +259,12 @@
 	t := tryOf(v.claim)
 	o := b.tries[t]
 	if v.claim.Step != wick.ClaimTaken {
-		if o != nil && o.claim.Step == v.claim.Step {
-			delete(b.tries, t)
+		if o == nil || o.claim.Step != v.claim.Step {
+			return nil
+		}
+		delete(b.tries, t)
+		if v.claim.Step == wick.ClaimReleased {
+			return []Action{Released{t.key, t.request}}
 		}
 		return nil
 	}
@@ -404,6 +416,13 @@
 	return err
 }
 
+// final reports whether a claim refuses c at once. One that is only taken by the
+// same command may be released by a record not read here yet, so that the log
+// has to judge.
+func final(held, c wick.Claim) bool {
+	return held.Step == wick.ClaimAnswered || held.Print != c.Print
+}
+
 // refusal says what became of the command whose key is held by another try.
 func refusal(held, c wick.Claim) *wick.Error {
 	switch {
--- a/ctrl/claims.go
+++ b/ctrl/claims.go
@@ -17,6 +17,8 @@
 			s.granted(now, a)
 		case claim.Refused:
 			s.denied(a)
+		case claim.Released:
+			s.released(a)
 		}
 	}
 }
@@ -58,6 +60,21 @@
 	}
 }
 
+// release gives the claim of a run back. Whoever waits for the run's end is told
+// when the release stands on the log.
+func (s *state) release(now wick.Instant, r *Run) {
+	r.releasing = true
+	s.releasing[r.Sub.Request] = r
+	s.claims(now, s.book.Release(now, r.Sub.Call.Key, r.Sub.Request))
+}
+
+func (s *state) released(a claim.Released) {
+	if r := s.releasing[a.Request]; r != nil {
+		delete(s.releasing, a.Request)
+		r.free()
+	}
+}
+
 // unclaim gives up the claim, or the wait for it, of a run that is never sent
 // to its endpoint.
 func (s *state) unclaim(now wick.Instant, r *Run) {
@@ -67,7 +84,11 @@
 	}
 	delete(s.claiming, r.Sub.Request)
 	r.claimed = false
-	s.claims(now, s.book.Release(now, r.Sub.Call.Key, r.Sub.Request))
+	if waits {
+		s.claims(now, s.book.Release(now, r.Sub.Call.Key, r.Sub.Request))
+		return
+	}
+	s.release(now, r)
 }
 
 // claimEnded notes on the log how a claimed call ended. One whose outcome is
@@ -82,7 +103,7 @@
 	case res.Err == nil:
 		s.claims(now, s.book.Answered(now, key, request))
 	case res.Err.Outcome == wick.NotRun:
-		s.claims(now, s.book.Release(now, key, request))
+		s.release(now, r)
 	default:
 		s.book.Lost(key, request)
 	}
--- a/ctrl/run.go
+++ b/ctrl/run.go
@@ -36,6 +36,8 @@
 	// stop ends the context in which the endpoint runs the request.
 	stop    context.CancelFunc
 	decided chan Decision
+	// freed closes when no claim of the run is in the way of another try.
+	freed chan struct{}
 
 	// The fields below belong to the control thread.
 
@@ -45,6 +47,10 @@
 	dispatched bool
 	// claimed tells that the daemon holds the claim on the run's key.
 	claimed bool
+	// releasing tells that the claim is being given back, isFreed that freed
+	// was closed.
+	releasing bool
+	isFreed   bool
 	// claimUntil is the instant before which a claimed run must be sent.
 	claimUntil wick.Instant
 	// sent is when the decision to send was made.
@@ -61,12 +67,23 @@
 // NewRun returns a run and the context in which the endpoint must run it.
 func NewRun(ctx context.Context, sub wick.Submission) (*Run, context.Context) {
 	ctx, stop := context.WithCancel(ctx)
-	return &Run{Sub: sub, stop: stop, decided: make(chan Decision, 1)}, ctx
+	return &Run{Sub: sub, stop: stop, decided: make(chan Decision, 1), freed: make(chan struct{})}, ctx
 }
 
 // Decided returns the channel on which the decision comes, exactly once.
 func (r *Run) Decided() <-chan Decision { return r.decided }
 
+// Freed returns a channel that closes when no claim of the run is in the way of
+// another try any more.
+func (r *Run) Freed() <-chan struct{} { return r.freed }
+
+func (r *Run) free() {
+	if !r.isFreed {
+		r.isFreed = true
+		close(r.freed)
+	}
+}
+
 // Close frees what the run holds. It must be called when the run has ended.
 func (r *Run) Close() { r.stop() }
 
@@ -76,6 +93,9 @@
 	}
 	r.settled = true
 	r.dispatched = d.Fail == nil
+	if !r.dispatched && !r.releasing {
+		r.free()
+	}
 	r.decided <- d
 }
 
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -76,7 +76,9 @@
 	parked []*Run
 	// claiming are runs that wait for a claim on their key.
 	claiming map[wick.RequestID]*Run
-	awaited  map[wick.ChangeID]chan<- wick.Verdict
+	// releasing are runs whose claim is being given back.
+	releasing map[wick.RequestID]*Run
+	awaited   map[wick.ChangeID]chan<- wick.Verdict
 	// recent are the newest entries of the configuration, for peers.
 	recent []wick.Entry
 	// hosts are the hosts that the platform says are leaving.
@@ -127,24 +129,25 @@
 		return nil, fmt.Errorf("control state: %w", err)
 	}
 	return &state{
-		pace:     pace,
-		suspects: crash.New(cfg.Crash),
-		placers:  make(map[wick.PoolName]wick.Placer),
-		cfg:      cfg,
-		gate:     g,
-		keeper:   lease.New(cfg.Lease),
-		conf:     config.New(),
-		trail:    audit.New(audit.Config{}),
-		book:     claim.New(cfg.Claim),
-		routes:   routes,
-		owned:    make(map[wick.EndpointName]*owned),
-		known:    make(map[wick.EndpointName]wick.Endpoint),
-		claiming: make(map[wick.RequestID]*Run),
-		awaited:  make(map[wick.ChangeID]chan<- wick.Verdict),
-		hosts:    make(map[wick.HostName]bool),
-		loads:    newLoads(),
-		told:     make(map[wick.HostName]told),
-		digests:  make(map[wick.EndpointName]wick.Digest),
+		pace:      pace,
+		suspects:  crash.New(cfg.Crash),
+		placers:   make(map[wick.PoolName]wick.Placer),
+		cfg:       cfg,
+		gate:      g,
+		keeper:    lease.New(cfg.Lease),
+		conf:      config.New(),
+		trail:     audit.New(audit.Config{}),
+		book:      claim.New(cfg.Claim),
+		routes:    routes,
+		owned:     make(map[wick.EndpointName]*owned),
+		known:     make(map[wick.EndpointName]wick.Endpoint),
+		claiming:  make(map[wick.RequestID]*Run),
+		releasing: make(map[wick.RequestID]*Run),
+		awaited:   make(map[wick.ChangeID]chan<- wick.Verdict),
+		hosts:     make(map[wick.HostName]bool),
+		loads:     newLoads(),
+		told:      make(map[wick.HostName]told),
+		digests:   make(map[wick.EndpointName]wick.Digest),
 	}, nil
 }
 
--- a/ctrl/submit.go
+++ b/ctrl/submit.go
@@ -98,6 +98,9 @@
 func (e Finished) apply(s *state, now wick.Instant) {
 	r := e.Run
 	s.claimEnded(now, r, e.Result)
+	if !r.releasing {
+		r.free()
+	}
 	o := s.owned[r.Sub.Endpoint]
 	if o == nil || o.runs[r.Sub.Request] != r {
 		return
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -22,6 +22,8 @@
 	askWithin = 500 * time.Millisecond
 	// askAgain is the pause after a question that broke off.
 	askAgain = 20 * time.Millisecond
+	// freeWithin bounds the wait for a claim to be given back.
+	freeWithin = time.Second
 )
 
 // Config sets up a Server.
@@ -73,6 +75,7 @@
 		return err
 	}
 	if d.Fail != nil {
+		s.awaitFreed(ctx, run, d.Fail)
 		return d.Fail
 	}
 	var res sched.Result
@@ -92,11 +95,29 @@
 	}
 	s.cfg.Thread.Post(ctrl.Finished{Run: run, Result: res, Crashed: crashed})
 	if res.Err != nil {
+		s.awaitFreed(ctx, run, res.Err)
 		return res.Err
 	}
 	return nil
 }
 
+// awaitFreed holds back the news that a command was not run until its claim is
+// given back on the log, so that the next try finds the key free. An outage of
+// the log does not hold it for long.
+func (s *Server) awaitFreed(ctx context.Context, run *ctrl.Run, fail *wick.Error) {
+	call := run.Sub.Call
+	if call == nil || !call.NonIdempotent || fail.Outcome != wick.NotRun {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, freeWithin)
+	defer cancel()
+	select {
+	case <-run.Freed():
+	case <-s.cfg.Thread.Done():
+	case <-ctx.Done():
+	}
+}
+
 // crashed reports whether the endpoint crashed under a request that broke off,
 // by asking the engine for its start over a new connection.
 func (s *Server) crashed(ctx context.Context, d ctrl.Decision, fail *wick.Error) bool {
