--- a/proof/bench_test.go
+++ b/proof/bench_test.go
@@ -469,16 +469,16 @@
 	return codec.DecodeJSON(resp.Body(), v)
 }
 
-// control sends faults to a stand-in or the proxy.
+// control sends faults to a stand-in or the proxy, again while it is down.
 func (b *bench) control(addr wick.Address, c any) {
 	b.t.Helper()
 	data, err := json.Marshal(c)
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	if err := b.exchange(addr, fasthttp.MethodPost, "/control", data, nil); err != nil {
-		b.t.Error(err)
-	}
+	eventually(b.t, "a fault is set", func() bool {
+		return b.exchange(addr, fasthttp.MethodPost, "/control", data, nil) == nil
+	})
 }
 
 // engineStats returns what each engine has seen.
