Hand peers no entries beyond a gap

The recent entries that a daemon keeps for its peers could hold a gap, or one entry twice, while it was searching for a checkpoint itself; a peer that asked from before the gap would have been given what it can't use, and no checkpoint. No test shows the fault itself. Verdicts that follow from a peer's checkpoint alone are passed on at once.

--- a/ctrl/conf.go
+++ b/ctrl/conf.go
@@ -24,20 +24,42 @@
 }
 
 func (s *state) applyEntry(now wick.Instant, e wick.Entry) {
-	if e.Offset > s.conf.Offset() {
-		s.recent = append(s.recent, e)
-		if len(s.recent) > 2*keepRecent {
-			s.recent = append([]wick.Entry(nil), s.recent[len(s.recent)-keepRecent:]...)
-		}
-	}
+	s.addRecent(e)
 	if v, ok := s.conf.Apply(e); ok {
 		s.judged(now, v)
 	}
+	s.judgedLate(now)
+}
+
+// judgedLate passes on the verdicts on entries that had to wait for a gap to
+// close.
+func (s *state) judgedLate(now wick.Instant) {
 	for _, v := range s.conf.Late() {
 		s.judged(now, v)
 	}
 }
 
+// addRecent adds an entry to the recent ones, which have no gap: a peer that got
+// what stands beyond one could not go on.
+func (s *state) addRecent(e wick.Entry) {
+	if e.Offset <= s.conf.Offset() {
+		return
+	}
+	if n := len(s.recent); n > 0 {
+		last := s.recent[n-1].Offset
+		if e.Offset <= last {
+			return
+		}
+		if e.Offset > last+1 {
+			s.recent = nil
+		}
+	}
+	s.recent = append(s.recent, e)
+	if len(s.recent) > 2*keepRecent {
+		s.recent = append([]wick.Entry(nil), s.recent[len(s.recent)-keepRecent:]...)
+	}
+}
+
 // judged passes a verdict on to whoever waits for it, and to the audit trail.
 func (s *state) judged(now wick.Instant, v wick.Verdict) {
 	s.cfg.Note.Verdict(v)
@@ -138,6 +160,7 @@
 			s.cfg.Note.Refused("checkpoint", err)
 			return
 		}
+		s.judgedLate(now)
 	}
 	for _, entry := range e.Fetched.Entries {
 		s.applyEntry(now, entry)
