--- a/proof/claim_test.go
+++ b/proof/claim_test.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"currantwick"
 	"currantwick/fakes"
+	"currantwick/fault"
 
 	"github.com/valyala/fasthttp"
 )
@@ -160,6 +162,24 @@
 			b.restart(i)
 			w.all(without(3)...)
 		}},
+		{"owner frozen past its lease", func(b *bench, w *watcher) {
+			i := w.owner("service-1")
+			b.daemons[i].signal(syscall.SIGSTOP)
+			w.all(without(3, i)...)
+			wait(time.Second)
+			b.daemons[i].signal(syscall.SIGCONT)
+			w.all(without(3)...)
+		}},
+		{"daemons cut off from each other", func(b *bench, w *watcher) {
+			var links []fault.LinkName
+			for i := range 3 {
+				links = append(links, linkName("peer", i))
+			}
+			b.control(b.proxy.Control, fault.Control{Links: links, Mode: fault.Cut})
+			wait(pastLease)
+			b.control(b.proxy.Control, fault.Control{Links: links, Mode: fault.Pass})
+			w.all(without(3)...)
+		}},
 		{"entry killed", func(b *bench, w *watcher) {
 			i := (w.owner("service-1") + 1) % 3
 			b.daemons[i].kill()
