Let a site that was stopped as a whole come back at other addresses

The last daemon to stop has nobody left who could take it out of the view, and no witness to leave it. A daemon at another address could not know that it had ended, and waited for ever: TestComesBackElsewhere printed 'site of 1: Canceled (NotRun): caller went away' after 30 s in all three rows. A daemon that the view still names now writes on the log that its run has ended, after all that acts has; the same record carries an operator's word on lost hosts (currantwick gone).

Ruled out: the platform's list of hosts as that word. It lags and may glitch, and a view of one acts without a witness, so two owners would be possible.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -34,6 +34,7 @@
 	PathStatus  = "/v1/status"
 	PathAudit   = "/v1/audit"
 	PathDrain   = "/v1/drain"
+	PathGone    = "/v1/gone"
 
 	pathProfiles = "/debug/pprof/"
 )
@@ -189,6 +190,8 @@
 		s.audit(c)
 	case path == PathDrain && c.IsPost():
 		s.drain(c)
+	case path == PathGone && c.IsPost():
+		s.gone(c)
 	case strings.HasPrefix(path, pathProfiles) && c.IsGet():
 		pprofhandler.PprofHandler(c)
 	default:
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -53,6 +53,11 @@
 	return nil
 }
 
+func (f *fake) Gone(_ context.Context, hosts []wick.HostName) ([]wick.Run, error) {
+	f.drained = true
+	return []wick.Run{{Host: hosts[0], Incarnation: 1}}, nil
+}
+
 func (f *fake) Ready() *wick.Error { return f.ready }
 
 // started runs a server for the length of a test.
@@ -124,6 +129,8 @@
 		{"audit", nil, "GET", PathAudit + "?from=1&limit=2", token, "", 200, `[{"Offset":0`},
 		{"audit from nowhere", nil, "GET", PathAudit + "?from=x", token, "", 400, "from: want a positive number"},
 		{"profiles", nil, "GET", "/debug/pprof/cmdline", token, "", 200, ""},
+		{"lost hosts", nil, "POST", PathGone, token, `{"Hosts":["h2"]}`, 200, `[{"Host":"h2","Incarnation":1}]`},
+		{"no lost hosts", nil, "POST", PathGone, token, `{"Hosts":[]}`, 400, "must not be empty"},
 		{"no such path", nil, "GET", "/v1/none", token, "", 400, "no such path"},
 		{"wrong method", nil, "GET", PathDrain, token, "", 400, "no such path"},
 	}
@@ -142,7 +149,7 @@
 	f := &fake{state: config.New()}
 	at := started(t, f)
 	const put = `{"ID":"c1","Operator":"op","Puts":{"Models":[{"Name":"m","Context":1}]}}`
-	for _, path := range []string{PathChanges, PathObjects, PathStatus, PathAudit, PathDrain, "/debug/pprof/", "/other"} {
+	for _, path := range []string{PathChanges, PathObjects, PathStatus, PathAudit, PathDrain, PathGone, "/debug/pprof/", "/other"} {
 		for _, shown := range []string{"", "wrong", token + "0", token[:15]} {
 			for _, method := range []string{"GET", "POST"} {
 				got := ask(t, at, method, path, shown, put)
--- a/admin/serve.go
+++ b/admin/serve.go
@@ -125,6 +125,36 @@
 	c.SetStatusCode(fasthttp.StatusAccepted)
 }
 
+// Gone is the body of a request that tells of hosts which are lost for good.
+type Gone struct {
+	Hosts []wick.HostName `json:"Hosts"`
+}
+
+// Check implements wick.Checker.
+func (g Gone) Check() error {
+	if len(g.Hosts) == 0 {
+		return &wick.FieldError{Field: "Hosts", Text: "must not be empty"}
+	}
+	return nil
+}
+
+func (s *Server) gone(c *fasthttp.RequestCtx) {
+	var g Gone
+	if err := codec.DecodeJSON(c.PostBody(), &g); err != nil {
+		writeError(c, wick.NotRunf(wick.CodeBadRequest, "hosts: %v", err))
+		return
+	}
+	runs, err := s.cfg.Operator.Gone(s.base, g.Hosts)
+	if err != nil {
+		writeError(c, asError(err))
+		return
+	}
+	if runs == nil {
+		runs = []wick.Run{}
+	}
+	writeJSON(c, fasthttp.StatusOK, runs)
+}
+
 func (s *Server) ready(c *fasthttp.RequestCtx) {
 	if err := s.cfg.Operator.Ready(); err != nil {
 		writeError(c, err)
--- a/ctrl/event.go
+++ b/ctrl/event.go
@@ -121,6 +121,13 @@
 // Suspected are suspects that another daemon passed on.
 type Suspected struct{ List []wick.Suspect }
 
+// Named asks for the runs of daemons on hosts that the views still name.
+type Named struct {
+	Hosts []wick.HostName
+	// Reply takes the answer; it has room for one.
+	Reply chan<- []wick.Run
+}
+
 // Stopping asks the daemon to leave: out of the address answers, then out of
 // the view.
 type Stopping struct{}
--- a/ctrl/views.go
+++ b/ctrl/views.go
@@ -101,6 +101,15 @@
 	}
 }
 
+// apply implements Event.
+func (e Named) apply(s *state, _ wick.Instant) {
+	var runs []wick.Run
+	for _, h := range e.Hosts {
+		runs = append(runs, s.keeper.Named(h)...)
+	}
+	e.Reply <- runs
+}
+
 // apply implements Event.
 func (e LogFailed) apply(s *state, _ wick.Instant) { s.cfg.Note.LogFailed(e.Stream) }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -139,7 +139,8 @@
 	first := f.nodes[0].Snapshot().View.Number
 	for _, n := range f.nodes {
 		s := n.Snapshot()
-		if len(s.View.Members) != len(f.nodes) || s.View.Number != first || s.Offset < offset {
+		if len(s.View.Members) != len(f.nodes) || !s.View.Has(n.Self()) ||
+			s.View.Number != first || s.Offset < offset || s.Stale {
 			return false
 		}
 	}
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -159,7 +159,10 @@
 // list tells all runs, again and again, that the first host is gone.
 func (m *model) list() {
 	for _, n := range m.nodes {
-		m.run(n, func(k *Keeper, t wick.Instant) []Action { return k.OnGone(t, []wick.HostName{"h0"}) })
+		m.run(n, func(k *Keeper, t wick.Instant) []Action {
+			k.end(t, k.Named("h0"))
+			return nil
+		})
 	}
 	m.at(m.now+time.Second, nil, m.list)
 }
--- a/lease/view.go
+++ b/lease/view.go
@@ -14,7 +14,43 @@
 	if !k.log.read(now, e) {
 		return nil
 	}
-	return k.after(now, before)
+	acts := k.after(now, before)
+	if !e.Bad && e.Record.RunsEnded != nil {
+		k.end(now, e.Record.RunsEnded.Runs)
+	}
+	return acts
+}
+
+// end notes that runs have ended, as far as the views name them.
+func (k *Keeper) end(now wick.Instant, runs []wick.Run) {
+	for _, run := range runs {
+		n := id{run.Host, run.Incarnation}
+		if n != k.self && k.names(n) {
+			k.peer(n).gone = true
+		}
+	}
+	k.observe(now)
+}
+
+// names reports whether a view that is not closed names a run.
+func (k *Keeper) names(n id) bool {
+	return slices.ContainsFunc(k.views(), func(v wick.View) bool {
+		m, ok := v.Member(n.host)
+		return ok && idOf(m) == n
+	})
+}
+
+// Named returns the runs on a host that views which are not closed name.
+func (k *Keeper) Named(host wick.HostName) []wick.Run {
+	var out []wick.Run
+	for _, v := range k.views() {
+		m, ok := v.Member(host)
+		run := wick.Run{Host: m.Host, Incarnation: m.Incarnation}
+		if ok && idOf(m) != k.self && !slices.Contains(out, run) {
+			out = append(out, run)
+		}
+	}
+	return out
 }
 
 // OnLater takes a state that a peer handed over. A state that is not newer
@@ -27,22 +63,6 @@
 	return k.after(now, before)
 }
 
-// OnGone takes the word of somebody who knows that hosts exist no more: their
-// daemons that are named by any view so far act and vouch no longer. It is the
-// way back when most of a view is lost for good. It has to be told again when
-// the view has changed.
-func (k *Keeper) OnGone(now wick.Instant, hosts []wick.HostName) []Action {
-	for _, v := range k.views() {
-		for _, h := range hosts {
-			if m, ok := v.Member(h); ok && idOf(m) != k.self {
-				k.describe(m).gone = true
-			}
-		}
-	}
-	k.observe(now)
-	return nil
-}
-
 // after draws the conclusions from a state that may have changed.
 func (k *Keeper) after(now wick.Instant, before wick.View) []Action {
 	v := k.View()
--- a/node/node.go
+++ b/node/node.go
@@ -243,9 +243,24 @@
 	})
 	err := group.Wait()
 	n.client.Close()
+	n.farewell(ctx)
 	return err
 }
 
+// farewell tells on the log that this run has ended if the view still names it:
+// the last daemon to stop leaves nobody behind who could take it out. All that
+// acts has ended by now.
+func (n *Node) farewell(ctx context.Context) {
+	if m, ok := n.Snapshot().View.Member(n.cfg.Self.Host); !ok || m.Incarnation != n.cfg.Self.Incarnation {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.cfg.Times.Append)
+	defer cancel()
+	run := wick.Run{Host: n.cfg.Self.Host, Incarnation: n.cfg.Self.Incarnation}
+	// Without it the next daemons wait for an operator's word on this host.
+	_ = n.ended(ctx, []wick.Run{run})
+}
+
 // stop leaves in the order that cuts nobody off: out of the address answers,
 // out of the view, no new requests, and the end when the last answer is out.
 func (n *Node) stop(closeFront context.CancelFunc) {
--- a/node/operate.go
+++ b/node/operate.go
@@ -61,5 +61,25 @@
 	return nil
 }
 
+// Gone implements wick.Operator.
+func (n *Node) Gone(ctx context.Context, hosts []wick.HostName) ([]wick.Run, error) {
+	reply := make(chan []wick.Run, 1)
+	n.thread.Post(ctrl.Named{Hosts: hosts, Reply: reply})
+	runs, err := await(ctx, n.thread, reply)
+	if err != nil || len(runs) == 0 {
+		return nil, err
+	}
+	return runs, n.ended(ctx, runs)
+}
+
+// ended tells on the log that runs have ended.
+func (n *Node) ended(ctx context.Context, runs []wick.Run) error {
+	rec := wick.Record{RunsEnded: &wick.RunsEnded{Runs: runs}}
+	if _, err := n.cfg.Log.Append(ctx, wick.ViewStream, rec); err != nil {
+		return fmt.Errorf("append the end of runs: %w", err)
+	}
+	return nil
+}
+
 // Ready implements wick.Operator.
 func (n *Node) Ready() *wick.Error { return n.Snapshot().Accepts() }
--- a/operator.go
+++ b/operator.go
@@ -21,6 +21,10 @@
 	Status(ctx context.Context) (Status, error)
 	// Drain starts a graceful stop of the daemon and returns at once.
 	Drain(ctx context.Context) error
+	// Gone takes the operator's word that hosts are lost for good, and returns
+	// the runs of daemons there that nobody waits for any more. It must never
+	// be given for a host whose daemon may still run.
+	Gone(ctx context.Context, hosts []HostName) ([]Run, error)
 	// Ready returns why callers should not turn to the daemon now, or nil.
 	Ready() *Error
 }
--- a/record.go
+++ b/record.go
@@ -118,6 +118,35 @@
 	return checkName("By", s.By)
 }
 
+// Run names one run of a daemon on a host.
+type Run struct {
+	Host        HostName    `json:"Host"`
+	Incarnation Incarnation `json:"Incarnation"`
+}
+
+// RunsEnded tells that runs of daemons have ended for good, so that nobody has
+// to wait for them. A run writes it of itself as the last thing it does if the
+// view still names it; an operator lets it be written of hosts that are lost.
+type RunsEnded struct {
+	Runs []Run `json:"Runs"`
+}
+
+// Check implements Checker.
+func (r RunsEnded) Check() error {
+	if len(r.Runs) == 0 {
+		return badField("Runs", "must not be empty")
+	}
+	for _, run := range r.Runs {
+		if err := checkName("Host", run.Host); err != nil {
+			return err
+		}
+		if run.Incarnation == 0 {
+			return badField("Incarnation", "must not be 0")
+		}
+	}
+	return nil
+}
+
 // Record is what one log record holds. Exactly one field is set.
 type Record struct {
 	Change     *Change     `json:"Change,omitempty"`
@@ -125,6 +154,7 @@
 	ViewChange *ViewChange `json:"ViewChange,omitempty"`
 	ViewClosed *ViewClosed `json:"ViewClosed,omitempty"`
 	ViewState  *ViewState  `json:"ViewState,omitempty"`
+	RunsEnded  *RunsEnded  `json:"RunsEnded,omitempty"`
 	Claims     *Claims     `json:"Claims,omitempty"`
 	ClaimState *ClaimState `json:"ClaimState,omitempty"`
 	Verdict    *Verdict    `json:"Verdict,omitempty"`
@@ -149,6 +179,9 @@
 	if r.ViewState != nil {
 		set, err = set+1, r.ViewState.Check()
 	}
+	if r.RunsEnded != nil {
+		set, err = set+1, r.RunsEnded.Check()
+	}
 	if r.Claims != nil {
 		set, err = set+1, r.Claims.Check()
 	}
--- /dev/null
+++ b/verbs/gone.go
@@ -0,0 +1,61 @@
+package verbs
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"strings"
+
+	"currantwick"
+	"currantwick/admin"
+	"currantwick/codec"
+
+	"github.com/valyala/fasthttp"
+)
+
+var goneVerb = verb{
+	name:    "gone",
+	short:   "tell that hosts are lost for good, so that nobody waits for their daemons",
+	example: "currantwick gone -hosts entry-3,entry-4",
+	run:     runGone,
+}
+
+func runGone(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+	var f adminFlags
+	f.register(flags)
+	hosts := flags.String("hosts", "", "`names` of hosts whose daemons certainly do not run any more, joined by commas")
+	if err := flags.Parse(args); err != nil {
+		return Usage, err
+	}
+	if *hosts == "" {
+		return Usage, errors.New("-hosts must name at least one host")
+	}
+	c, err := f.client()
+	if err != nil {
+		return Usage, err
+	}
+	var body admin.Gone
+	for h := range strings.SplitSeq(*hosts, ",") {
+		body.Hosts = append(body.Hosts, wick.HostName(h))
+	}
+	data, err := codec.EncodeJSON(body)
+	if err != nil {
+		return Failed, fmt.Errorf("gone: %w", err)
+	}
+	got, err := c.do(ctx, fasthttp.MethodPost, admin.PathGone, data)
+	if err != nil {
+		return Failed, fmt.Errorf("gone: %w", err)
+	}
+	var runs []wick.Run
+	if err := got.read(&runs); err != nil {
+		return Failed, fmt.Errorf("gone: %w", err)
+	}
+	for _, r := range runs {
+		fmt.Fprintf(env.Out, "ended: run %d on %s\n", r.Incarnation, r.Host)
+	}
+	if len(runs) == 0 {
+		fmt.Fprintln(env.Out, "no view names these hosts")
+	}
+	return Done, nil
+}
