--- a/cmd/currantwick/verbs_test.go
+++ b/cmd/currantwick/verbs_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/setup"
 )
 
 // TestVerbsOffline runs what needs no daemon.
@@ -176,3 +177,25 @@
 		t.Errorf("route in the end: %+v, %v", conf, err)
 	}
 }
+
+// TestOperatorsOverTLS turns TLS on towards operators and callers.
+func TestOperatorsOverTLS(t *testing.T) {
+	c := newCluster(t, 1)
+	c.ready()
+	c.must("keys", "-dir", "others", "-hosts", "x")
+	c.must("drain")
+	s := c.daemons[0].settings
+	pair := setup.Pair{Cert: s.Keys.Cert, Key: s.Keys.Key}
+	s.Admin.TLS, s.Entry.TLS = &pair, &pair
+	c.daemons = nil
+	c.start(s)
+	c.await("the daemon answers over TLS", func() bool { return c.wick("status", "-ca", "keys/ca.pem").code == 0 })
+	if got := c.must("entries", "-entry", string(s.Entry.Address), "-ca", "keys/ca.pem"); !strings.Contains(got, "domain-h1") {
+		t.Errorf("entries over TLS: %s", got)
+	}
+	for _, args := range [][]string{{"status"}, {"status", "-ca", "others/ca.pem"}} {
+		if got := c.wick(args...); got.code == 0 {
+			t.Errorf("%v: %+v", args, got)
+		}
+	}
+}
--- a/verbs/entries.go
+++ b/verbs/entries.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"net/url"
+	"os"
 	"text/tabwriter"
 
 	"currantwick"
@@ -23,6 +24,7 @@
 func runEntries(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
 	entry := flags.String("entry", "", "callers' `address` of a daemon")
 	domain := flags.String("domain", "", "failure `domain` of the caller, whose entries come first")
+	ca := flags.String("ca", os.Getenv(envCA), "`file` with the authority that daemons' TLS certificates come from; plain HTTP without it; from $"+envCA)
 	asJSON := flags.Bool("json", false, "print JSON")
 	if err := flags.Parse(args); err != nil {
 		return Usage, err
@@ -31,6 +33,13 @@
 		return Usage, fmt.Errorf("-entry: %w", err)
 	}
 	c := &client{addresses: []wick.Address{wick.Address(*entry)}, scheme: "http", http: &fasthttp.Client{}}
+	if *ca != "" {
+		trusted, err := trust(*ca)
+		if err != nil {
+			return Usage, err
+		}
+		c.scheme, c.http.TLSConfig = "https", trusted
+	}
 	got, err := c.do(ctx, fasthttp.MethodGet, "/v1/entries?domain="+url.QueryEscape(*domain), nil)
 	if err != nil {
 		return Failed, fmt.Errorf("entries: %w", err)
