Take test daemons' ports from below the system's own range

TestOutlivesRetention failed twice in 19 runs after its first four: a daemon's UDP port was taken by a socket that another process had let the system choose, on all addresses ("bind: address already in use"; in the other run only the missing member of the view was seen). With port 7000 on a loopback address drawn at random it passed 12 of 12, six at a time.

--- a/cmd/currantwick/cluster_test.go
+++ b/cmd/currantwick/cluster_test.go
@@ -233,11 +233,15 @@
 	return s
 }
 
+// port is below the range from which the system draws ports for sockets that
+// name none, which may listen on all addresses at once.
+const port = 7000
+
 // free returns an address that nobody listens at. It is on a loopback address
 // of its own, so that no other test takes its port before a daemon does.
 func (c *cluster) free() wick.Address {
 	c.t.Helper()
-	at := fmt.Sprintf("127.%d.%d.%d:0", 1+rand.N(250), rand.N(250), 2+rand.N(250))
+	at := fmt.Sprintf("127.%d.%d.%d:%d", 1+rand.N(250), rand.N(250), 2+rand.N(250), port)
 	l, err := net.Listen("tcp", at)
 	if err != nil {
 		c.t.Fatal(err)
