--- a/sched/item.go
+++ b/sched/item.go
@@ -60,7 +60,7 @@
 		Queued: wick.Queued{
 			Request:   sub.Request,
 			Level:     sub.Level,
-			Sheddable: sub.Sheddable,
+			Sheddable: sub.Sheddable && !resumed(sub),
 			Arrived:   now,
 			Due:       now.Add(sub.Within.Std()),
 		},
@@ -80,6 +80,10 @@
 	return t
 }
 
+// resumed reports whether a part of the answer was generated already. It would
+// be lost if the rest were shed.
+func resumed(sub *wick.Submission) bool { return sub.Work != nil && sub.Work.HaveTokens > 0 }
+
 func (e *Endpoint) enqueue(t *item) {
 	e.queue = append(e.queue, t)
 	if t.adapter != nil {
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -88,6 +88,27 @@
 	return s
 }
 
+func TestResumedIsNotShed(t *testing.T) {
+	tests := []struct {
+		have wick.Tokens
+		want string
+	}{
+		{0, "refuse:y:Overload"},
+		{5, ""},
+	}
+	for _, tt := range tests {
+		e := owned(t, 1, 1)
+		e.Submit(3*sec, work("x", 0, 3000))
+		e.Submit(3*sec, work("w", 0, 3000))
+		it := work("y", 0, 4000)
+		it.Sub.Sheddable = true
+		it.Sub.Work.HaveTokens = tt.have
+		if got := show(e.Submit(3*sec, it)); got != tt.want {
+			t.Errorf("with %d tokens: got %q, want %q", tt.have, got, tt.want)
+		}
+	}
+}
+
 // last returns the last order for an adapter.
 func (e *Endpoint) lastOrder(n int) wick.Order { return e.adapters[ref(n)].order }
 
