Take requests from an outlier and go on elsewhere

A request that stood on a runner when it slowed finished there at a tenth of its speed, and was the 99th percentile of its phase. The owner now ends the runs of an ejected endpoint after a second there, once for each request, and the entry resumes them elsewhere; queued ones are sent on as not run.

--- a/ctrl/owned.go
+++ b/ctrl/owned.go
@@ -162,6 +162,9 @@
 func (s *state) drop(now wick.Instant, o *owned, r *Run, fail *wick.Error) {
 	delete(o.runs, r.Sub.Request)
 	s.unclaim(now, r)
+	if cause := r.Cause(); cause != nil {
+		fail = cause
+	}
 	r.refuse(fail)
 }
 
--- a/ctrl/pace.go
+++ b/ctrl/pace.go
@@ -1,6 +1,8 @@
 package ctrl
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"currantwick"
@@ -31,6 +33,28 @@
 	}
 }
 
+// moveAfter is how long a request stays at an outlier before it goes elsewhere.
+const moveAfter = time.Second
+
+// shed sends the completions of an outlier elsewhere, each once: what has begun
+// is resumed there, the rest was not run. Probes have moveAfter to show that the
+// endpoint has recovered.
+func (s *state) shed(now wick.Instant, o *owned) {
+	if !s.pace.Judge(now, o.end.Name).Ejected {
+		return
+	}
+	for _, r := range slices.Collect(maps.Values(o.runs)) {
+		switch {
+		case r.Sub.Work == nil || r.Sub.Moved || r.Cause() != nil:
+		case !r.dispatched:
+			r.cause.Store(wick.NotRunf(wick.CodeSlow, "endpoint %s is an outlier", o.end.Name))
+			s.perform(now, o, o.sched.Cancel(now, r.Sub.Request))
+		case now.Sub(r.sent) >= moveAfter:
+			r.abort(wick.Unknownf(wick.CodeSlow, "endpoint %s is an outlier", o.end.Name))
+		}
+	}
+}
+
 // lookPace notes the streams that stall.
 func (s *state) lookPace(now wick.Instant, o *owned) {
 	for _, r := range o.runs {
--- a/ctrl/run.go
+++ b/ctrl/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"currantwick"
 )
@@ -36,6 +37,8 @@
 	// stop ends the context in which the endpoint runs the request.
 	stop    context.CancelFunc
 	decided chan Decision
+	// cause is why the control thread stopped the run; nil if it did not.
+	cause atomic.Pointer[wick.Error]
 	// freed closes when no claim of the run is in the way of another try.
 	freed chan struct{}
 
@@ -84,9 +87,18 @@
 	}
 }
 
+// Cause returns why the control thread stopped the run, or nil.
+func (r *Run) Cause() *wick.Error { return r.cause.Load() }
+
 // Close frees what the run holds. It must be called when the run has ended.
 func (r *Run) Close() { r.stop() }
 
+// abort stops a run that was sent, or is about to be.
+func (r *Run) abort(cause *wick.Error) {
+	r.cause.Store(cause)
+	r.stop()
+}
+
 func (r *Run) settle(d Decision) {
 	if r.settled {
 		return
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -175,6 +175,7 @@
 	for name, o := range s.owned {
 		s.settleOwner(now, o)
 		s.lookPace(now, o)
+		s.shed(now, o)
 		s.routes.Digest(s.digest(now, o))
 		s.moved = true
 		if o.idle() && !s.mine(name) {
--- a/entry/fail.go
+++ b/entry/fail.go
@@ -44,6 +44,7 @@
 	wick.CodeLoadFailed:   fasthttp.StatusServiceUnavailable,
 	wick.CodeBroken:       fasthttp.StatusBadGateway,
 	wick.CodeCrashed:      fasthttp.StatusBadGateway,
+	wick.CodeSlow:         fasthttp.StatusServiceUnavailable,
 	wick.CodeMismatch:     fasthttp.StatusBadGateway,
 	wick.CodeKilled:       fasthttp.StatusUnprocessableEntity,
 	wick.CodeClaimed:      fasthttp.StatusConflict,
--- a/error.go
+++ b/error.go
@@ -34,6 +34,7 @@
 	CodeLoadFailed   Code = "LoadFailed"   // the adapter could not be loaded
 	CodeBroken       Code = "Broken"       // the answer broke off
 	CodeCrashed      Code = "Crashed"      // the endpoint crashed under it
+	CodeSlow         Code = "Slow"         // the endpoint is an outlier now
 	CodeMismatch     Code = "Mismatch"     // the endpoint echoed something else
 	CodeKilled       Code = "Killed"       // the request crashed its endpoints
 	CodeClaimed      Code = "Claimed"      // the key is claimed by another try
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -89,6 +89,9 @@
 	default:
 		res = s.invoke(ctx, run, d.Endpoint, out)
 	}
+	if cause := run.Cause(); cause != nil && res.Err != nil {
+		res.Err = cause
+	}
 	crashed := s.crashed(ctx, d, res.Err)
 	if crashed {
 		res.Err = wick.Unknownf(wick.CodeCrashed, "endpoint %s crashed", d.Endpoint.Name)
--- a/relay/task.go
+++ b/relay/task.go
@@ -33,6 +33,8 @@
 	avoid  []wick.EndpointName
 	// suspect tells that an endpoint crashed under the task.
 	suspect bool
+	// moved tells that the task was taken from an outlier.
+	moved bool
 	// overloads counts the refusals for overload.
 	overloads int
 
@@ -176,6 +178,7 @@
 		Within:    wick.Duration(max(time.Until(t.due), time.Millisecond)),
 		Print:     t.print,
 		Suspect:   t.suspect,
+		Moved:     t.moved,
 		Call:      t.svc,
 	}
 	if t.work != nil {
@@ -290,6 +293,9 @@
 	if fail.Code == wick.CodeOverload {
 		t.overloads++
 	}
+	if fail.Code == wick.CodeSlow {
+		t.moved = true
+	}
 	if fail.Outcome != wick.Unknown {
 		return fail
 	}
--- a/request.go
+++ b/request.go
@@ -66,6 +66,9 @@
 	// Suspect tells that an endpoint crashed under the request before, so that
 	// it must run alone.
 	Suspect bool `json:"Suspect,omitempty"`
+	// Moved tells that the request was taken from an outlier before, so that it
+	// stays where it is now.
+	Moved bool `json:"Moved,omitempty"`
 	// Exactly one of Work and Call is set.
 	Work *Work `json:"Work,omitempty"`
 	Call *Call `json:"Call,omitempty"`
