Finish a stream that broke off though endpoints are full

It now has its whole time again and looks for an endpoint for 30 s. The new row of TestComplete printed before: 'failed: Overload (Unknown): full'.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -150,7 +150,7 @@
 		if !t.mayRepeat(last) || ctx.Err() != nil {
 			return last
 		}
-		if costs(last) {
+		if t.costs(last) {
 			tries++
 			if !r.cfg.Retries.Spend() {
 				return last
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -189,6 +189,7 @@
 	broken := wick.Unknownf(wick.CodeBroken, "cut")
 	notRun := wick.NotRunf(wick.CodeNotOwner, "moved")
 	crashed := wick.Unknownf(wick.CodeCrashed, "crashed")
+	overload := wick.NotRunf(wick.CodeOverload, "full")
 	tests := []struct {
 		name    string
 		scripts []script
@@ -217,7 +218,14 @@
 			code: wick.CodeKilled, outcome: wick.Unknown, suspect: true,
 		},
 		{
-			name: "overload twice", scripts: []script{{refuse: wick.NotRunf(wick.CodeOverload, "full")}},
+			name: "goes on after many refusals",
+			scripts: []script{
+				{tokens: 1, fail: broken}, {refuse: overload}, {refuse: overload}, {refuse: overload}, {tokens: 1},
+			},
+			text: text(2),
+		},
+		{
+			name: "overload twice", scripts: []script{{refuse: overload}},
 			code: wick.CodeOverload, outcome: wick.NotRun,
 		},
 	}
--- a/relay/task.go
+++ b/relay/task.go
@@ -35,6 +35,8 @@
 	suspect bool
 	// moved tells that the task was taken from an outlier.
 	moved bool
+	// brokeAt is when a try last broke off.
+	brokeAt time.Time
 	// overloads counts the refusals for overload.
 	overloads int
 
@@ -63,6 +65,9 @@
 	callCost   wick.Cost = 0.02
 	// hedgeCost bounds the work that may be hedged.
 	hedgeCost wick.Cost = 2
+	// resumeWithin bounds the search for an endpoint on which a stream that
+	// broke off can go on.
+	resumeWithin = 30 * time.Second
 	// maxOverloads is how many endpoints may refuse a task for overload.
 	maxOverloads = 2
 )
@@ -175,7 +180,7 @@
 		Config:    t.offset,
 		Level:     t.resolved.Priority.Level,
 		Sheddable: t.resolved.Priority.Sheddable,
-		Within:    wick.Duration(max(time.Until(t.due), time.Millisecond)),
+		Within:    t.within(),
 		Print:     t.print,
 		Suspect:   t.suspect,
 		Moved:     t.moved,
@@ -189,6 +194,15 @@
 	return sub
 }
 
+// within returns the time left for the first token or the reply. A stream that
+// goes on has its whole time again. The caller holds the lock.
+func (t *task) within() wick.Duration {
+	if t.haveTokens > 0 {
+		return t.resolved.Priority.Deadline
+	}
+	return wick.Duration(max(time.Until(t.due), time.Millisecond))
+}
+
 // errLost ends a lane when another one answers.
 var errLost = errors.New("another try answers")
 
@@ -300,6 +314,7 @@
 		return fail
 	}
 	t.everUnknown = true
+	t.brokeAt = time.Now()
 	if fail.Code != wick.CodeCrashed {
 		return fail
 	}
@@ -327,7 +342,7 @@
 		wick.CodeBadRequest:
 		return false
 	case wick.CodeOverload:
-		return t.overloads < maxOverloads
+		return t.overloads < maxOverloads || t.haveTokens > 0 && time.Since(t.brokeAt) < resumeWithin
 	}
 	if fail.Outcome == wick.NotRun {
 		return true
@@ -336,9 +351,10 @@
 }
 
 // costs reports whether trying again puts load on endpoints a second time, or
-// on ones that may be overloaded too. Any other try that did not run only moves.
-func costs(fail *wick.Error) bool {
-	return fail.Outcome != wick.NotRun || fail.Code == wick.CodeOverload
+// on ones that may be overloaded too. Any other try that did not run only moves,
+// and a stream that broke off is to be finished.
+func (t *task) costs(fail *wick.Error) bool {
+	return fail.Outcome != wick.NotRun || fail.Code == wick.CodeOverload && t.haveTokens == 0
 }
 
 // short reports whether the task may be hedged: it is idempotent and cheap, and
