Let an endpoint take work again when its host leaves no more

A host that went from Leaving back to Live on the platform's list kept its endpoints drained for good: the new step of TestRuns printed 'run q2: refused: Stopping (NotRun): endpoint r1 is draining'.

--- a/ctrl/conf.go
+++ b/ctrl/conf.go
@@ -104,6 +104,7 @@
 		if o := s.owned[end.Name]; o != nil {
 			o.end = end
 			s.perform(now, o, o.sched.Update(now, end))
+			s.settleLeaving(now, o)
 		}
 	}
 	for name := range gone {
@@ -112,6 +113,7 @@
 		s.routes.Remove(name)
 		s.pace.Remove(name)
 		if o := s.owned[name]; o != nil {
+			o.drained = true
 			s.perform(now, o, o.sched.Drain(now))
 		}
 	}
--- a/ctrl/owned.go
+++ b/ctrl/owned.go
@@ -15,6 +15,8 @@
 	runs map[wick.RequestID]*Run
 	// boot is the engine's start as last reported; empty if not known.
 	boot string
+	// drained tells that no new work is taken.
+	drained bool
 	// acting tells that the daemon may dispatch and give orders.
 	acting bool
 	// kept is the newest view up to which nobody but the daemon has owned the
@@ -74,9 +76,7 @@
 		return
 	}
 	s.perform(now, o, s.takeUp(now, o))
-	if s.hosts[o.end.Host] {
-		s.perform(now, o, o.sched.Drain(now))
-	}
+	s.settleLeaving(now, o)
 }
 
 // takeUp makes an endpoint's schedule act in the newest view. It goes on where
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -269,9 +269,24 @@
 	s.hosts = leaving
 	for name, end := range s.known {
 		s.routes.Leave(name, leaving[end.Host])
-		if o := s.owned[name]; o != nil && leaving[end.Host] {
-			s.perform(now, o, o.sched.Drain(now))
+		if o := s.owned[name]; o != nil {
+			s.settleLeaving(now, o)
 		}
 	}
 	s.urgent = true
 }
+
+// settleLeaving lets an endpoint take new work, or not, as the platform says of
+// its host.
+func (s *state) settleLeaving(now wick.Instant, o *owned) {
+	leaves := s.hosts[o.end.Host]
+	if leaves == o.drained {
+		return
+	}
+	o.drained = leaves
+	if leaves {
+		s.perform(now, o, o.sched.Drain(now))
+	} else {
+		s.perform(now, o, o.sched.Resume(now))
+	}
+}
--- a/ctrl/state_test.go
+++ b/ctrl/state_test.go
@@ -208,6 +208,7 @@
 			r.step(time.Millisecond, Listed{Hosts: []wick.HostStatus{{Host: "g1", State: wick.HostLeaving}}})
 			r.want(r.submit("q", 1), wick.CodeStopping)
 			r.step(time.Millisecond, Listed{})
+			r.want(r.submit("q2", 1), "")
 		}},
 	}
 	for _, test := range tests {
