--- a/claim/claim.go
+++ b/claim/claim.go
@@ -5,6 +5,7 @@
 package claim
 
 import (
+	"cmp"
 	"time"
 
 	"currantwick"
@@ -48,21 +49,13 @@
 	Steps, Limit int
 }
 
-func orElse[T comparable](v, def T) T {
-	var zero T
-	if v == zero {
-		return def
-	}
-	return v
-}
-
 func (c Config) withDefaults() Config {
-	c.Life = orElse(c.Life, DefaultLife)
-	c.Patience = orElse(c.Patience, DefaultPatience)
-	c.Batch = orElse(c.Batch, DefaultBatch)
-	c.Checkpoint = min(orElse(c.Checkpoint, DefaultCheckpoint), DefaultCheckpoint)
-	c.Steps = orElse(c.Steps, DefaultSteps)
-	c.Limit = orElse(c.Limit, DefaultLimit)
+	c.Life = cmp.Or(c.Life, DefaultLife)
+	c.Patience = cmp.Or(c.Patience, DefaultPatience)
+	c.Batch = cmp.Or(c.Batch, DefaultBatch)
+	c.Checkpoint = min(cmp.Or(c.Checkpoint, DefaultCheckpoint), DefaultCheckpoint)
+	c.Steps = cmp.Or(c.Steps, DefaultSteps)
+	c.Limit = cmp.Or(c.Limit, DefaultLimit)
 	return c
 }
 
--- a/cmd/currantwick/cluster_test.go
+++ b/cmd/currantwick/cluster_test.go
@@ -343,8 +343,8 @@
 func (c *cluster) sample() wick.Objects {
 	o := wick.Objects{
 		Models:     []wick.Model{{Name: "base", Context: 4096}},
-		Adapters:   []wick.Adapter{{Name: "notice", Model: "base"}},
-		Versions:   []wick.Version{{Adapter: "notice", Name: "v1", Source: "w/notice/1", Size: 10}},
+		Adapters:   []wick.Adapter{{Name: "alpha", Model: "base"}},
+		Versions:   []wick.Version{{Adapter: "alpha", Name: "v1", Source: "w/alpha/1", Size: 10}},
 		Priorities: []wick.Priority{{Name: "short", Level: 5, Deadline: millis(5000)}},
 		Stores:     []wick.Store{{Name: "weights", Rate: 20, FullSpeed: 4, Knee: 16}},
 		Pools: []wick.Pool{
@@ -352,7 +352,7 @@
 			{Name: "desk", Kind: wick.ServiceEndpoint},
 		},
 		Routes: []wick.Route{
-			{Name: "notice", Pool: "draft", Priority: "short", Ref: wick.Ref{Adapter: "notice", Version: "v1"}},
+			{Name: "alpha", Pool: "draft", Priority: "short", Ref: wick.Ref{Adapter: "alpha", Version: "v1"}},
 			{Name: "book", Pool: "desk", Priority: "short", Path: "/confirm", NonIdempotent: true},
 		},
 	}
--- a/cmd/currantwick/force_test.go
+++ b/cmd/currantwick/force_test.go
@@ -195,7 +195,7 @@
 	for _, d := range c.daemons {
 		c.await("the daemon has all objects", func() bool {
 			got := c.wick("get", "-admin", string(d.settings.Admin.Address))
-			return strings.Contains(got.out, `"Context": `+fmt.Sprint(4096+n-1)) && strings.Contains(got.out, `"Adapter": "notice"`)
+			return strings.Contains(got.out, `"Context": `+fmt.Sprint(4096+n-1)) && strings.Contains(got.out, `"Adapter": "alpha"`)
 		})
 	}
 	c.ready()
--- a/cmd/currantwick/verbs_test.go
+++ b/cmd/currantwick/verbs_test.go
@@ -31,7 +31,7 @@
 		{"nonsense", 2, `no verb "nonsense"`},
 		{"check -file good.json", 0, "ok"},
 		{"check -file bad.json", 1, "Model base: WellFormed: Context: must be positive"},
-		{"check -file bad.json", 1, "Route notice: Reference: Pool: Pool none does not exist"},
+		{"check -file bad.json", 1, "Route alpha: Reference: Pool: Pool none does not exist"},
 		{"check -file typo.json", 1, "Objects.Models[0].Name: want a string, not number\nObjects.Rutes: unknown field"},
 		{"check -file more.json", 1, "Adapter x: Reference: Model: Model base does not exist"},
 		{"check -file more.json -onto good.json", 0, "ok"},
@@ -101,7 +101,7 @@
 	c := newCluster(t, 3)
 	c.ready()
 	c.writeJSON("conf.json", file{Objects: c.sample()})
-	if got := c.wick("diff", "-file", "conf.json"); got.code != 1 || !strings.Contains(got.out, "+ Route notice") {
+	if got := c.wick("diff", "-file", "conf.json"); got.code != 1 || !strings.Contains(got.out, "+ Route alpha") {
 		t.Fatalf("diff before: %+v", got)
 	}
 	if got := c.must("apply", "-file", "conf.json", "-dry-run"); !strings.Contains(got, "would be accepted") {
@@ -120,19 +120,19 @@
 	broken.Routes[0].Ref.Version = "v2"
 	c.writeJSON("broken.json", file{Objects: broken})
 	got := c.wick("apply", "-file", "broken.json", "-id", "second")
-	if got.code != 1 || !strings.Contains(got.out, "Route notice: Reference: Ref: Version notice/v2 does not exist\nrejected: 1 violations") {
+	if got.code != 1 || !strings.Contains(got.out, "Route alpha: Reference: Ref: Version alpha/v2 does not exist\nrejected: 1 violations") {
 		t.Fatalf("broken: %+v", got)
 	}
 
-	broken.Versions = append(broken.Versions, wick.Version{Adapter: "notice", Name: "v2", Source: "w/notice/2", Size: 11})
+	broken.Versions = append(broken.Versions, wick.Version{Adapter: "alpha", Name: "v2", Source: "w/alpha/2", Size: 11})
 	c.writeJSON("rolled.json", file{Objects: broken})
-	if got := c.must("apply", "-file", "rolled.json", "-id", "third"); !strings.Contains(got, `Ref: {"Adapter":"notice","Version":"v1"} -> {"Adapter":"notice","Version":"v2"}`) {
+	if got := c.must("apply", "-file", "rolled.json", "-id", "third"); !strings.Contains(got, `Ref: {"Adapter":"alpha","Version":"v1"} -> {"Adapter":"alpha","Version":"v2"}`) {
 		t.Fatalf("roll: %s", got)
 	}
 
 	// What was read before the roll must not overwrite it.
 	got = c.wickWith(strings.Replace(read, `"v1"`, `"v1"`, 1), "apply", "-file", "-", "-based", "-id", "fourth")
-	if got.code != 1 || !strings.Contains(got.out, "Route notice: Moved: read at revision 1, now at revision 3") {
+	if got.code != 1 || !strings.Contains(got.out, "Route alpha: Moved: read at revision 1, now at revision 3") {
 		t.Fatalf("old base: %+v", got)
 	}
 	got = c.wick("drain", "-endpoint", "runner-2")
@@ -173,7 +173,7 @@
 		return ok && len(s.Daemons) == 2
 	})
 	var conf file
-	if err := json.Unmarshal([]byte(c.must("get", "-kind", "Route", "-name", "notice")), &conf); err != nil || conf.Objects.Routes[0].Ref.Version != "v2" {
+	if err := json.Unmarshal([]byte(c.must("get", "-kind", "Route", "-name", "alpha")), &conf); err != nil || conf.Objects.Routes[0].Ref.Version != "v2" {
 		t.Errorf("route in the end: %+v, %v", conf, err)
 	}
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -141,13 +141,13 @@
 
 // completions sends one streamed request through each of two entries.
 func (s *show) completions(c *caller, entries []wick.EntryPoint) error {
-	for i, route := range []wick.RouteName{"notices", "digests"} {
+	for i, route := range []wick.RouteName{"alpha", "beta"} {
 		e := entries[i]
-		got, err := c.stream(e.Address, route, "berth twelve at noon", answerTokens)
+		got, err := c.stream(e.Address, route, "one two three", answerTokens)
 		if err != nil {
 			return fmt.Errorf("completion through %s: %w", e.Host, err)
 		}
-		want := fakes.Answer("berth twelve at noon", got.Ran.Ref.String(), answerTokens)
+		want := fakes.Answer("one two three", got.Ran.Ref.String(), answerTokens)
 		if got.Text != want {
 			return fmt.Errorf("completion through %s: got %q, want %q", e.Host, got.Text, want)
 		}
--- a/demo/sample.go
+++ b/demo/sample.go
@@ -20,15 +20,15 @@
 		Stores:     []wick.Store{{Name: "weights", Rate: 20, FullSpeed: 4, Knee: 16}},
 		Priorities: []wick.Priority{{Name: "normal", Level: 5, Deadline: wick.Duration(10 * time.Second)}},
 		Pools: []wick.Pool{
-			{Name: "drafting", Kind: wick.RunnerEndpoint, Model: modelName, Store: "weights"},
-			{Name: "booking", Kind: wick.ServiceEndpoint},
+			{Name: "runners", Kind: wick.RunnerEndpoint, Model: modelName, Store: "weights"},
+			{Name: "desk", Kind: wick.ServiceEndpoint},
 		},
 		Routes: []wick.Route{{
-			Name: "confirm", Pool: "booking", Priority: "normal",
+			Name: "confirm", Pool: "desk", Priority: "normal",
 			Path: "/confirm", NonIdempotent: true,
 		}},
 	}
-	for _, name := range []string{"notices", "digests"} {
+	for _, name := range []string{"alpha", "beta"} {
 		ref := wick.Ref{Adapter: wick.AdapterName(name), Version: "v1"}
 		o.Adapters = append(o.Adapters, wick.Adapter{Name: ref.Adapter, Model: modelName})
 		o.Versions = append(o.Versions, wick.Version{
@@ -36,14 +36,14 @@
 			Source: "adapters/" + name + "/v1", Size: 64 << 20,
 		})
 		o.Routes = append(o.Routes, wick.Route{
-			Name: wick.RouteName(name), Pool: "drafting", Priority: "normal", Ref: ref,
+			Name: wick.RouteName(name), Pool: "runners", Priority: "normal", Ref: ref,
 		})
 	}
 	for i, a := range at.Engines {
-		o.Endpoints = append(o.Endpoints, endpoint("runner", "drafting", i, a, 2))
+		o.Endpoints = append(o.Endpoints, endpoint("runner", "runners", i, a, 2))
 	}
 	for i, a := range at.Services {
-		o.Endpoints = append(o.Endpoints, endpoint("desk", "booking", i, a, 0))
+		o.Endpoints = append(o.Endpoints, endpoint("desk", "desk", i, a, 0))
 	}
 	return wick.Change{ID: "demo", Operator: "demo", Puts: o}
 }
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -13,9 +13,9 @@
 	"currantwick/httpc"
 )
 
-const model wick.ModelName = "urea-7b"
+const model wick.ModelName = "base"
 
-var berth = wick.Ref{Adapter: "berth", Version: "v1"}
+var first = wick.Ref{Adapter: "first", Version: "v1"}
 
 func startEngine(t *testing.T, cfg fakes.EngineConfig) *fakes.Engine {
 	t.Helper()
@@ -50,7 +50,7 @@
 
 func order(kind wick.OrderKind, view wick.ViewNumber, seq wick.Sequence) wick.Order {
 	return wick.Order{
-		Kind: kind, Ref: berth, Source: "weights/berth",
+		Kind: kind, Ref: first, Source: "weights/first",
 		Token: wick.Token{View: view, Sequence: seq}, Within: wick.Duration(2 * time.Second),
 	}
 }
@@ -106,13 +106,13 @@
 		have wick.Tokens
 	}{
 		{"base model", wick.Ref{}, 0},
-		{"adapter", berth, 0},
-		{"resumed", berth, 5},
-		{"resumed at the end", berth, 12},
+		{"adapter", first, 0},
+		{"resumed", first, 5},
+		{"resumed at the end", first, 12},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			j := job(test.ref, "plan the berth", 12)
+			j := job(test.ref, "plan the first", 12)
 			name := engine.ModelField(j.Work)
 			j.Work.HaveTokens = test.have
 			j.Work.Have = fakes.Answer(j.Work.Prompt, name, test.have)
@@ -148,7 +148,7 @@
 		code    wick.Code
 		ran     bool
 	}{
-		{name: "not resident", ref: berth, outcome: wick.NotRun, code: wick.CodeLoadFailed},
+		{name: "not resident", ref: first, outcome: wick.NotRun, code: wick.CodeLoadFailed},
 		{
 			name: "crash", fault: fakes.EngineControl{CrashFor: wick.Duration(time.Hour)},
 			outcome: wick.Unknown, code: wick.CodeBroken, ran: true,
@@ -324,7 +324,7 @@
 		}
 		return nil
 	}
-	if err := c.Generate(deadline(t), e.Address(), job(berth, "x", 20), a.emit); err != nil {
+	if err := c.Generate(deadline(t), e.Address(), job(first, "x", 20), a.emit); err != nil {
 		t.Fatal(err)
 	}
 	if s := e.Stats(); s.Violations != 1 || s.Evicted != 1 {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -11,6 +11,7 @@
 package lease
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -68,22 +69,14 @@
 	Seed uint64
 }
 
-func orElse[T comparable](v, def T) T {
-	var zero T
-	if v == zero {
-		return def
-	}
-	return v
-}
-
 func (c Config) withDefaults() Config {
-	c.Witnesses = orElse(c.Witnesses, DefaultWitnesses)
-	c.TTL = orElse(c.TTL, DefaultTTL)
-	c.Drift = orElse(c.Drift, DefaultDrift)
-	c.Renew = orElse(c.Renew, DefaultRenew)
-	c.Suspect = orElse(c.Suspect, DefaultSuspect)
-	c.Orphan = orElse(c.Orphan, DefaultOrphan)
-	c.Checkpoint = min(orElse(c.Checkpoint, DefaultCheckpoint), DefaultCheckpoint)
+	c.Witnesses = cmp.Or(c.Witnesses, DefaultWitnesses)
+	c.TTL = cmp.Or(c.TTL, DefaultTTL)
+	c.Drift = cmp.Or(c.Drift, DefaultDrift)
+	c.Renew = cmp.Or(c.Renew, DefaultRenew)
+	c.Suspect = cmp.Or(c.Suspect, DefaultSuspect)
+	c.Orphan = cmp.Or(c.Orphan, DefaultOrphan)
+	c.Checkpoint = min(cmp.Or(c.Checkpoint, DefaultCheckpoint), DefaultCheckpoint)
 	return c
 }
 
--- a/verbs/entries.go
+++ b/verbs/entries.go
@@ -17,7 +17,7 @@
 var entriesVerb = verb{
 	name:    "entries",
 	short:   "ask a daemon which addresses callers should use",
-	example: "currantwick entries -entry 10.0.0.1:7000 -domain addis-a",
+	example: "currantwick entries -entry 10.0.0.1:7000 -domain domain-a",
 	run:     runEntries,
 }
 
