--- a/ctrl/state_test.go
+++ b/ctrl/state_test.go
@@ -39,6 +39,13 @@
 	return wick.Member{Host: "h1", Incarnation: 1, Domain: "d1", Peer: "127.0.0.1:1", Entry: "127.0.0.1:2"}
 }
 
+// outlier takes every endpoint for one.
+type outlier struct{ wick.Ejector }
+
+func (outlier) Judge(wick.Instant, wick.EndpointName) wick.Health {
+	return wick.Health{Slow: 10, Ejected: true}
+}
+
 // rig is control state with time under the test's hand.
 type rig struct {
 	t   *testing.T
@@ -203,6 +210,26 @@
 			}
 			r.want(r.submit("q3", 1), wick.CodeKilled)
 		}},
+		{"sent on from an outlier", func(r *rig) {
+			r.acting()
+			sent := []*Run{r.submit("q1", 1), r.submit("q2", 1)}
+			waits := r.submit("q3", 1)
+			r.s.pace = outlier{r.s.pace}
+			r.step(lookEvery, Listed{})
+			r.want(waits, wick.CodeSlow)
+			for _, run := range sent {
+				r.want(run, "")
+				if run.Cause() != nil {
+					r.t.Error("taken away at once")
+				}
+			}
+			r.step(moveAfter, Listed{})
+			for _, run := range sent {
+				if c := run.Cause(); c == nil || c.Code != wick.CodeSlow || c.Outcome != wick.Unknown {
+					r.t.Errorf("not taken away: %v", c)
+				}
+			}
+		}},
 		{"refused while the host leaves", func(r *rig) {
 			r.acting()
 			r.step(time.Millisecond, Listed{Hosts: []wick.HostStatus{{Host: "g1", State: wick.HostLeaving}}})
