--- a/boot/boot.go
+++ b/boot/boot.go
@@ -3,6 +3,7 @@
 
 import (
 	"crypto/tls"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -10,7 +11,6 @@
 	"currantwick/certs"
 	"currantwick/claim"
 	"currantwick/ctrl"
-	"currantwick/eject"
 	"currantwick/engine"
 	"currantwick/evict"
 	"currantwick/hosts"
@@ -18,10 +18,8 @@
 	"currantwick/lease"
 	"currantwick/limit"
 	"currantwick/node"
-	"currantwick/place"
 	"currantwick/plain"
 	"currantwick/plog"
-	"currantwick/route"
 	"currantwick/sched"
 	"currantwick/setup"
 	"currantwick/stats"
@@ -51,27 +49,27 @@
 
 // Node opens the daemon's sockets and returns it, not running yet.
 func Node(cfg Config) (*node.Node, error) {
-	s := cfg.Settings
-	note := stats.New(stats.Config{Log: cfg.Log, Registry: cfg.Registry})
-	ends := httpc.Config{Quiet: s.Limits.Silence}
-	retries, err := limit.NewRetries(limit.RetryConfig{Policy: choose(s.Policy.Retry, wick.RetryShare, wick.RetryUnlimited)})
+	c, err := configure(cfg)
 	if err != nil {
-		return nil, fault(s).Errorf("build daemon: %w", err)
+		return nil, fault(cfg.Settings).Errorf("configure daemon: %w", err)
 	}
-	hedge := limit.HedgeConfig{Policy: choose(s.Policy.Hedge, wick.HedgePercentile, wick.HedgeNone)}
-	if _, err := limit.NewHedger(hedge); err != nil {
-		return nil, fault(s).Errorf("build daemon: %w", err)
+	n, err := node.New(c)
+	if err != nil {
+		return nil, fault(cfg.Settings).Errorf("build daemon: %w", err)
 	}
-	n, err := node.New(node.Config{
+	return n, nil
+}
+
+// configure translates the settings.
+func configure(cfg Config) (node.Config, error) {
+	s := cfg.Settings
+	note := stats.New(stats.Config{Log: cfg.Log, Registry: cfg.Registry})
+	ends := httpc.Config{Quiet: s.Limits.Silence}
+	c := node.Config{
 		Self:     wick.Member{Host: s.Host, Domain: s.Domain, Peer: s.Peer.Address, Entry: s.Entry.Address},
 		Listen:   s.Peer.Listen,
 		EntryTLS: cfg.EntryTLS,
-		Limits: node.Limits{
-			BodyBytes:   s.Limits.BodyBytes,
-			Requests:    s.Limits.Requests,
-			Connections: s.Limits.Connections,
-			Idle:        s.Limits.Idle.Std(),
-		},
+		Limits:   limits(s.Limits),
 		Keys:     cfg.Keys,
 		HostOf:   certs.HostOf,
 		Log:      platformLog(s),
@@ -79,27 +77,54 @@
 		Engine:   engine.New(engine.Config{HTTP: ends}),
 		Services: plain.New(plain.Config{HTTP: ends}),
 		Lease:    leaseConfig(s),
-		Claim: claim.Config{
-			Life:  s.Claim.Life.Std(),
-			Batch: s.Claim.Batch.Std(),
-
-			Checkpoint: s.Log.Retention.Std() / checkpointParts,
-		},
-		Route:   route.Config{Policy: choose(s.Policy.Router, wick.RouteAffinity, wick.RouteRoundRobin)},
-		Policy:  policies(s.Policy),
-		Eject:   eject.Config{Policy: choose(s.Policy.Eject, wick.EjectOutliers, wick.EjectNone)},
-		Place:   place.Config{Policy: choose(s.Policy.Place, wick.PlaceByShare, wick.PlaceOnDemand)},
-		Retries: tally.NewRetries(retries),
-		Hedge:   hedge,
-		Times:   times(s),
-		Control: note,
-		Traffic: note,
-		Peers:   note,
+		Claim:    claimConfig(s),
+		Times:    times(s),
+		Control:  note,
+		Traffic:  note,
+		Peers:    note,
+	}
+	return c, usePolicies(&c, s.Policy)
+}
+
+// usePolicies sets the policies that the settings name.
+func usePolicies(c *node.Config, p setup.Policy) error {
+	c.Route.Policy = choose(p.Router, wick.RouteAffinity, wick.RouteRoundRobin)
+	c.Eject.Policy = choose(p.Eject, wick.EjectOutliers, wick.EjectNone)
+	c.Place.Policy = choose(p.Place, wick.PlaceByShare, wick.PlaceOnDemand)
+	c.Hedge.Policy = choose(p.Hedge, wick.HedgePercentile, wick.HedgeNone)
+	c.Policy = ctrl.Policy{
+		Order: choose[wick.Orderer](p.Order, sched.Shortest{}, sched.FIFO{}),
+		Evict: choose[wick.Evictor](p.Evict, evict.Heat{}, evict.LRU{}),
+		Admit: choose[wick.Admitter](p.Admit, sched.Deadline{}, sched.Bounded{}),
+	}
+	if _, err := limit.NewHedger(c.Hedge); err != nil {
+		return fmt.Errorf("hedging: %w", err)
+	}
+	retries, err := limit.NewRetries(limit.RetryConfig{
+		Policy: choose(p.Retry, wick.RetryShare, wick.RetryUnlimited),
 	})
 	if err != nil {
-		return nil, fault(s).Errorf("build daemon: %w", err)
+		return fmt.Errorf("retries: %w", err)
+	}
+	c.Retries = tally.NewRetries(retries)
+	return nil
+}
+
+func limits(l setup.Limits) node.Limits {
+	return node.Limits{
+		BodyBytes:   l.BodyBytes,
+		Requests:    l.Requests,
+		Connections: l.Connections,
+		Idle:        l.Idle.Std(),
+	}
+}
+
+func claimConfig(s setup.Settings) claim.Config {
+	return claim.Config{
+		Life:       s.Claim.Life.Std(),
+		Batch:      s.Claim.Batch.Std(),
+		Checkpoint: s.Log.Retention.Std() / checkpointParts,
 	}
-	return n, nil
 }
 
 // platformLog returns the log. A read that finds nothing new returns well
@@ -154,11 +179,3 @@
 	}
 	return chosen
 }
-
-func policies(p setup.Policy) ctrl.Policy {
-	return ctrl.Policy{
-		Order: choose[wick.Orderer](p.Order, sched.Shortest{}, sched.FIFO{}),
-		Evict: choose[wick.Evictor](p.Evict, evict.Heat{}, evict.LRU{}),
-		Admit: choose[wick.Admitter](p.Admit, sched.Deadline{}, sched.Bounded{}),
-	}
-}
--- a/loads/bench.go
+++ b/loads/bench.go
@@ -4,35 +4,25 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"time"
 
 	"currantwick"
-	"currantwick/boot"
-	"currantwick/certs"
 	"currantwick/fakes"
-	"currantwick/node"
+	"currantwick/fleet"
 	"currantwick/setup"
-
-	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/sync/errgroup"
 )
 
 const (
 	anyPort = wick.Address("127.0.0.1:0")
-	keyLife = 24 * time.Hour
 	// readyWithin bounds the wait until all daemons act together.
 	readyWithin = 60 * time.Second
-	readyCheck  = 50 * time.Millisecond
 )
 
 // bench is a system under test in this process: stand-ins and daemons.
 type bench struct {
 	scene Scene
 	set   *fakes.Set
-	nodes []*node.Node
-	group errgroup.Group
-	stop  context.CancelFunc
+	fleet *fleet.Fleet
 }
 
 // startBench starts the stand-ins and daemons of a scene, publishes its
@@ -42,8 +32,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("stand-ins: %w", err)
 	}
-	b := &bench{scene: s, set: set, stop: func() {}}
-	if err := b.start(ctx, p); err != nil {
+	f, err := fleet.New(fleet.Config{
+		Daemons: s.Daemons, Domains: s.Domains,
+		Log: set.Log.Address(), Hosts: set.Hosts.Address(), Policy: p,
+	})
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("daemons: %w", err), set.Close())
+	}
+	b := &bench{scene: s, set: set, fleet: f}
+	f.Start(ctx)
+	if err := b.publish(ctx); err != nil {
 		return nil, errors.Join(err, b.close())
 	}
 	return b, nil
@@ -67,112 +65,38 @@
 	return cfg
 }
 
-func (b *bench) start(ctx context.Context, p setup.Policy) error {
-	authority, err := certs.NewAuthority(certs.Config{Life: keyLife})
-	if err != nil {
-		return fmt.Errorf("authority: %w", err)
-	}
-	for i := range b.scene.Daemons {
-		n, err := b.daemon(authority, i, p)
-		if err != nil {
-			return err
-		}
-		b.nodes = append(b.nodes, n)
-	}
-	run, stop := context.WithCancel(ctx)
-	b.stop = stop
-	for _, n := range b.nodes {
-		b.group.Go(func() error { return n.Run(run) })
-	}
+// publish puts the scene's objects into force on all daemons.
+func (b *bench) publish(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWithin)
 	defer cancel()
-	if err := b.publish(ctx); err != nil {
-		return err
-	}
-	return b.ready(ctx)
-}
-
-func (b *bench) daemon(authority *certs.Authority, i int, p setup.Policy) (*node.Node, error) {
-	host := wick.HostName(fmt.Sprintf("entry-%d", i+1))
-	pair, err := authority.Issue(certs.Config{Life: keyLife}, host)
-	if err != nil {
-		return nil, fmt.Errorf("keys of %s: %w", host, err)
-	}
-	material, err := certs.NewMaterial(authority.PEM().Cert, pair)
-	if err != nil {
-		return nil, fmt.Errorf("keys of %s: %w", host, err)
-	}
-	s := setup.Default()
-	s.Host = host
-	s.Domain = b.scene.Domains[i%len(b.scene.Domains)]
-	s.Entry.Address = anyPort
-	s.Peer.Address = anyPort
-	s.Log.Address = b.set.Log.Address()
-	s.Hosts.Address = b.set.Hosts.Address()
-	s.Stop.Linger = 0
-	s.Policy = p
-	n, err := boot.Node(boot.Config{
-		Settings: s,
-		Keys:     certs.Static(material),
-		Log:      slog.New(slog.DiscardHandler),
-		Registry: prometheus.NewRegistry(),
-	})
-	if err != nil {
-		return nil, fmt.Errorf("boot: %w", err)
-	}
-	return n, nil
-}
-
-func (b *bench) publish(ctx context.Context) error {
+	var last wick.Offset
 	for _, c := range changes(b.scene, b.set.Addresses()) {
-		v, err := b.nodes[0].Publish(ctx, c)
+		v, err := b.fleet.Nodes()[0].Publish(ctx, c)
 		if err != nil {
 			return fmt.Errorf("publish %s: %w", c.ID, err)
 		}
 		if !v.Accepted() {
 			return fmt.Errorf("publish %s: %w", c.ID, v.Violations[0])
 		}
+		last = v.Offset
 	}
-	return nil
-}
-
-// ready waits until all daemons are one view with one configuration.
-func (b *bench) ready(ctx context.Context) error {
-	t := time.NewTicker(readyCheck)
-	defer t.Stop()
-	for !b.isReady() {
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("wait for one view: %w", ctx.Err())
-		case <-t.C:
-		}
+	if err := b.fleet.Ready(ctx, last); err != nil {
+		return fmt.Errorf("wait for one view: %w", err)
 	}
 	return nil
 }
 
-func (b *bench) isReady() bool {
-	first := b.nodes[0].Snapshot()
-	for _, n := range b.nodes {
-		s := n.Snapshot()
-		if len(s.View.Members) != len(b.nodes) || s.View.Number != first.View.Number || s.Offset != first.Offset {
-			return false
-		}
-	}
-	return true
-}
-
 // entries returns where callers come in.
 func (b *bench) entries() []wick.Address {
 	var out []wick.Address
-	for _, n := range b.nodes {
+	for _, n := range b.fleet.Nodes() {
 		out = append(out, n.Self().Entry)
 	}
 	return out
 }
 
 func (b *bench) close() error {
-	b.stop()
-	return errors.Join(b.group.Wait(), b.set.Close())
+	return errors.Join(b.fleet.Close(), b.set.Close())
 }
 
 // begin causes the faults of a phase, and ends those of the one before.
--- a/peer.go
+++ b/peer.go
@@ -233,33 +233,15 @@
 
 // Check implements Checker.
 func (m PeerMessage) Check() error {
-	set := 0
-	var err error
-	if m.Renewal != nil {
-		set, err = set+1, m.Renewal.Check()
-	}
-	if m.RenewalAck != nil {
-		set, err = set+1, m.RenewalAck.Check()
-	}
-	if m.Fetch != nil {
-		set++
-	}
-	if m.Fetched != nil {
-		set, err = set+1, m.Fetched.Check()
-	}
-	if m.Grant != nil {
-		set, err = set+1, m.Grant.Check()
-	}
-	if m.Suspects != nil {
-		set, err = set+1, checkSuspects(m.Suspects)
-	}
-	if m.Error != nil {
-		set, err = set+1, m.Error.Check()
-	}
-	if set != 1 {
-		return fmt.Errorf("peer message holds %d values, want 1", set)
-	}
-	return err
+	return oneOf("peer message",
+		some(m.Renewal),
+		some(m.RenewalAck),
+		option{set: m.Fetch != nil},
+		some(m.Fetched),
+		some(m.Grant),
+		option{set: m.Suspects != nil, check: func() error { return checkSuspects(m.Suspects) }},
+		option{set: m.Error != nil, check: m.Error.Check},
+	)
 }
 
 func checkSuspects(all []Suspect) error {
--- a/record.go
+++ b/record.go
@@ -162,39 +162,17 @@
 
 // Check implements Checker.
 func (r Record) Check() error {
-	set := 0
-	var err error
-	if r.Change != nil {
-		set++ // A malformed change gets a verdict, so it is not checked here.
-	}
-	if r.Checkpoint != nil {
-		set, err = set+1, r.Checkpoint.Check()
-	}
-	if r.ViewChange != nil {
-		set, err = set+1, r.ViewChange.Check()
-	}
-	if r.ViewClosed != nil {
-		set, err = set+1, r.ViewClosed.Check()
-	}
-	if r.ViewState != nil {
-		set, err = set+1, r.ViewState.Check()
-	}
-	if r.RunsEnded != nil {
-		set, err = set+1, r.RunsEnded.Check()
-	}
-	if r.Claims != nil {
-		set, err = set+1, r.Claims.Check()
-	}
-	if r.ClaimState != nil {
-		set, err = set+1, r.ClaimState.Check()
-	}
-	if r.Verdict != nil {
-		set++
-	}
-	if set != 1 {
-		return fmt.Errorf("record holds %d values, want 1", set)
-	}
-	return err
+	return oneOf("record",
+		option{set: r.Change != nil}, // A malformed change gets a verdict.
+		some(r.Checkpoint),
+		some(r.ViewChange),
+		some(r.ViewClosed),
+		some(r.ViewState),
+		some(r.RunsEnded),
+		some(r.Claims),
+		some(r.ClaimState),
+		option{set: r.Verdict != nil},
+	)
 }
 
 // Entry is a record with its place on the log.
