--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -119,14 +119,14 @@
 func newState(cfg Config, g *gate) (*state, error) {
 	routes, err := route.New(cfg.Route, cfg.InFlight)
 	if err != nil {
-		return nil, fmt.Errorf("control state: %w", err)
+		return nil, fmt.Errorf("policies: %w", err)
 	}
 	pace, err := eject.New(cfg.Eject)
 	if err != nil {
-		return nil, fmt.Errorf("control state: %w", err)
+		return nil, fmt.Errorf("policies: %w", err)
 	}
 	if _, err := place.New(cfg.Place); err != nil {
-		return nil, fmt.Errorf("control state: %w", err)
+		return nil, fmt.Errorf("policies: %w", err)
 	}
 	return &state{
 		pace:      pace,
--- a/ctrl/thread.go
+++ b/ctrl/thread.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -33,7 +34,7 @@
 	g := &gate{}
 	s, err := newState(cfg, g)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("control thread: %w", err)
 	}
 	t := &Thread{
 		cfg:    cfg,
--- a/demo/caller.go
+++ b/demo/caller.go
@@ -67,7 +67,7 @@
 		"model": route, "prompt": prompt, "max_tokens": n, "stream": true,
 	})
 	if err != nil {
-		return completed{}, err
+		return completed{}, fmt.Errorf("encode: %w", err)
 	}
 	req.SetRequestURI("http://" + string(at) + "/v1/completions")
 	req.Header.SetMethod(fasthttp.MethodPost)
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -87,7 +87,7 @@
 	}
 	s.fleet.Start(ctx)
 	if err := errors.Join(s.scenes(ctx), s.fleet.Close()); err != nil {
-		return err
+		return fmt.Errorf("demo: %w", err)
 	}
 	s.printf("stopped cleanly")
 	return nil
--- a/fakes/set.go
+++ b/fakes/set.go
@@ -49,17 +49,17 @@
 	var err error
 	if cfg.Store != nil {
 		if s.Store, err = StartStore(*cfg.Store); err != nil {
-			return err
+			return fmt.Errorf("store: %w", err)
 		}
 	}
 	if cfg.Log != nil {
 		if s.Log, err = StartLog(*cfg.Log); err != nil {
-			return err
+			return fmt.Errorf("log: %w", err)
 		}
 	}
 	if cfg.Hosts != nil {
 		if s.Hosts, err = StartHosts(*cfg.Hosts); err != nil {
-			return err
+			return fmt.Errorf("hosts: %w", err)
 		}
 	}
 	for i, c := range cfg.Engines {
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -234,7 +234,7 @@
 func (p *Proxy) serve(addr wick.Address) error {
 	ln, err := listenTCP(addr)
 	if err != nil {
-		return err
+		return fmt.Errorf("control: %w", err)
 	}
 	p.ln = ln
 	p.server = &fasthttp.Server{Handler: p.handle, IdleTimeout: idleControl, CloseOnShutdown: true}
--- a/fault/tcp.go
+++ b/fault/tcp.go
@@ -48,7 +48,7 @@
 func openTCP(addr wick.Address, s *state, group *errgroup.Group) (carrier, error) {
 	ln, err := listenTCP(addr)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("open link: %w", err)
 	}
 	l := &tcpLink{state: s, addr: wick.Address(ln.Addr().String()), group: group, done: make(chan struct{})}
 	l.pairs = map[*pair]struct{}{}
@@ -96,7 +96,7 @@
 	}
 	ln, err := listenTCP(l.addr)
 	if err != nil {
-		return err
+		return fmt.Errorf("open link again: %w", err)
 	}
 	l.listen(ln)
 	return nil
--- a/node/node.go
+++ b/node/node.go
@@ -197,7 +197,7 @@
 		Note:       n.cfg.Control,
 	})
 	if err != nil {
-		return fmt.Errorf("control thread: %w", err)
+		return fmt.Errorf("build: %w", err)
 	}
 	n.owner = owner.New(owner.Config{
 		Thread:   n.thread,
@@ -244,7 +244,10 @@
 	err := group.Wait()
 	n.client.Close()
 	n.farewell(ctx)
-	return err
+	if err != nil {
+		return fmt.Errorf("run daemon: %w", err)
+	}
+	return nil
 }
 
 // farewell tells on the log that this run has ended if the view still names it:
--- a/node/operate.go
+++ b/node/operate.go
@@ -66,8 +66,11 @@
 	reply := make(chan []wick.Run, 1)
 	n.thread.Post(ctrl.Named{Hosts: hosts, Reply: reply})
 	runs, err := await(ctx, n.thread, reply)
-	if err != nil || len(runs) == 0 {
-		return nil, err
+	if err != nil {
+		return nil, fmt.Errorf("runs on lost hosts: %w", err)
+	}
+	if len(runs) == 0 {
+		return nil, nil
 	}
 	return runs, n.ended(ctx, runs)
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -67,18 +67,18 @@
 
 // open returns a new stream to an address, dialling first if there is no live
 // connection.
-func (c *Client) open(ctx context.Context, to wick.Address) (*link, *quic.Conn, *quic.Stream, error) {
+func (c *Client) open(ctx context.Context, to wick.Address) (*quic.Stream, error) {
 	l := c.link(to)
 	conn, err := l.dial(ctx, c.cfg, to)
 	if err != nil {
-		return nil, nil, nil, fmt.Errorf("dial %s: %w", to, err)
+		return nil, fmt.Errorf("dial %s: %w", to, err)
 	}
 	s, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		l.drop(conn)
-		return nil, nil, nil, fmt.Errorf("open stream to %s: %w", to, err)
+		return nil, fmt.Errorf("open stream to %s: %w", to, err)
 	}
-	return l, conn, s, nil
+	return s, nil
 }
 
 func (l *link) dial(ctx context.Context, cfg ClientConfig, to wick.Address) (*quic.Conn, error) {
@@ -89,7 +89,7 @@
 	}
 	conn, err := quic.DialAddr(ctx, string(to), cfg.TLS(), quicConfig(cfg.Quiet))
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("handshake: %w", err)
 	}
 	l.conn = conn
 	return conn, nil
@@ -110,9 +110,9 @@
 // connection only if nothing else arrived on it, which QUIC's own idle bound
 // decides; the next call then dials anew.
 func (c *Client) Call(ctx context.Context, to wick.Address, msg wick.PeerMessage) (wick.PeerMessage, error) {
-	_, _, s, err := c.open(ctx, to)
+	s, err := c.open(ctx, to)
 	if err != nil {
-		return wick.PeerMessage{}, err
+		return wick.PeerMessage{}, fmt.Errorf("call: %w", err)
 	}
 	defer s.CancelRead(0)
 	stop := context.AfterFunc(ctx, func() { cancelStream(s) })
@@ -138,7 +138,7 @@
 
 // Submit implements wick.Peers.
 func (c *Client) Submit(ctx context.Context, to wick.Address, sub wick.Submission) (wick.Stream, error) {
-	_, _, s, err := c.open(ctx, to)
+	s, err := c.open(ctx, to)
 	if err != nil {
 		return nil, wick.NotRunf(wick.CodeNoEndpoint, "owner unreachable: %v", err)
 	}
