--- a/verbs/serve.go
+++ b/verbs/serve.go
@@ -10,9 +10,11 @@
 	"syscall"
 
 	"currantwick"
+	"currantwick/admin"
 	"currantwick/boot"
 	"currantwick/certs"
 	"currantwick/codec"
+	"currantwick/node"
 	"currantwick/setup"
 	"currantwick/stats"
 
@@ -56,60 +58,88 @@
 	return Done, nil
 }
 
+// service is a daemon with its operators' interface.
+type service struct {
+	log       *slog.Logger
+	doors     *doors
+	node      *node.Node
+	operators *admin.Server
+}
+
 // serve runs a daemon until ctx ends and it has stopped gracefully. SIGHUP
 // makes it read its keys again.
 func serve(ctx context.Context, env Env, settings setup.Settings) error {
 	log := slog.New(slog.NewJSONHandler(env.Err, nil))
-	keys, err := certs.NewSource(certs.Files(settings.Keys).Load)
+	s, err := newService(settings, log)
 	if err != nil {
-		return fmt.Errorf("keys: %w", err)
+		log.Error("daemon not started", "error", err)
+		return fmt.Errorf("start: %w", err)
 	}
-	doors, err := newDoors(settings, keys)
+	self := s.node.Self()
+	log.Info("daemon started", "host", self.Host, "entry", self.Entry, "peer", self.Peer, "admin", s.operators.Address())
+	err = s.run(ctx)
+	log.Info("daemon stopped", "host", self.Host)
 	if err != nil {
-		return err
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+// newService opens all sockets.
+func newService(settings setup.Settings, log *slog.Logger) (*service, error) {
+	keys, err := certs.NewSource(certs.Files(settings.Keys).Load)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	s := &service{log: log}
+	if s.doors, err = newDoors(settings, keys); err != nil {
+		return nil, fmt.Errorf("doors: %w", err)
 	}
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	n, err := boot.Node(boot.Config{
+	s.node, err = boot.Node(boot.Config{
 		Settings: settings,
 		Keys:     keys,
-		EntryTLS: doors.entry,
+		EntryTLS: s.doors.entry,
 		Log:      log,
 		Registry: registry,
 	})
 	if err != nil {
-		log.Error("daemon not started", "error", err)
-		return fmt.Errorf("start: %w", err)
+		return nil, fmt.Errorf("node: %w", err)
 	}
 	stats.Watch(registry, stats.Watched{
-		Ready:   n.Ready,
-		Config:  func() wick.Offset { return n.Snapshot().Offset },
+		Ready:   s.node.Ready,
+		Config:  func() wick.Offset { return s.node.Snapshot().Offset },
 		Expires: keys.Expires,
 	})
-	operators, err := doors.operators(settings, n, registry)
-	if err != nil {
-		return fmt.Errorf("start: %w", err)
+	if s.operators, err = s.doors.operators(settings, s.node, registry); err != nil {
+		return nil, fmt.Errorf("admin: %w", err)
 	}
-	log.Info("daemon started", "host", settings.Host, "entry", n.Self().Entry, "peer", n.Self().Peer, "admin", operators.Address())
+	return s, nil
+}
+
+// run serves callers, daemons and operators; operators until the last request
+// has ended.
+func (s *service) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	serving, closeAdmin := context.WithCancel(context.WithoutCancel(ctx))
+	defer closeAdmin()
 	var group errgroup.Group
 	group.Go(func() error {
-		reload(ctx, doors.sources, log)
+		reload(ctx, s.doors.sources, s.log)
 		return nil
 	})
-	// Operators are served until the last request has ended.
-	serving, closeAdmin := context.WithCancel(context.WithoutCancel(ctx))
-	defer closeAdmin()
-	group.Go(func() error { return operators.Run(serving) })
+	group.Go(func() error { return s.operators.Run(serving) })
 	group.Go(func() error {
 		defer cancel()
 		defer closeAdmin()
-		return n.Run(ctx)
+		return s.node.Run(ctx)
 	})
-	err = group.Wait()
-	log.Info("daemon stopped", "host", settings.Host)
-	return err
+	if err := group.Wait(); err != nil {
+		return fmt.Errorf("run: %w", err)
+	}
+	return nil
 }
 
 // reload reads the keys again at each SIGHUP. Keys that can't be used leave
