Prove the loss of a failure domain with its daemons and engines under load

Seven daemons in three domains; those of the domain that owns a service are killed at once and the engines there crash for a minute.

--- a/proof/bench_test.go
+++ b/proof/bench_test.go
@@ -74,6 +74,11 @@
 	}
 }
 
+// domains is how many failure domains hosts stand in, in turn.
+const domains = 3
+
+func domainOf(i int) wick.Domain { return wick.Domain(fmt.Sprintf("domain-%d", i%domains+1)) }
+
 func ms(n int) wick.Duration { return wick.Duration(time.Duration(n) * time.Millisecond) }
 
 func linkName(kind string, i int) fault.LinkName {
@@ -148,7 +153,7 @@
 		}
 		s := daemonSettings{
 			Host:   d.host,
-			Domain: wick.Domain(fmt.Sprintf("domain-%d", i+1)),
+			Domain: domainOf(i),
 			Entry:  at{Address: d.entry},
 			Peer:   at{Address: b.proxy.Links[linkName("peer", i)], Listen: listen},
 			Admin:  admin{Address: freePort(b.t, "tcp"), Token: "a-token-for-tests-only"},
@@ -245,7 +250,7 @@
 	return wick.Endpoint{
 		Name: wick.EndpointName(linkName(kind, i)), Pool: pool,
 		Host:    wick.HostName(fmt.Sprintf("%s-host-%d", kind, i+1)),
-		Domain:  wick.Domain(fmt.Sprintf("domain-%d", i+1)),
+		Domain:  domainOf(i),
 		Address: addr, BatchSlots: 64,
 	}
 }
--- a/proof/caller_test.go
+++ b/proof/caller_test.go
@@ -214,7 +214,7 @@
 				}
 			}
 			r := i % b.sizes.adapters
-			prompt := fmt.Sprintf("caller %d wants the tide want:%s of day %d", i, ref(r), time.Now().UnixNano())
+			prompt := fmt.Sprintf("caller %d asks want:%s of day %d", i, ref(r), time.Now().UnixNano())
 			c.add(b.askWatched(b.daemons[i%len(b.daemons)].entry, routeName(r), prompt, n, mark))
 		})
 	}
--- /dev/null
+++ b/proof/domain_test.go
@@ -0,0 +1,60 @@
+package proof
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/fakes"
+)
+
+// TestDomainLost kills all daemons and engines of a failure domain at once,
+// under load. The rest serves every adapter and every endpoint.
+func TestDomainLost(t *testing.T) {
+	z := sevenDaemons()
+	z.engines, z.services = 6, 2
+	b := startBench(t, z)
+	w := b.watch()
+	w.all(without(7)...)
+	var dead []int
+	for i := range z.daemons {
+		if domainOf(i) == domainOf(w.owner("service-1")) {
+			dead = append(dead, i)
+		}
+	}
+	left := without(z.daemons, dead...)
+	living := func(i int) wick.Address { return b.daemons[left[i%len(left)]].entry }
+	load, stop := b.steady(8, 20, living)
+	eventually(t, "the engines work", func() bool { return total(b.engineStats()) > 30 })
+	for _, i := range dead {
+		b.daemons[i].kill()
+	}
+	for i := range z.engines {
+		if domainOf(i) == domainOf(dead[0]) {
+			b.control(b.fakes.Engines[i], fakes.EngineControl{CrashFor: wick.Duration(time.Minute)})
+		}
+	}
+	start := time.Now()
+	took := w.all(left...)
+	t.Logf("%d daemons lost", len(dead))
+	t.Logf("all endpoints have owners again %v after the loss", took)
+	if took > takeoverWithin {
+		t.Errorf("took %v, want at most %v", took, takeoverWithin)
+	}
+	for r := range z.adapters {
+		prompt := fmt.Sprintf("after the loss want:%s now", ref(r))
+		a := b.ask(living(r), routeName(r), prompt, 10)
+		a.check(t, ref(r))
+		if !a.whole {
+			t.Errorf("route %d: %s", r, a.why())
+		}
+	}
+	t.Logf("all adapters served %v after the loss", time.Since(start))
+	stop()
+	_, broken := load.tally(t)
+	if broken > 0 {
+		t.Errorf("%d answers through the living entries were not brought to their end", broken)
+	}
+	w.verdict()
+}
