--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,7 +36,10 @@
 	Domains []wick.Domain
 	// Log and Hosts are where the platform's stand-ins listen.
 	Log, Hosts wick.Address
-	Policy     setup.Policy
+	// LogOf gives a daemon, counted from 0, a way to the log of its own; it
+	// goes before Log where it is not nil.
+	LogOf  func(i int) wick.Address
+	Policy setup.Policy
 }
 
 // Fleet is a number of daemons.
@@ -94,6 +97,9 @@
 	s.Domain = f.cfg.Domains[i%len(f.cfg.Domains)]
 	s.Entry.Address, s.Peer.Address = anyPort, anyPort
 	s.Log.Address, s.Hosts.Address = f.cfg.Log, f.cfg.Hosts
+	if f.cfg.LogOf != nil {
+		s.Log.Address = f.cfg.LogOf(i)
+	}
 	s.Policy = f.cfg.Policy
 	s.Stop.Linger = 0
 	return s
