--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -11,15 +11,15 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// ending is how one lane ended.
+// ending is how one attempt ended.
 type ending struct {
-	lane *lane
-	fail *wick.Error
+	attempt *attempt
+	fail    *wick.Error
 }
 
-// attempt tries one endpoint, and for short idempotent work a second one beside
+// tryAt tries one endpoint, and for short idempotent work a second one beside
 // it if the first takes unusually long. Whichever answers first wins.
-func (r *Relay) attempt(ctx context.Context, t *task, target wick.Target) *wick.Error {
+func (r *Relay) tryAt(ctx context.Context, t *task, target wick.Target) *wick.Error {
 	t.restart()
 	if t.haveTokens > 0 {
 		r.cfg.Note.Resume()
@@ -48,7 +48,7 @@
 	return t.started.Add(t.firstAfter).Sub(began)
 }
 
-// hedged runs one lane, and a second one once the hedger's delay has passed
+// hedged runs one attempt, and a second one once the hedger's delay has passed
 // without an answer.
 func (r *Relay) hedged(ctx context.Context, t *task, target wick.Target, hedger wick.Hedger) *wick.Error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -56,23 +56,23 @@
 	var group errgroup.Group
 	ends := make(chan ending, 2)
 	start := func(target wick.Target) {
-		lctx, cancel := context.WithCancel(ctx)
-		l := t.open(target, cancel)
+		actx, cancel := context.WithCancel(ctx)
+		a := t.open(target, cancel)
 		group.Go(func() error {
 			defer cancel()
-			ends <- ending{l, r.try(lctx, t, l)}
+			ends <- ending{a, r.try(actx, t, a)}
 			return nil
 		})
 	}
 	start(target)
-	lanes := 1
+	attempts := 1
 	timer := hedgeTimer(hedger)
 	defer timer.Stop()
 	var last *wick.Error
-	for lanes > 0 {
+	for attempts > 0 {
 		select {
 		case e := <-ends:
-			lanes--
+			attempts--
 			last = t.worse(last, e)
 		case <-timer.C:
 			if t.answering() || !hedger.Hedge() {
@@ -84,7 +84,7 @@
 			}
 			r.cfg.Note.Hedge()
 			start(second)
-			lanes++
+			attempts++
 		}
 	}
 	_ = group.Wait()
@@ -94,7 +94,7 @@
 	return last
 }
 
-// hedgeTimer returns a timer for the second lane, stopped if there is to be
+// hedgeTimer returns a timer for the second attempt, stopped if there is to be
 // none.
 func hedgeTimer(hedger wick.Hedger) *time.Timer {
 	delay, ok := hedger.Delay()
@@ -114,12 +114,12 @@
 	return second, ok && second.Endpoint != target.Endpoint
 }
 
-// worse returns which of two failures counts for the task: that of the lane
+// worse returns which of two failures counts for the task: that of the attempt
 // that began to answer, else one after which an endpoint may have run it.
 func (t *task) worse(last *wick.Error, e ending) *wick.Error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if last == nil || t.winner == e.lane || last.Outcome == wick.NotRun && e.fail != nil {
+	if last == nil || t.winner == e.attempt || last.Outcome == wick.NotRun && e.fail != nil {
 		return e.fail
 	}
 	return last
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -142,7 +142,7 @@
 			wait = min(2*wait, maxPause)
 			continue
 		}
-		fail := r.attempt(ctx, t, target)
+		fail := r.tryAt(ctx, t, target)
 		if fail == nil {
 			return nil
 		}
@@ -178,13 +178,13 @@
 }
 
 // try hands the task to the owner of one endpoint and passes its frames on.
-func (r *Relay) try(ctx context.Context, t *task, l *lane) *wick.Error {
+func (r *Relay) try(ctx context.Context, t *task, a *attempt) *wick.Error {
 	r.cfg.Note.Try()
-	target := l.target
+	target := a.target
 	r.load.Start(target.Index, t.cost)
 	defer r.load.Done(target.Index, t.cost)
-	sub := t.submission(l, r.cfg.Snapshot().View.Number)
-	take := func(f wick.Frame) error { return t.take(l, f) }
+	sub := t.submission(a, r.cfg.Snapshot().View.Number)
+	take := func(f wick.Frame) error { return t.take(a, f) }
 	if target.Owner == r.cfg.Self {
 		return t.failure(r.cfg.Local.HandleSubmit(ctx, r.cfg.Self, sub, take))
 	}
--- a/relay/task.go
+++ b/relay/task.go
@@ -40,11 +40,11 @@
 	// overloads counts the refusals for overload.
 	overloads int
 
-	// mu guards what follows, which the lanes of a hedged try share.
+	// mu guards what follows, which the attempts of a hedged try share.
 	mu sync.Mutex
-	// lanes are the tries under way, winner the one of them that answers.
-	lanes  []*lane
-	winner *lane
+	// attempts are the tries under way, winner the one of them that answers.
+	attempts []*attempt
+	winner   *attempt
 	// begun tells that FrameStart was passed on.
 	begun bool
 	// everUnknown tells that an endpoint may have run one of the tries, so
@@ -132,36 +132,36 @@
 	return nil
 }
 
-// lane is one try of a task. Each has an id of its own, so that frames of an
+// attempt is one try of a task. Each has an id of its own, so that frames of an
 // older one are never taken for it.
-type lane struct {
+type attempt struct {
 	id wick.RequestID
 	// cancel ends the try.
 	cancel context.CancelFunc
 	target wick.Target
 }
 
-// open adds a lane to the task.
-func (t *task) open(target wick.Target, cancel context.CancelFunc) *lane {
-	l := &lane{
+// open adds an attempt to the task.
+func (t *task) open(target wick.Target, cancel context.CancelFunc) *attempt {
+	a := &attempt{
 		id:     wick.RequestID(fmt.Sprintf("%s.%x", t.ask.Request, rand.Uint64())),
 		cancel: cancel,
 		target: target,
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lanes = append(t.lanes, l)
-	return l
+	t.attempts = append(t.attempts, a)
+	return a
 }
 
-// restart forgets the lanes of an earlier try.
+// restart forgets the attempts of an earlier try.
 func (t *task) restart() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lanes, t.winner = nil, nil
+	t.attempts, t.winner = nil, nil
 }
 
-// answering reports whether a lane has begun to answer.
+// answering reports whether an attempt has begun to answer.
 func (t *task) answering() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -169,13 +169,13 @@
 }
 
 // submission returns a try as its owner gets it.
-func (t *task) submission(l *lane, view wick.ViewNumber) wick.Submission {
+func (t *task) submission(a *attempt, view wick.ViewNumber) wick.Submission {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	sub := wick.Submission{
-		Request:   l.id,
+		Request:   a.id,
 		Route:     t.ask.Route,
-		Endpoint:  l.target.Endpoint,
+		Endpoint:  a.target.Endpoint,
 		View:      view,
 		Config:    t.offset,
 		Level:     t.resolved.Priority.Level,
@@ -203,28 +203,28 @@
 	return wick.Duration(max(time.Until(t.due), time.Millisecond))
 }
 
-// errLost ends a lane when another one answers.
+// errLost ends an attempt when another one answers.
 var errLost = errors.New("another try answers")
 
-// wins makes the lane the one that answers, and ends the others. It reports
-// whether the lane answers. The caller holds the lock.
-func (t *task) wins(l *lane) bool {
+// wins makes the attempt the one that answers, and ends the others. It reports
+// whether the attempt answers. The caller holds the lock.
+func (t *task) wins(a *attempt) bool {
 	if t.winner != nil {
-		return t.winner == l
+		return t.winner == a
 	}
-	t.winner = l
-	for _, other := range t.lanes {
-		if other != l {
+	t.winner = a
+	for _, other := range t.attempts {
+		if other != a {
 			other.cancel()
 		}
 	}
 	return true
 }
 
-// take passes one frame of a lane on to the caller. It refuses frames of other
+// take passes one frame of an attempt on to the caller. It refuses frames of other
 // requests, and gaps and repeats in the text.
-func (t *task) take(l *lane, f wick.Frame) error {
-	if f.Request != l.id {
+func (t *task) take(a *attempt, f wick.Frame) error {
+	if f.Request != a.id {
 		return wick.Unknownf(wick.CodeMismatch, "frame of request %s", f.Request)
 	}
 	t.mu.Lock()
@@ -237,12 +237,12 @@
 		}
 		t.begun = true
 	case wick.FrameText:
-		if !t.wins(l) {
+		if !t.wins(a) {
 			return errLost
 		}
 		return t.takeText(f)
 	case wick.FrameEnd:
-		if !t.wins(l) {
+		if !t.wins(a) {
 			return errLost
 		}
 		return t.takeEnd(f)
