--- a/scale/command.go
+++ b/scale/command.go
@@ -20,8 +20,9 @@
 	// commandAppends is what the log takes, in appends a second.
 	commandAppends wick.PerSecond = 300
 
-	// LookUp is an idempotent route, Confirm one whose calls need a claim.
-	LookUp  wick.RouteName = "look-up"
+	// LookUp is a route whose calls are idempotent.
+	LookUp wick.RouteName = "look-up"
+	// Confirm is a route whose calls need a claim.
 	Confirm wick.RouteName = "confirm"
 )
 
