Wait on the clock in one place, and drop a message nobody sends

The same wait for a time or the end of a context stood six times: in the relay, the node, the verbs, the stand-ins, the load tool and the control measurements. wick.Cancel was left from before a closed stream did its work.

--- a/fakes/batch.go
+++ b/fakes/batch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/pause"
 
 	"github.com/valyala/fasthttp"
 )
@@ -52,7 +53,7 @@
 			}
 			continue
 		}
-		if !pause(ctx, d) {
+		if !pause.For(ctx, d) {
 			return nil
 		}
 		if ch := e.gate.thaw(); ch != nil {
@@ -66,21 +67,6 @@
 	}
 }
 
-// pause waits for a time and reports whether ctx still runs.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (e *Engine) kick() {
 	select {
 	case e.wake <- struct{}{}:
--- a/fakes/log.go
+++ b/fakes/log.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/pause"
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
@@ -203,7 +204,7 @@
 	l.mu.Lock()
 	d := l.slow
 	l.mu.Unlock()
-	alive := pause(ctx, d)
+	alive := pause.For(ctx, d)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down || !alive {
@@ -220,7 +221,7 @@
 		return
 	}
 	r := l.limit.Reserve()
-	if d := r.Delay(); d > appendPatience || !pause(ctx, d) {
+	if d := r.Delay(); d > appendPatience || !pause.For(ctx, d) {
 		r.Cancel()
 		l.mu.Lock()
 		l.stats.Refused++
--- a/fakes/order.go
+++ b/fakes/order.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/pause"
 
 	"github.com/valyala/fasthttp"
 )
@@ -97,7 +98,7 @@
 	e.mu.Lock()
 	delay := e.faults.delayOrders
 	e.mu.Unlock()
-	if !pause(ctx, delay) {
+	if !pause.For(ctx, delay) {
 		return fmt.Errorf("order: %w", ctx.Err())
 	}
 	if kind == wick.OrderUnload {
--- a/fakes/service.go
+++ b/fakes/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/pause"
 
 	"github.com/valyala/fasthttp"
 )
@@ -138,7 +139,7 @@
 	s.mu.Lock()
 	d := s.time
 	s.mu.Unlock()
-	if !pause(ctx, d) {
+	if !pause.For(ctx, d) {
 		return
 	}
 	key := wick.ClaimKey(ctx.Request.Header.Peek(headerKey))
--- a/loads/run.go
+++ b/loads/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/pause"
 	"currantwick/setup"
 
 	"golang.org/x/sync/errgroup"
@@ -134,16 +135,5 @@
 
 // sleepUntil reports whether the time came before ctx ended.
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return pause.For(ctx, time.Until(at))
 }
--- a/node/read.go
+++ b/node/read.go
@@ -10,6 +10,7 @@
 
 	"currantwick"
 	"currantwick/ctrl"
+	"currantwick/pause"
 )
 
 const (
@@ -31,7 +32,7 @@
 		list, err := n.readOnce(ctx, stream, next)
 		if err != nil {
 			n.thread.Post(ctrl.LogFailed{Stream: stream})
-			pause(ctx, backoff/2+mrand.N(backoff))
+			pause.For(ctx, backoff/2+mrand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
@@ -61,7 +62,7 @@
 	}
 	for ctx.Err() == nil {
 		n.listOnce(ctx)
-		pause(ctx, n.cfg.Times.Hosts)
+		pause.For(ctx, n.cfg.Times.Hosts)
 	}
 	return nil
 }
@@ -77,16 +78,6 @@
 	n.thread.Post(ctrl.Listed{Hosts: hosts})
 }
 
-// pause waits for a while, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // clock implements wick.Clock by the monotonic clock of the process, which
 // goes on while the process is stopped.
 type clock struct{ start time.Time }
--- a/peer.go
+++ b/peer.go
@@ -189,13 +189,6 @@
 	return checkName("Store", g.Store)
 }
 
-// Cancel tells the owner that a request's caller has gone or was served
-// elsewhere.
-type Cancel struct {
-	Request  RequestID    `json:"Request"`
-	Endpoint EndpointName `json:"Endpoint"`
-}
-
 // Suspect tells peers of a request that was in flight at an endpoint's crash.
 type Suspect struct {
 	Print Fingerprint `json:"Print"`
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"currantwick"
 	"currantwick/ctrl"
 	"currantwick/limit"
+	"currantwick/pause"
 	"currantwick/tally"
 
 	"github.com/cespare/xxhash/v2"
@@ -136,7 +137,7 @@
 		target, ok := r.pick(t)
 		if !ok {
 			t.avoid = t.avoid[:0]
-			if !sleep(ctx, wait/2+rand.N(wait)) {
+			if !pause.For(ctx, wait/2+rand.N(wait)) {
 				return canceled(last)
 			}
 			wait = min(2*wait, maxPause)
@@ -231,17 +232,6 @@
 	return t.verdict(fail)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func canceled(last *wick.Error) *wick.Error {
 	if last != nil && last.Outcome == wick.Unknown {
 		return last
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"currantwick/config"
 	"currantwick/ctrl"
 	"currantwick/limit"
+	"currantwick/pause"
 )
 
 const quiet = 100 * time.Millisecond
@@ -96,7 +97,7 @@
 }
 
 func (s *stream) Next(ctx context.Context) (wick.Frame, error) {
-	if s.at == 0 && s.script.slow > 0 && !sleep(ctx, s.script.slow) {
+	if s.at == 0 && s.script.slow > 0 && !pause.For(ctx, s.script.slow) {
 		return wick.Frame{}, wick.Unknownf(wick.CodeBroken, "closed")
 	}
 	if s.at == len(s.frames) {
--- a/scale/force.go
+++ b/scale/force.go
@@ -9,6 +9,7 @@
 	"currantwick"
 	"currantwick/fakes"
 	"currantwick/fault"
+	"currantwick/pause"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
@@ -107,7 +108,7 @@
 		if err := h.RecordValue(took.Microseconds()); err != nil {
 			return h, fmt.Errorf("note a time: %w", err)
 		}
-		pause(ctx, forcePause)
+		pause.For(ctx, forcePause)
 	}
 	return h, nil
 }
@@ -126,7 +127,7 @@
 			if ctx.Err() != nil {
 				return 0, fmt.Errorf("%s has not applied offset %d: %w", n.Self().Host, v.Offset, ctx.Err())
 			}
-			pause(ctx, forceLook)
+			pause.For(ctx, forceLook)
 		}
 	}
 	return time.Since(start), nil
--- a/scale/idle.go
+++ b/scale/idle.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"syscall"
 	"time"
+
+	"currantwick/pause"
 )
 
 // idleFor is how long idle daemons are watched.
@@ -43,7 +45,7 @@
 	if err != nil {
 		return Idle{}, errors.Join(err, s.close())
 	}
-	pause(ctx, idleFor)
+	pause.For(ctx, idleFor)
 	after, err := s.reading()
 	return after.since(before, daemons), errors.Join(err, s.close())
 }
--- a/scale/scale.go
+++ b/scale/scale.go
@@ -12,6 +12,7 @@
 	"currantwick"
 	"currantwick/fakes"
 	"currantwick/fleet"
+	"currantwick/pause"
 	"currantwick/setup"
 )
 
@@ -93,7 +94,7 @@
 	if err := s.fleet.Ready(ready, v.Offset); err != nil {
 		return fmt.Errorf("wait for one view: %w", err)
 	}
-	pause(ctx, settleFor)
+	pause.For(ctx, settleFor)
 	return nil
 }
 
@@ -113,16 +114,6 @@
 	return errors.Join(s.fleet.Close(), s.set.Close())
 }
 
-// pause waits for a while, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // minimal is a configuration that no request uses.
 func minimal(i int) wick.Change {
 	return wick.Change{ID: wick.ChangeID(fmt.Sprintf("change-%d", i)), Operator: "scale", Puts: wick.Objects{
--- a/verbs/audit.go
+++ b/verbs/audit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/pause"
 )
 
 const (
@@ -95,7 +96,7 @@
 			return Failed, fmt.Errorf("read the audit trail: %w", err)
 		case err != nil:
 			fmt.Fprintf(r.env.Err, "read the audit trail: %v\n", err)
-			pause(ctx, auditEvery)
+			pause.For(ctx, auditEvery)
 		case len(list) == 0 && !r.f.follow:
 			return Done, nil
 		}
--- a/verbs/drain.go
+++ b/verbs/drain.go
@@ -10,6 +10,7 @@
 
 	"currantwick"
 	"currantwick/admin"
+	"currantwick/pause"
 
 	"github.com/valyala/fasthttp"
 )
@@ -76,7 +77,7 @@
 		if err != nil && wick.AsError(err).Outcome == wick.NotRun {
 			return nil
 		}
-		pause(ctx, goneEvery)
+		pause.For(ctx, goneEvery)
 	}
 	return fmt.Errorf("the daemon still runs: %w", ctx.Err())
 }
--- a/verbs/wait.go
+++ b/verbs/wait.go
@@ -1,7 +1,6 @@
 package verbs
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -55,16 +54,6 @@
 	return err == nil && info.Mode()&os.ModeCharDevice != 0
 }
 
-// pause waits for a while, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // printJSON writes v for people and programs alike.
 func printJSON(w io.Writer, v any) error {
 	enc := json.NewEncoder(w)
