--- /dev/null
+++ b/boot/gateway.go
@@ -0,0 +1,274 @@
+package boot
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"currantwick"
+	"currantwick/clock"
+	"currantwick/conns"
+	"currantwick/coord"
+	"currantwick/direct"
+	"currantwick/hub"
+	"currantwick/limit"
+	"currantwick/pause"
+	"currantwick/platform"
+	"currantwick/reach"
+	"currantwick/tally"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// headerWithin bounds the reading of a request's header; callers keep to
+	// less.
+	headerWithin = 10 * time.Second
+	// callerIdle is how long a caller's connection may be idle, longer than
+	// any deployment lets callers reuse one.
+	callerIdle = time.Minute
+	// maxHeader bounds the header of a request.
+	maxHeader = 64 << 10
+	// memoryPart is the part of the process's memory from which the garbage
+	// collector works harder.
+	memoryPart = 0.7
+	// garbagePercent lets the heap, which is small, grow threefold between
+	// collections.
+	garbagePercent = 200
+	// stopMargin is how long before the kill a stopping daemon ends, and
+	// lameFor how long it serves callers that have not heard of the stop, as a
+	// part of the grace time.
+	stopMargin = time.Second
+	lameFor    = 0.45
+	// sweepEvery is how often idle connections are looked through.
+	sweepEvery = time.Second
+	// retryPart is the part of the shared budget of repeats that is used; the
+	// rest covers daemons that joined or left unnoticed.
+	retryPart = 0.7
+	// retryDaemons is the number of daemons over which the slack of the budget
+	// is split where more are not known.
+	retryDaemons = 8
+)
+
+// GatewayConfig sets up a Gateway.
+type GatewayConfig struct {
+	Daemon wick.Daemon
+	Log    *slog.Logger
+	Note   wick.GatewayNote
+	// Metrics is served at MetricsAddress and MetricsPath, if there is one.
+	Metrics        http.Handler
+	MetricsAddress wick.Address
+	MetricsPath    string
+}
+
+// Gateway is a daemon on the users' platform.
+type Gateway struct {
+	cfg    GatewayConfig
+	thread *coord.Thread
+	server *direct.Server
+	steps  *reach.Steps
+	hub    *hub.Hub
+	pools  []*conns.Pool
+	group  *errgroup.Group
+}
+
+// NewGateway builds a daemon that Run starts.
+func NewGateway(cfg GatewayConfig) (*Gateway, error) {
+	runtime.GOMAXPROCS(cfg.Daemon.Cores)
+	debug.SetMemoryLimit(int64(float64(cfg.Daemon.Memory) * memoryPart))
+	debug.SetGCPercent(garbagePercent)
+	watch, err := clock.New()
+	if err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	self, err := instance(cfg.Daemon)
+	if err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	g := &Gateway{cfg: cfg, group: new(errgroup.Group)}
+	traffic := conns.New(conns.Config{Opened: cfg.Note.Opened})
+	orders := conns.New(conns.Config{PerAddress: 1})
+	calls := conns.New(conns.Config{PerAddress: int(wick.Topics)})
+	g.pools = []*conns.Pool{traffic, orders, calls}
+	runners := platform.NewRunners(traffic, orders)
+	g.steps = reach.New(reach.Config{
+		Store: platform.NewStore(cfg.Daemon.Store, calls, cfg.Note.Stored),
+		Fleet: runners,
+		Clock: watch,
+		Group: g.group,
+	})
+	g.thread = coord.New(coord.Config{
+		Self:   self,
+		Seeds:  cfg.Daemon.Seeds,
+		Bounds: cfg.Daemon.Bounds,
+		Clock:  watch,
+		Steps:  g.steps,
+		Reader: platform.Reader{},
+		Log:    cfg.Log,
+		Note:   cfg.Note,
+	})
+	g.hub = hub.New(hub.Config{Self: self, Events: g.thread, Group: g.group})
+	retry, err := retries(cfg.Daemon.Bounds)
+	if err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	g.server = direct.New(direct.Config{
+		Domain:  cfg.Daemon.Domain,
+		Bounds:  cfg.Daemon.Bounds,
+		Control: g.thread,
+		Sender:  runners,
+		Clock:   watch,
+		Retry:   retry,
+		Log:     cfg.Log,
+		Note:    cfg.Note,
+	})
+	return g, nil
+}
+
+// retries returns this daemon's share of the budget of repeats.
+func retries(b wick.Bounds) (wick.RetryBudget, error) {
+	budget, err := limit.NewRetries(limit.RetryConfig{
+		Part:  b.RetryRatio * retryPart,
+		Burst: max(int(float64(b.RetrySlack)*retryPart)/retryDaemons, 1),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return tally.NewRetries(budget), nil
+}
+
+func instance(d wick.Daemon) (wick.Instance, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return wick.Instance{}, fmt.Errorf("draw incarnation: %w", err)
+	}
+	return wick.Instance{
+		Host:        d.Host,
+		Incarnation: wick.Incarnation(binary.BigEndian.Uint64(b[:]) | 1),
+		Peers:       d.Peers,
+		Callers:     d.Callers,
+		Domain:      d.Domain,
+	}, nil
+}
+
+// Run serves until stop ends, and then until the requests under way have ended
+// or the grace time is over.
+func (g *Gateway) Run(stop context.Context) error {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	servers, err := g.listen(ctx)
+	if err != nil {
+		return err
+	}
+	g.steps.Start(ctx, g.thread, g.hub)
+	g.group.Go(func() error { return g.thread.Run(ctx) })
+	g.group.Go(func() error { return g.sweep(ctx) })
+	g.group.Go(func() error {
+		defer cancel()
+		<-stop.Done()
+		g.shutdown(servers)
+		return nil
+	})
+	return g.group.Wait()
+}
+
+// service is one HTTP server.
+type service struct {
+	name    string
+	server  *http.Server
+	callers bool
+}
+
+// listen opens all addresses and begins to serve them.
+func (g *Gateway) listen(ctx context.Context) ([]service, error) {
+	d := g.cfg.Daemon
+	lc := net.ListenConfig{Control: conns.Control, KeepAliveConfig: conns.KeepAlive()}
+	var list []service
+	open := func(name string, at wick.Address, h http.Handler) error {
+		if at == "" || h == nil {
+			return nil
+		}
+		l, err := lc.Listen(ctx, "tcp", string(at))
+		if err != nil {
+			return fmt.Errorf("listen for %s: %w", name, err)
+		}
+		srv := &http.Server{
+			Handler: h, ReadHeaderTimeout: headerWithin, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeader,
+			ErrorLog: slog.NewLogLogger(g.cfg.Log.Handler(), slog.LevelDebug),
+		}
+		list = append(list, service{name, srv, name == "callers"})
+		g.group.Go(func() error {
+			if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				return fmt.Errorf("serve %s: %w", name, err)
+			}
+			return nil
+		})
+		return nil
+	}
+	mux := http.NewServeMux()
+	if g.cfg.Metrics != nil {
+		mux.Handle(g.cfg.MetricsPath, g.cfg.Metrics)
+	}
+	err := errors.Join(
+		open("callers", d.Callers, platform.NewFront(g.server)),
+		open("directory", d.Directory, platform.NewDirectory(g.server)),
+		open("readiness", d.Ready, platform.NewReadiness(g.server)),
+		open("metrics", g.cfg.MetricsAddress, mux),
+	)
+	if err != nil {
+		return nil, err
+	}
+	l, err := lc.Listen(ctx, "tcp", string(d.Peers))
+	if err != nil {
+		return nil, fmt.Errorf("listen for daemons: %w", err)
+	}
+	g.group.Go(func() error { return g.hub.Serve(ctx, l) })
+	return list, nil
+}
+
+// sweep closes idle connections until ctx ends.
+func (g *Gateway) sweep(ctx context.Context) error {
+	for pause.For(ctx, sweepEvery) {
+		for _, p := range g.pools {
+			p.Sweep()
+		}
+	}
+	return nil
+}
+
+// shutdown sends callers elsewhere, serves for a while those that have not
+// heard of it, and waits for the requests under way.
+func (g *Gateway) shutdown(servers []service) {
+	grace := g.cfg.Daemon.Bounds.Grace.Std()
+	g.thread.Stop()
+	for _, s := range servers {
+		if s.callers {
+			s.server.SetKeepAlivesEnabled(false)
+		}
+	}
+	lame := time.Duration(float64(grace) * lameFor)
+	pause.For(context.Background(), lame)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-lame-stopMargin)
+	defer cancel()
+	for _, s := range servers {
+		if !s.callers {
+			continue
+		}
+		if err := s.server.Shutdown(ctx); err != nil {
+			g.cfg.Log.Warn("requests were cut off at the end of the grace time", "err", err)
+		}
+	}
+	for _, s := range servers {
+		if err := s.server.Close(); err != nil {
+			g.cfg.Log.Warn("server not closed", "server", s.name, "err", err)
+		}
+	}
+}
--- /dev/null
+++ b/choose/choose.go
@@ -0,0 +1,180 @@
+// Package choose picks the endpoint that answers a request soonest. For each
+// candidate it estimates the time to the first token from the prompts that wait
+// there, the load of the adapter, the way, and how the endpoint did lately.
+package choose
+
+import (
+	"math"
+	"time"
+
+	"currantwick"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// readRate is how many prompt tokens an engine reads a millisecond; the
+	// slower of the platform's engines.
+	readRate = 19.2
+	// freshLoad and cachedLoad are the times of a load, with the way of the
+	// order.
+	freshLoad  = 300 * time.Millisecond
+	cachedLoad = 60 * time.Millisecond
+	// newHome is added for an endpoint that is not among the homes of an
+	// adapter that must be loaded, so that daemons choose the same one.
+	newHome = 60 * time.Millisecond
+	// homes is how many endpoints an adapter is loaded on by preference.
+	homes = 2
+	// otherDomain is added for an endpoint in another failure domain: the way,
+	// and the price of the bytes.
+	otherDomain = 15 * time.Millisecond
+	// overSlot is the wait for each request beyond the slots of an endpoint.
+	overSlot = 30 * time.Millisecond
+	// perRunning is by how much each request in the batch slows the others.
+	perRunning = time.Millisecond
+	// failing is added for an endpoint all of whose last requests failed.
+	failing = 3 * time.Second
+	// plainWork is the time of a call of a plain service of which nothing is
+	// known yet.
+	plainWork = 15 * time.Millisecond
+)
+
+// Candidate is an endpoint that may take a request.
+type Candidate struct {
+	Name   wick.EndpointName
+	Domain wick.Domain
+	Slots  wick.Slots
+	// Running counts the requests of all daemons there, Waiting the prompt
+	// tokens that were not read yet.
+	Running int
+	Waiting wick.Tokens
+	// Kept counts the tokens of the request's prompt that are in the cache.
+	Kept wick.Tokens
+	// Lag is by how much the endpoint lately was slower than estimated, Fails
+	// the share of its last requests that failed.
+	Lag   time.Duration
+	Fails float64
+	// Avoid tells that the request failed there before.
+	Avoid bool
+	// Holds tells that the adapter is there or on its way, ready in ReadyIn.
+	Holds   bool
+	ReadyIn time.Duration
+	// Cached tells that a copy of the adapter is at hand, and Loads that the
+	// endpoint takes orders now.
+	Cached, Loads bool
+}
+
+// Input is a request to place.
+type Input struct {
+	// Adapter is empty for a base model.
+	Adapter wick.Weights
+	Prompt  wick.Tokens
+	Domain  wick.Domain
+	// Random breaks ties.
+	Random uint64
+}
+
+// Engine returns the index of the candidate with the shortest estimate and the
+// estimate, or -1 if none can take the request.
+func Engine(in Input, list []Candidate) (int, time.Duration) {
+	ranks := homeRanks(in.Adapter, list)
+	best, least := -1, time.Duration(math.MaxInt64)
+	for i := range list {
+		c := &list[i]
+		if c.Avoid || !c.Holds && !c.Loads {
+			continue
+		}
+		if d := estimate(in, c, ranks[i]); d < least {
+			best, least = i, d
+		}
+	}
+	return best, least
+}
+
+func estimate(in Input, c *Candidate, rank int) time.Duration {
+	read := float64(c.Waiting+max(in.Prompt-c.Kept, 0)) / readRate
+	d := time.Duration(read*float64(time.Millisecond)) + common(in.Domain, c)
+	d += time.Duration(c.Running) * perRunning
+	if over := c.Running + 1 - int(c.Slots); over > 0 {
+		d += time.Duration(over) * overSlot
+	}
+	switch {
+	case c.Holds:
+		return d + max(c.ReadyIn, 0)
+	case c.Cached:
+		d += cachedLoad
+	default:
+		d += freshLoad
+	}
+	if rank >= homes {
+		d += newHome
+	}
+	return d
+}
+
+// common is what counts for engines and plain services alike.
+func common(domain wick.Domain, c *Candidate) time.Duration {
+	d := c.Lag + time.Duration(c.Fails*float64(failing))
+	if c.Domain != domain {
+		d += otherDomain
+	}
+	return d
+}
+
+// homeRanks returns the place of each candidate in the adapter's order of
+// preference, by rendezvous hashing.
+func homeRanks(w wick.Weights, list []Candidate) []int {
+	ranks := make([]int, len(list))
+	if w.Adapter == "" {
+		return ranks
+	}
+	scores := make([]uint64, len(list))
+	for i := range list {
+		scores[i] = score(w, list[i].Name)
+	}
+	for i := range list {
+		for j := range list {
+			if scores[j] > scores[i] {
+				ranks[i]++
+			}
+		}
+	}
+	return ranks
+}
+
+func score(w wick.Weights, e wick.EndpointName) uint64 {
+	var buf [128]byte
+	b := append(buf[:0], w.Model...)
+	b = append(b, 0)
+	b = append(b, w.Adapter...)
+	b = append(b, 0)
+	b = append(b, e...)
+	return xxhash.Sum64(b)
+}
+
+// Plain returns the index of the candidate of a plain service with the shortest
+// estimate, or -1 if none can take the request.
+func Plain(in Input, list []Candidate) int {
+	best, least := -1, math.MaxFloat64
+	for i := range list {
+		c := &list[i]
+		if c.Avoid {
+			continue
+		}
+		work := plainWork + c.Lag
+		rounds := float64(c.Running+1) / float64(max(c.Slots, 1))
+		d := float64(common(in.Domain, c)) + float64(work)*rounds
+		// A small random part spreads requests over equal endpoints.
+		d += float64(plainWork) * float64(mix(in.Random, i)%1024) / 1024
+		if d < least {
+			best, least = i, d
+		}
+	}
+	return best
+}
+
+func mix(r uint64, i int) uint64 {
+	x := r + uint64(i)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	return x ^ x>>31
+}
--- /dev/null
+++ b/clock/clock.go
@@ -0,0 +1,44 @@
+// Package clock reads a clock that goes on while the machine stands still, so
+// that a daemon which was suspended sees that its leases are over.
+package clock
+
+import (
+	"fmt"
+	"time"
+
+	"currantwick"
+
+	"golang.org/x/sys/unix"
+)
+
+// Boot implements wick.Clock by the time since the machine's start, suspended
+// time included.
+type Boot struct {
+	start time.Duration
+}
+
+// New returns a clock that reads 0 now.
+func New() (*Boot, error) {
+	now, err := read()
+	if err != nil {
+		return nil, err
+	}
+	return &Boot{start: now}, nil
+}
+
+// Now implements wick.Clock.
+func (b *Boot) Now() wick.Instant {
+	now, err := read()
+	if err != nil {
+		panic(err) // It could be read by New.
+	}
+	return wick.Instant(now - b.start)
+}
+
+func read() (time.Duration, error) {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return 0, fmt.Errorf("read clock: %w", err)
+	}
+	return time.Duration(ts.Nano()), nil
+}
--- /dev/null
+++ b/coord/links.go
@@ -0,0 +1,412 @@
+package coord
+
+import (
+	"time"
+
+	"currantwick"
+	"currantwick/terms"
+)
+
+const (
+	// heartbeat is how often something is sent on each link at least; a link
+	// ends after four of them.
+	heartbeat = 250 * time.Millisecond
+	// loadsEvery is how often changed loads are sent.
+	loadsEvery = 100 * time.Millisecond
+	// redial is the pause after a failed dial.
+	redial = 300 * time.Millisecond
+)
+
+// member is a daemon that dialed this one.
+type member struct {
+	link     wick.Link
+	instance wick.Instance
+	ready    bool
+	loads    map[wick.EndpointName]wick.EndpointLoad
+	uses     map[wick.EndpointName]map[wick.Weights]int
+}
+
+// holder is a daemon that this one dialed since it holds terms, or may know
+// more.
+type holder struct {
+	link     wick.Link
+	instance wick.Instance
+	// shards are those whose endpoints take orders from it now.
+	shards    map[wick.Shard]bool
+	instances []wick.InstanceState
+	// loads and uses are what was last told to it.
+	loads map[wick.EndpointName]wick.EndpointLoad
+	uses  map[wick.EndpointName]map[wick.Weights]int
+	// sent is when something was last sent, and reported when loads were.
+	sent, reported wick.Instant
+	ready          bool
+}
+
+// outgoing collects what the linked daemons are told next.
+type outgoing struct {
+	shards    bool
+	records   []wick.RelayedRecord
+	places    []wick.AdapterPlace
+	readyAt   []wick.Instant
+	loads     []wick.NamedLoad
+	instances bool
+	sent      wick.Instant
+}
+
+// place adds the state of an adapter.
+func (o *outgoing) place(p wick.AdapterPlace, ready wick.Instant) {
+	o.places = append(o.places, p)
+	o.readyAt = append(o.readyAt, ready)
+}
+
+// known lists the daemons that are linked to this one or to its holders.
+func (s *state) known() []wick.InstanceState {
+	var list []wick.InstanceState
+	for _, m := range s.members {
+		list = append(list, wick.InstanceState{Instance: m.instance, Ready: m.ready})
+	}
+	for _, h := range s.holders {
+		list = append(list, h.instances...)
+	}
+	return list
+}
+
+// linkUp is a new link.
+type linkUp struct {
+	link   wick.Link
+	to     wick.Instance
+	dialed wick.Address
+}
+
+func (e linkUp) apply(s *state, now wick.Instant) {
+	s.log.Info("link up", "daemon", instanceText(e.to), "dialed", e.dialed != "")
+	if e.dialed == "" {
+		s.members[e.link] = &member{
+			link:     e.link,
+			instance: e.to,
+			loads:    make(map[wick.EndpointName]wick.EndpointLoad),
+			uses:     make(map[wick.EndpointName]map[wick.Weights]int),
+		}
+		e.link.Post(wick.LinkMessage{Update: s.fullUpdate(now)})
+		s.out.instances, s.dirty = true, true
+		return
+	}
+	delete(s.dialing, e.dialed)
+	if old := s.holders[e.to.Host]; old != nil {
+		delete(s.dialedTo, old.link)
+		old.link.Close()
+	}
+	s.dialedTo[e.link] = e.to.Host
+	s.holders[e.to.Host] = &holder{
+		link:     e.link,
+		instance: e.to,
+		shards:   make(map[wick.Shard]bool),
+		loads:    make(map[wick.EndpointName]wick.EndpointLoad),
+		uses:     make(map[wick.EndpointName]map[wick.Weights]int),
+	}
+	s.dirty = true
+}
+
+// linkDown is the end of a link.
+type linkDown struct {
+	link wick.Link
+	err  error
+}
+
+func (e linkDown) apply(s *state, _ wick.Instant) {
+	if m := s.members[e.link]; m != nil {
+		s.log.Info("link down", "daemon", instanceText(m.instance), "dialed", false, "err", errText(e.err))
+		delete(s.members, e.link)
+		s.out.instances, s.dirty = true, true
+		return
+	}
+	host, ok := s.dialedTo[e.link]
+	if !ok {
+		return
+	}
+	s.log.Warn("link down", "daemon", instanceText(s.holders[host].instance), "dialed", true, "err", errText(e.err))
+	delete(s.dialedTo, e.link)
+	delete(s.holders, host)
+	s.dirty = true
+}
+
+// dialFailed is a link that did not come about.
+type dialFailed struct {
+	to  wick.Address
+	err error
+}
+
+func (e dialFailed) apply(s *state, now wick.Instant) {
+	s.log.Debug("no link", "to", e.to, "err", errText(e.err))
+	s.dialing[e.to] = now.Add(redial)
+}
+
+// dial opens links to the holders of terms, and to seeds while no holder is
+// known.
+func (s *state) dial(now wick.Instant) {
+	wanted := make(map[wick.HostName]bool)
+	for sh := range wick.Shard(terms.Shards) {
+		term := s.terms.Holder(sh)
+		if term.Fence > 0 && term.Holder != s.cfg.Self.Host {
+			wanted[term.Holder] = true
+		}
+	}
+	for host := range wanted {
+		if rec, ok := s.daemons[host]; ok && s.holders[host] == nil {
+			s.dialTo(now, rec.instance.Peers)
+		}
+	}
+	for host, h := range s.holders {
+		if !wanted[host] && len(wanted) > 0 {
+			delete(s.dialedTo, h.link)
+			delete(s.holders, host)
+			h.link.Close()
+			s.dirty = true
+		}
+	}
+	if len(wanted) == 0 && len(s.holders) == 0 && s.topics[wick.TopicDaemons].failing {
+		for _, a := range s.cfg.Seeds {
+			s.dialTo(now, a)
+		}
+	}
+}
+
+func (s *state) dialTo(now wick.Instant, to wick.Address) {
+	if at, dialing := s.dialing[to]; dialing && now < at {
+		return
+	}
+	// A dial ends within less than a second.
+	s.dialing[to] = now.Add(time.Second)
+	s.cfg.Steps.Dial(to)
+}
+
+// linkMessage is a message of another daemon.
+type linkMessage struct {
+	link wick.Link
+	msg  wick.LinkMessage
+}
+
+func (e linkMessage) apply(s *state, now wick.Instant) {
+	switch {
+	case e.msg.Report != nil && s.members[e.link] != nil:
+		s.report(now, s.members[e.link], e.msg.Report)
+	case e.msg.Update != nil:
+		if host, ok := s.dialedTo[e.link]; ok {
+			s.update(now, s.holders[host], e.msg.Update)
+		}
+	}
+}
+
+// report takes what a linked daemon does.
+func (s *state) report(now wick.Instant, m *member, r *wick.InstanceReport) {
+	if m.ready != r.Ready {
+		m.ready = r.Ready
+		s.out.instances, s.dirty = true, true
+	}
+	for _, l := range r.Loads {
+		m.loads[l.Endpoint] = l.Load
+	}
+	for _, u := range r.Uses {
+		uses := m.uses[u.Endpoint]
+		if uses == nil {
+			uses = make(map[wick.Weights]int)
+			m.uses[u.Endpoint] = uses
+		}
+		uses[u.Weights] = u.Count
+		if u.Count == 0 {
+			delete(uses, u.Weights)
+		}
+	}
+	for _, w := range r.Wants {
+		if e := s.endpoints[w.Endpoint]; e != nil {
+			s.want(now, e, w)
+		}
+	}
+}
+
+// update takes what a holder tells.
+func (s *state) update(now wick.Instant, h *holder, u *wick.HolderUpdate) {
+	s.updateShards(h, u.Shards)
+	for i, age := range u.Age {
+		if age >= 0 {
+			s.topics[i].heard = max(s.topics[i].heard, now.Add(-age.Std()))
+		}
+	}
+	for _, r := range u.Records {
+		if r.Topic < wick.Topics {
+			s.record(now, r.Topic, wick.KeyedRecord{Offset: r.Offset, Key: r.Key, Value: r.Value}, false)
+		}
+	}
+	for _, name := range u.Reset {
+		if e := s.endpoints[name]; e != nil {
+			e.adapters = make(map[wick.Weights]Residence)
+			s.touch(e)
+		}
+	}
+	for _, p := range u.Places {
+		s.placed(now, p)
+	}
+	for _, l := range u.Loads {
+		if e := s.endpoints[l.Endpoint]; e != nil {
+			e.total, e.told = l.Load, h.loads[l.Endpoint]
+			s.touch(e)
+		}
+	}
+	if u.Instances != nil {
+		h.instances = u.Instances
+		s.dirty = true
+	}
+}
+
+func (s *state) updateShards(h *holder, list []wick.Shard) {
+	now := make(map[wick.Shard]bool, len(list))
+	for _, sh := range list {
+		now[sh] = true
+		s.dirty = s.dirty || !h.shards[sh]
+	}
+	s.dirty = s.dirty || len(now) != len(h.shards)
+	h.shards = now
+}
+
+// placed takes the state of an adapter at an endpoint of another holder.
+func (s *state) placed(now wick.Instant, p wick.AdapterPlace) {
+	e := s.endpoints[p.Endpoint]
+	if e == nil || s.terms.Holds(e.shard) {
+		return
+	}
+	m := make(map[wick.Weights]Residence, len(e.adapters)+1)
+	for w, r := range e.adapters {
+		m[w] = r
+	}
+	if p.Gone {
+		delete(m, p.Weights)
+	} else {
+		m[p.Weights] = Residence{Revision: p.Revision, Ready: now.Add(p.ReadyIn.Std())}
+	}
+	e.adapters = m
+	s.touch(e)
+}
+
+// fullUpdate returns all that a daemon which links now must know.
+func (s *state) fullUpdate(now wick.Instant) *wick.HolderUpdate {
+	u := s.baseUpdate(now)
+	for topic := range s.raw {
+		for _, r := range s.raw[topic] {
+			u.Records = append(u.Records, r)
+		}
+	}
+	for _, e := range s.order {
+		if !s.mayOrder[e.shard] || s.ledgers[e.info.Name] == nil {
+			continue
+		}
+		u.Reset = append(u.Reset, e.info.Name)
+		for w, r := range e.adapters {
+			u.Places = append(u.Places, wick.AdapterPlace{
+				Endpoint: e.info.Name, Weights: w, Revision: r.Revision, ReadyIn: wick.Duration(max(r.Ready.Sub(now), 0)),
+			})
+		}
+		u.Loads = append(u.Loads, wick.NamedLoad{Endpoint: e.info.Name, Load: e.total})
+	}
+	u.Instances = s.instances()
+	return u
+}
+
+func (s *state) baseUpdate(now wick.Instant) *wick.HolderUpdate {
+	u := &wick.HolderUpdate{}
+	for sh, may := range s.mayOrder {
+		if may {
+			u.Shards = append(u.Shards, wick.Shard(sh))
+		}
+	}
+	for i := range s.topics {
+		u.Age[i] = -1
+		if s.topics[i].ok >= 0 {
+			u.Age[i] = wick.Duration(now.Sub(s.topics[i].ok))
+		}
+	}
+	return u
+}
+
+// instances lists this daemon and those linked to it.
+func (s *state) instances() []wick.InstanceState {
+	list := []wick.InstanceState{{Instance: s.cfg.Self, Ready: s.ready()}}
+	for _, m := range s.members {
+		list = append(list, wick.InstanceState{Instance: m.instance, Ready: m.ready})
+	}
+	return list
+}
+
+// flush sends what changed to the linked daemons. Places, records and shards
+// go at once, loads and heartbeats with the ticks.
+func (s *state) flush(now wick.Instant, tick bool) {
+	o := &s.out
+	urgent := len(o.records) > 0 || len(o.places) > 0 || o.shards || o.instances
+	if urgent || tick && (len(o.loads) > 0 && now.Sub(o.sent) >= loadsEvery || now.Sub(o.sent) >= heartbeat) {
+		s.sendUpdate(now)
+	}
+	if tick || s.stopping {
+		for _, h := range s.holders {
+			s.sendReport(now, h)
+		}
+	}
+}
+
+func (s *state) sendUpdate(now wick.Instant) {
+	o := &s.out
+	u := s.baseUpdate(now)
+	u.Records, u.Places, u.Loads = o.records, o.places, o.loads
+	for i := range u.Places {
+		u.Places[i].ReadyIn = wick.Duration(max(o.readyAt[i].Sub(now), 0))
+	}
+	if o.instances {
+		u.Instances = s.instances()
+	}
+	for _, m := range s.members {
+		m.link.Post(wick.LinkMessage{Update: u})
+	}
+	s.out = outgoing{sent: now}
+}
+
+// sendReport tells a holder what this daemon does at its endpoints.
+func (s *state) sendReport(now wick.Instant, h *holder) {
+	if now.Sub(h.reported) < loadsEvery && h.ready == s.ready() {
+		return
+	}
+	h.reported = now
+	r := &wick.InstanceReport{Ready: s.ready()}
+	for _, e := range s.order {
+		if s.terms.Holder(e.shard).Holder != h.instance.Host {
+			continue
+		}
+		name, load := e.info.Name, e.meter.Read(now).EndpointLoad
+		if h.loads[name] != load {
+			h.loads[name] = load
+			r.Loads = append(r.Loads, wick.NamedLoad{Endpoint: name, Load: load})
+		}
+		r.Uses = append(r.Uses, h.changedUses(name, e.meter.Uses())...)
+	}
+	if len(r.Loads) == 0 && len(r.Uses) == 0 && h.ready == r.Ready && now.Sub(h.sent) < heartbeat {
+		return
+	}
+	h.sent, h.ready = now, r.Ready
+	h.link.Post(wick.LinkMessage{Report: r})
+}
+
+// changedUses returns the uses of adapters at an endpoint that the holder was
+// not told of.
+func (h *holder) changedUses(name wick.EndpointName, uses map[wick.Weights]int) []wick.AdapterUse {
+	var list []wick.AdapterUse
+	old := h.uses[name]
+	for w, n := range uses {
+		if old[w] != n {
+			list = append(list, wick.AdapterUse{Endpoint: name, Weights: w, Count: n})
+		}
+	}
+	for w := range old {
+		if uses[w] == 0 {
+			list = append(list, wick.AdapterUse{Endpoint: name, Weights: w})
+		}
+	}
+	h.uses[name] = uses
+	return list
+}
--- /dev/null
+++ b/coord/topics.go
@@ -0,0 +1,296 @@
+package coord
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"currantwick"
+	"currantwick/codec"
+	"currantwick/terms"
+)
+
+const (
+	// siteWait is how long a reader's read of the configuration waits for a
+	// change; short, so that a silent connection shows within the time that a
+	// configuration has to be in force.
+	siteWait = 800 * time.Millisecond
+	// daemonsWait is the same for the daemons' own records, and strictWait
+	// where endpoints do not check fencing tokens; a holder's knowledge that it
+	// still is one rests on them.
+	daemonsWait = 2 * time.Second
+	strictWait  = 500 * time.Millisecond
+	// runnersEvery is how often the entries of endpoints are read. Each
+	// heartbeat of an endpoint is a record, so that waiting for one would
+	// return at once.
+	runnersEvery = 500 * time.Millisecond
+	// staleAfter is the age from which a daemon reads for itself what the
+	// readers should have told it.
+	staleAfter = 1300 * time.Millisecond
+	// ownEvery is how often it does so.
+	ownEvery = 400 * time.Millisecond
+	// failPause is the pause after a failed read.
+	failPause = 250 * time.Millisecond
+	// readers is how many holders follow the configuration for all.
+	readers = 2
+)
+
+// Keys of the daemons' own records.
+const (
+	keyTerm   = "term/"
+	keyDaemon = "daemon/"
+)
+
+// topic is how far a topic was read.
+type topic struct {
+	id wick.Topic
+	// next is the first offset that was not read.
+	next wick.Offset
+	// loaded tells that the newest records were read.
+	loaded bool
+	busy   bool
+	due    wick.Instant
+	// ok is when the last successful read began, and heard as of when a holder
+	// read it; -1 for never.
+	ok, heard wick.Instant
+	failing   bool
+}
+
+// fresh is as of when the topic is known.
+func (t *topic) fresh() wick.Instant { return max(t.ok, t.heard) }
+
+// readTopics starts the reads that are due.
+func (s *state) readTopics(now wick.Instant) {
+	for i := range s.topics {
+		t := &s.topics[i]
+		if t.busy || now < t.due {
+			continue
+		}
+		wait, wanted := s.reads(now, t)
+		if !wanted {
+			continue
+		}
+		t.busy = true
+		if !t.loaded {
+			s.cfg.Steps.Newest(t.id)
+			continue
+		}
+		s.cfg.Steps.Read(t.id, t.next, wick.Duration(wait))
+	}
+}
+
+// reads tells whether this daemon should read a topic now and how long the
+// read may wait for a record. A few holders read for all; whoever hears nothing
+// from them reads for itself.
+func (s *state) reads(now wick.Instant, t *topic) (time.Duration, bool) {
+	if !t.loaded && t.heard < 0 || now.Sub(t.fresh()) > staleAfter {
+		return 0, true
+	}
+	place := s.readerPlace()
+	switch {
+	case t.id == wick.TopicDaemons && s.terms.HoldsAny():
+		if s.cfg.Bounds.Fenced {
+			return daemonsWait, true
+		}
+		return strictWait, true
+	case t.id == wick.TopicSite && place < readers:
+		return siteWait, true
+	case t.id == wick.TopicRunners && place == 0:
+		return 0, true
+	}
+	return 0, false
+}
+
+// readerPlace is this daemon's place among the holders of terms.
+func (s *state) readerPlace() int {
+	seen := make(map[wick.HostName]bool)
+	for sh := range wick.Shard(terms.Shards) {
+		term := s.terms.Holder(sh)
+		if term.Fence == 0 || term.Left || seen[term.Holder] {
+			continue
+		}
+		if s.terms.Holds(sh) {
+			return len(seen)
+		}
+		if s.holders[term.Holder] != nil {
+			seen[term.Holder] = true
+		}
+	}
+	return terms.Shards
+}
+
+// topicRead is the outcome of a read.
+type topicRead struct {
+	topic  wick.Topic
+	newest bool
+	began  wick.Instant
+	batch  wick.RecordBatch
+	err    error
+}
+
+func (e topicRead) apply(s *state, now wick.Instant) {
+	t := &s.topics[e.topic]
+	t.busy = false
+	if e.err != nil {
+		s.readFailed(now, t, e.err)
+		return
+	}
+	if t.failing {
+		t.failing = false
+		s.log.Info("store regained", "topic", t.id)
+	}
+	s.facts.Reach(now, true)
+	if e.batch.Lost {
+		s.log.Warn("records deleted before they were read", "topic", t.id, "from", t.next)
+		t.loaded = false
+		return
+	}
+	for _, rec := range e.batch.Records {
+		s.record(now, t.id, rec, true)
+	}
+	t.next = e.batch.Next
+	if e.newest {
+		s.complete(now, t, e)
+	}
+	t.ok = e.began
+	if t.id == wick.TopicDaemons {
+		s.terms.Confirm(e.began)
+	}
+	t.due = now
+	if t.id == wick.TopicRunners {
+		t.due = now.Add(runnersEvery)
+	} else if now.Sub(e.began) < ownEvery && len(e.batch.Records) == 0 {
+		t.due = now.Add(ownEvery)
+	}
+}
+
+// complete ends a read of the newest records.
+func (s *state) complete(now wick.Instant, t *topic, e topicRead) {
+	t.loaded = true
+	if t.id != wick.TopicRunners {
+		return
+	}
+	known := make(map[wick.EndpointName]bool)
+	for _, rec := range e.batch.Records {
+		known[wick.EndpointName(rec.Key)] = true
+	}
+	for _, f := range s.facts.Complete(now, known, e.batch.Next) {
+		s.log.Info("endpoint gone", "endpoint", f.Gone, "cause", "no entry")
+		s.relayGone(f)
+		s.syncEndpoints(now)
+	}
+}
+
+func (s *state) readFailed(now wick.Instant, t *topic, err error) {
+	t.due = now.Add(failPause)
+	s.facts.Reach(now, false)
+	if t.id == wick.TopicDaemons {
+		s.terms.Unreachable()
+	}
+	if !t.failing {
+		t.failing = true
+		s.log.Warn("store lost", "topic", t.id, "err", err)
+	}
+}
+
+// record takes a record, read from the store by this daemon or a holder.
+func (s *state) record(now wick.Instant, topic wick.Topic, rec wick.KeyedRecord, own bool) {
+	changed := false
+	if topic == wick.TopicDaemons {
+		changed = s.daemonRecord(now, rec)
+	} else {
+		changed = s.factRecord(now, topic, rec, own)
+	}
+	if !changed {
+		return
+	}
+	raw := wick.RelayedRecord{Topic: topic, Offset: rec.Offset, Key: rec.Key, Value: rec.Value}
+	s.raw[topic][rec.Key] = raw
+	if own {
+		s.out.records = append(s.out.records, raw)
+	}
+}
+
+// relayGone tells linked daemons that an endpoint is gone.
+func (s *state) relayGone(f wick.Fact) {
+	raw := wick.RelayedRecord{Topic: wick.TopicRunners, Offset: f.Offset, Key: string(f.Gone)}
+	s.raw[wick.TopicRunners][raw.Key] = raw
+	s.out.records = append(s.out.records, raw)
+}
+
+// factRecord takes a record of the operator or of an endpoint.
+func (s *state) factRecord(now wick.Instant, topic wick.Topic, rec wick.KeyedRecord, own bool) bool {
+	f, err := s.cfg.Reader.Decode(topic, rec)
+	if err != nil {
+		s.log.Warn("record refused", "topic", topic, "key", rec.Key, "offset", rec.Offset, "err", err)
+		return false
+	}
+	// A holder tells of an endpoint's end only when it is certain.
+	certain := f.Gone != "" && !own
+	if certain && !s.facts.Remove(f) || !certain && !s.facts.Apply(now, f) {
+		return false
+	}
+	switch {
+	case f.Site != nil:
+		s.log.Info("configuration in force", "version", f.Site.Version, "offset", f.Offset, "routes", len(f.Site.Routes))
+		s.cfg.Note.Site(f.Site.Version)
+	case f.Newer != nil:
+		s.log.Info("adapter version announced", "weights", f.Newer.Weights.String(), "version", f.Newer.Revision, "offset", f.Offset)
+		s.renew(now, *f.Newer)
+	case f.Runner != nil:
+		s.log.Info("endpoint described", "endpoint", f.Runner.Name, "offset", f.Offset, "draining", f.Runner.Draining, "started", f.Runner.Started)
+	default:
+		s.log.Info("endpoint gone", "endpoint", f.Gone, "offset", f.Offset, "cause", "entry removed")
+	}
+	if f.Newer == nil {
+		s.syncEndpoints(now)
+	}
+	s.dirty = true
+	return true
+}
+
+// daemonRecord takes a record that a daemon wrote.
+func (s *state) daemonRecord(now wick.Instant, rec wick.KeyedRecord) bool {
+	if name, ok := strings.CutPrefix(rec.Key, keyDaemon); ok {
+		var d wick.Instance
+		if err := codec.DecodeJSON(rec.Value, &d); err != nil || string(d.Host) != name {
+			s.log.Warn("record refused", "topic", wick.TopicDaemons, "key", rec.Key, "offset", rec.Offset, "err", err)
+			return false
+		}
+		old, known := s.daemons[d.Host]
+		if known && old.instance == d {
+			return false
+		}
+		s.daemons[d.Host] = daemonRecord{instance: d, heard: now}
+		s.announced = s.announced || d == s.cfg.Self
+		return true
+	}
+	var c terms.Claim
+	if err := codec.DecodeJSON(rec.Value, &c); err != nil || keyTerm+strconv.Itoa(int(c.Shard)) != rec.Key {
+		s.log.Warn("record refused", "topic", wick.TopicDaemons, "key", rec.Key, "offset", rec.Offset, "err", err)
+		return false
+	}
+	return s.begin(now, rec.Offset, c)
+}
+
+// putDone is the outcome of an append.
+type putDone struct {
+	key string
+	ok  bool
+	err error
+}
+
+func (e putDone) apply(s *state, now wick.Instant) {
+	s.putting = ""
+	t := &s.topics[wick.TopicDaemons]
+	switch {
+	case e.err != nil:
+		s.log.Warn("append failed", "key", e.key, "err", e.err)
+		t.due = now.Add(failPause)
+	case !e.ok:
+		s.log.Info("append came too late", "key", e.key)
+	}
+	// What stands on the store is read before the next append is decided.
+	t.heard, t.ok = -1, -1
+	t.due = min(t.due, max(now, t.due))
+}
--- /dev/null
+++ b/coord/view.go
@@ -0,0 +1,192 @@
+package coord
+
+import (
+	"cmp"
+	"slices"
+
+	"currantwick"
+	"currantwick/facts"
+	"currantwick/tally"
+	"currantwick/terms"
+)
+
+// View is what traffic knows of the control state. It never changes.
+type View struct {
+	// Site is nil until a configuration is known.
+	Site   *wick.Site
+	Routes facts.Routes
+	Newest map[wick.Weights]facts.Revision
+	// Pools lists the endpoints that take new requests.
+	Pools map[wick.PoolName][]*Runner
+	// Entries are the daemons that callers may use.
+	Entries []wick.EntryPoint
+	// Daemons counts those that are known to run.
+	Daemons int
+	Ready   bool
+	// Stopping tells that callers should go elsewhere.
+	Stopping bool
+	changed  chan struct{}
+}
+
+// Changed is closed when a newer view is there.
+func (v *View) Changed() <-chan struct{} { return v.changed }
+
+// Runner is an endpoint as traffic sees it. It never changes, but for Meter.
+type Runner struct {
+	*wick.Runner
+	Meter *tally.Meter
+	// Loads tells that its holder gives orders now.
+	Loads bool
+	// Others is the load by other daemons.
+	Others   wick.EndpointLoad
+	Adapters map[wick.Weights]Residence
+	Cached   map[wick.Weights]bool
+}
+
+// Residence is an adapter that an endpoint holds.
+type Residence struct {
+	Revision wick.Revision
+	// Ready is when it can serve.
+	Ready wick.Instant
+}
+
+// endpoint is the control state of an endpoint.
+type endpoint struct {
+	info  *wick.Runner
+	shard wick.Shard
+	meter *tally.Meter
+	// adapters and cached are replaced, never changed, as views share them.
+	adapters map[wick.Weights]Residence
+	cached   map[wick.Weights]bool
+	// total is the load of all daemons by its holder, and told the own part of
+	// it that the holder knew of.
+	total, told wick.EndpointLoad
+	// view is what was published last; nil if something changed.
+	view *Runner
+}
+
+// publish returns the view of the current state.
+func (s *state) publish(now wick.Instant) *View {
+	s.dirty = false
+	site, _ := s.facts.Site()
+	v := &View{
+		Site:     site,
+		Routes:   s.facts.Routes(),
+		Newest:   s.facts.Newest(),
+		Pools:    make(map[wick.PoolName][]*Runner),
+		Ready:    s.ready(),
+		Stopping: s.stopping,
+		changed:  make(chan struct{}),
+	}
+	for _, e := range s.order {
+		if e.info.Draining || site == nil {
+			continue
+		}
+		if _, known := site.Pools[e.info.Pool]; known {
+			v.Pools[e.info.Pool] = append(v.Pools[e.info.Pool], s.viewOf(e))
+		}
+	}
+	v.Entries, v.Daemons = s.entries()
+	return v
+}
+
+func (s *state) viewOf(e *endpoint) *Runner {
+	loads := s.ordersFlow(e.shard)
+	if e.view != nil && e.view.Loads == loads {
+		return e.view
+	}
+	e.view = &Runner{
+		Runner:   e.info,
+		Meter:    e.meter,
+		Loads:    loads,
+		Others:   wick.EndpointLoad{Running: max(e.total.Running-e.told.Running, 0), Waiting: max(e.total.Waiting-e.told.Waiting, 0)},
+		Adapters: e.adapters,
+		Cached:   e.cached,
+	}
+	return e.view
+}
+
+// touch notes that the view of an endpoint changed.
+func (s *state) touch(e *endpoint) {
+	e.view = nil
+	s.dirty = true
+}
+
+// ordersFlow tells whether the holder of a shard is known to give orders.
+func (s *state) ordersFlow(shard wick.Shard) bool {
+	if s.terms.Holds(shard) {
+		return s.mayOrder[shard]
+	}
+	h := s.holders[s.terms.Holder(shard).Holder]
+	return h != nil && h.shards[shard]
+}
+
+// ready tells whether callers can be served.
+func (s *state) ready() bool {
+	site, _ := s.facts.Site()
+	return site != nil && len(s.order) > 0 && !s.stopping
+}
+
+// entries returns the daemons that callers may use and the number of those that
+// are known to run.
+func (s *state) entries() ([]wick.EntryPoint, int) {
+	seen := map[wick.HostName]bool{s.cfg.Self.Host: true}
+	var list []wick.EntryPoint
+	add := func(d wick.Instance, ready bool) {
+		if ready && d.Callers != "" {
+			list = append(list, wick.EntryPoint{Address: d.Callers, Host: d.Host, Domain: d.Domain})
+		}
+	}
+	add(s.cfg.Self, s.ready())
+	for _, d := range s.known() {
+		if !seen[d.Instance.Host] {
+			seen[d.Instance.Host] = true
+			add(d.Instance, d.Ready)
+		}
+	}
+	slices.SortFunc(list, func(a, b wick.EntryPoint) int { return cmp.Compare(a.Host, b.Host) })
+	return list, len(seen)
+}
+
+// syncEndpoints brings the endpoints in line with the facts.
+func (s *state) syncEndpoints(now wick.Instant) {
+	s.order = s.order[:0]
+	live := make(map[wick.EndpointName]bool)
+	for _, r := range s.facts.Runners() {
+		live[r.Name] = true
+		e := s.endpoints[r.Name]
+		if e == nil || e.info.Started != r.Started {
+			e = &endpoint{shard: terms.ShardOf(r.Name), meter: tally.NewMeter(), adapters: loadedAt(r, now)}
+			s.endpoints[r.Name] = e
+			delete(s.ledgers, r.Name)
+		}
+		if e.info != r {
+			e.info, e.cached = r, weightSet(r.Cached)
+			e.view = nil
+		}
+		s.order = append(s.order, e)
+	}
+	for name := range s.endpoints {
+		if !live[name] {
+			delete(s.endpoints, name)
+			delete(s.ledgers, name)
+		}
+	}
+	s.dirty = true
+}
+
+func loadedAt(r *wick.Runner, now wick.Instant) map[wick.Weights]Residence {
+	m := make(map[wick.Weights]Residence, len(r.Loaded))
+	for _, l := range r.Loaded {
+		m[l.Weights] = Residence{Revision: l.Revision, Ready: now}
+	}
+	return m
+}
+
+func weightSet(list []wick.Weights) map[wick.Weights]bool {
+	m := make(map[wick.Weights]bool, len(list))
+	for _, w := range list {
+		m[w] = true
+	}
+	return m
+}
--- /dev/null
+++ b/direct/direct.go
@@ -0,0 +1,145 @@
+// Package direct passes requests from callers straight to endpoints. It reads
+// the control thread's view, picks an endpoint, waits for the adapter if need
+// be, and carries the answer back. A request that may not run twice is sent
+// again only after a statement that it did not run.
+package direct
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"currantwick"
+	"currantwick/coord"
+)
+
+const (
+	// entriesTTL is how long callers may keep an answer about which addresses
+	// to use. Some keep it three times as long, which must end well before a
+	// stopping daemon is killed.
+	entriesTTL = 2 * time.Second
+	// defaultWithin is the time of a request whose caller does not say how
+	// long it waits; its route's timeout bounds it further.
+	defaultWithin = time.Minute
+	// unreadyRetry is when callers may come back to a daemon that knows no
+	// configuration yet.
+	unreadyRetry = 300 * time.Millisecond
+)
+
+// Control is the control thread as traffic sees it.
+type Control interface {
+	View() *coord.View
+	Tell(w wick.AdapterWant)
+}
+
+// Config sets up a Server.
+type Config struct {
+	Domain  wick.Domain
+	Bounds  wick.Bounds
+	Control Control
+	Sender  wick.Sender
+	// Clock is the one that the view's instants are readings of.
+	Clock wick.Clock
+	Retry wick.RetryBudget
+	Log   *slog.Logger
+	Note  wick.GatewayNote
+}
+
+// Server implements wick.Gateway.
+type Server struct {
+	cfg Config
+}
+
+var _ wick.Gateway = (*Server)(nil)
+
+// New returns a server.
+func New(cfg Config) *Server { return &Server{cfg} }
+
+// Ready implements wick.Gateway.
+func (s *Server) Ready() bool { return s.cfg.Control.View().Ready }
+
+// Limits implements wick.Gateway.
+func (s *Server) Limits() wick.CallerLimits {
+	if site := s.cfg.Control.View().Site; site != nil {
+		return site.Limits
+	}
+	return wick.CallerLimits{}
+}
+
+// maxEntries bounds the addresses in one answer.
+const maxEntries = 64
+
+// Entries implements wick.Gateway. Daemons of the caller's failure domain come
+// first.
+func (s *Server) Entries(near wick.Domain) wick.EntryList {
+	v := s.cfg.Control.View()
+	list := make([]wick.EntryPoint, 0, len(v.Entries))
+	for _, e := range v.Entries {
+		if e.Domain == near {
+			list = append(list, e)
+		}
+	}
+	for _, e := range v.Entries {
+		if e.Domain != near {
+			list = append(list, e)
+		}
+	}
+	list = list[:min(len(list), maxEntries)]
+	return wick.EntryList{Entries: list, Keep: min(wick.Duration(entriesTTL), s.cfg.Bounds.EntriesTTL)}
+}
+
+// Pass implements wick.Gateway.
+func (s *Server) Pass(ctx context.Context, x *wick.Exchange, to wick.Sink) error {
+	t := &task{server: s, exchange: x, sink: to, start: s.cfg.Clock.Now()}
+	err := t.begin()
+	if err == nil {
+		err = t.run(ctx)
+	}
+	t.report(err)
+	return err
+}
+
+// begin resolves the route.
+func (t *task) begin() error {
+	s, x := t.server, t.exchange
+	v := s.cfg.Control.View()
+	if v.Site == nil {
+		e := wick.NotRunf(wick.CodeStale, "no configuration is known yet")
+		e.RetryAfter = wick.Duration(unreadyRetry)
+		return e
+	}
+	t.version = v.Site.Version
+	route, ok := v.Routes.Find(x.Host, x.Path)
+	if !ok {
+		return wick.NotRunf(wick.CodeNoRoute, "no route for %s%s in configuration %d", x.Host, x.Path, v.Site.Version)
+	}
+	t.route = route
+	t.pool = drawPool(route.Split)
+	within := x.Within.Std()
+	if within <= 0 {
+		within = defaultWithin
+	}
+	t.deadline = t.start.Add(min(within, route.Timeout.Std()))
+	if x.Adapter != "" {
+		t.weights = wick.Weights{Model: x.Model, Adapter: x.Adapter}
+	}
+	t.avoid = make(map[wick.EndpointName]bool)
+	s.cfg.Retry.Earn()
+	return nil
+}
+
+// drawPool picks a pool at random by its weight.
+func drawPool(split []wick.Share) wick.PoolName {
+	sum := 0.0
+	for _, v := range split {
+		sum += v.Weight
+	}
+	at := rand.Float64() * sum
+	for _, v := range split {
+		if at -= v.Weight; at < 0 {
+			return v.Pool
+		}
+	}
+	return split[0].Pool
+}
--- /dev/null
+++ b/direct/task.go
@@ -0,0 +1,287 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"currantwick"
+	"currantwick/choose"
+	"currantwick/coord"
+)
+
+const (
+	// wantEvery is how often a waiting request repeats its wish for an adapter.
+	wantEvery = 400 * time.Millisecond
+	// wantFor is how long a request waits for an endpoint that does not begin
+	// to load before it looks for another one.
+	wantFor = 900 * time.Millisecond
+	// earlyFor is how long after the expected end of a load a refusal is put
+	// down to the load, and earlyPause the pause before the next try.
+	earlyFor   = time.Second
+	earlyPause = 40 * time.Millisecond
+	// leastLeft is the least time that is worth sending a request with.
+	leastLeft = 20 * time.Millisecond
+	// retryPart bounds the time after which a caller may come back, as a part
+	// of the time that it has left: callers honour up to a third.
+	retryPart = 0.3
+	// retryLeast is the shortest time after which a refused request may come
+	// back.
+	retryLeast = 100 * time.Millisecond
+	// baseUrgency is the urgency of rank 0; the platform's default for requests
+	// without one is 5.
+	baseUrgency = 3
+	maxUrgency  = 9
+)
+
+// task is one request on its way.
+type task struct {
+	server   *Server
+	exchange *wick.Exchange
+	sink     wick.Sink
+	start    wick.Instant
+	deadline wick.Instant
+	version  uint64
+	route    wick.SiteRoute
+	pool     wick.PoolName
+	weights  wick.Weights
+	// avoid lists endpoints that failed the request.
+	avoid map[wick.EndpointName]bool
+	// sends counts sends, ran endpoints that may have run the request.
+	sends, ran int
+	// last is the endpoint of the newest send.
+	last wick.EndpointName
+	// estimate is the expected time to the first token, as of the last pick.
+	estimate time.Duration
+	waited   time.Duration
+	first    time.Duration
+	status   int
+	started  bool
+	resume   wick.EventID
+}
+
+// target is a picked endpoint.
+type target struct {
+	runner   *coord.Runner
+	revision wick.Revision
+	// ready is when the adapter could serve.
+	ready wick.Instant
+}
+
+// again tells that the request should be sent once more; it is never returned
+// to the caller.
+type again struct {
+	cause *wick.Error
+	// free tells that nothing reached an endpoint, so that the next send is no
+	// repeat.
+	free bool
+}
+
+func (a *again) Error() string { return a.cause.Error() }
+
+// repeatable tells whether the request may run more than once.
+func (t *task) repeatable() bool {
+	return t.route.Kind == wick.KindSafe || t.route.Kind == wick.KindStream && t.route.Resumable
+}
+
+func (t *task) left() time.Duration { return t.deadline.Sub(t.server.cfg.Clock.Now()) }
+
+// run sends the request until it has its final answer.
+func (t *task) run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, t.left())
+	defer cancel()
+	for {
+		to, err := t.pick(ctx)
+		if err != nil {
+			return err
+		}
+		err = t.attempt(ctx, to)
+		var more *again
+		if !errors.As(err, &more) {
+			return err
+		}
+		if err := t.mayRepeat(ctx, more); err != nil {
+			return err
+		}
+	}
+}
+
+// mayRepeat tells whether a failed send may be followed by another one.
+func (t *task) mayRepeat(ctx context.Context, a *again) error {
+	switch {
+	case ctx.Err() != nil:
+		return t.ended(ctx, a.cause)
+	case t.ran > 0 && (t.ran >= t.route.Attempts || !t.repeatable()):
+		return a.cause
+	case !a.free && !t.server.cfg.Retry.Spend():
+		return t.refuse(a.cause.Code, "%v; no more repeats are allowed", a.cause)
+	}
+	return nil
+}
+
+// ended returns the error of a request whose time is over or whose caller left.
+func (t *task) ended(ctx context.Context, cause error) error {
+	code := wick.CodeCanceled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		code = wick.CodeOverload
+	}
+	if t.sends == 0 {
+		return wick.NotRunf(code, "time is over: %v", cause)
+	}
+	return wick.Unknownf(code, "time is over: %v", cause)
+}
+
+// refuse returns the error of a request that is given up and did not run, or
+// may have run if an endpoint did not say otherwise.
+func (t *task) refuse(code wick.Code, format string, args ...any) error {
+	if t.ran > 0 {
+		return wick.Unknownf(code, format, args...)
+	}
+	e := wick.NotRunf(code, format, args...)
+	most := time.Duration(float64(t.left()) * retryPart)
+	e.RetryAfter = wick.Duration(max(min(max(t.estimate/2, retryLeast), most), 0))
+	return e
+}
+
+// pick returns an endpoint that can serve the request now, after waiting for
+// the adapter if need be.
+func (t *task) pick(ctx context.Context) (target, error) {
+	s := t.server
+	var chosen wick.EndpointName
+	var since, asked wick.Instant
+	for {
+		v, now := s.cfg.Control.View(), s.cfg.Clock.Now()
+		r := t.find(v, now, chosen)
+		if r == nil {
+			return target{}, t.refuse(wick.CodeNoEndpoint, "no endpoint of %s can take the request", t.pool)
+		}
+		if r.Name != chosen {
+			chosen, since, asked = r.Name, now, now.Add(-wantEvery)
+		}
+		res, holds := t.residence(v, r, now)
+		if t.weights.Adapter == "" || holds && now >= res.Ready {
+			return target{r, res.Revision, res.Ready}, nil
+		}
+		if !holds && now.Sub(asked) >= wantEvery {
+			asked = now
+			s.cfg.Control.Tell(wick.AdapterWant{Endpoint: r.Name, Weights: t.weights, Revision: v.Newest[t.weights].Number})
+		}
+		wait := wantEvery
+		if holds {
+			wait = res.Ready.Sub(now)
+		} else if now.Sub(since) > wantFor {
+			t.avoid[chosen], chosen = true, ""
+		}
+		if err := t.wait(ctx, v, now, wait); err != nil {
+			return target{}, err
+		}
+	}
+}
+
+// wait waits for a time, for a newer view, or for the end of the request.
+func (t *task) wait(ctx context.Context, v *coord.View, now wick.Instant, d time.Duration) error {
+	if t.left() < leastLeft {
+		return t.refuse(wick.CodeOverload, "adapter %v was not loaded in time", t.weights)
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return t.ended(ctx, errors.New("waiting for the adapter"))
+	case <-v.Changed():
+	case <-timer.C:
+	}
+	t.waited += t.server.cfg.Clock.Now().Sub(now)
+	return nil
+}
+
+// residence returns the state of the request's adapter at an endpoint, if it
+// holds a version that may still be used.
+func (t *task) residence(v *coord.View, r *coord.Runner, now wick.Instant) (coord.Residence, bool) {
+	if t.weights.Adapter == "" {
+		return coord.Residence{}, true
+	}
+	res, ok := r.Adapters[t.weights]
+	if !ok {
+		return res, false
+	}
+	newest := v.Newest[t.weights]
+	// A request may wait at the endpoint before it begins, so the older
+	// version is given up well before the bound.
+	old := res.Revision < newest.Number && now.Sub(newest.Heard) > t.server.cfg.Bounds.Revision.Std()/3
+	return res, !old
+}
+
+// find returns the chosen endpoint, or picks one.
+func (t *task) find(v *coord.View, now wick.Instant, chosen wick.EndpointName) *coord.Runner {
+	list := v.Pools[t.pool]
+	for _, r := range list {
+		if r.Name == chosen {
+			if _, holds := t.residence(v, r, now); holds || r.Loads {
+				return r
+			}
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	cands := t.candidates(v, now, list)
+	in := choose.Input{Adapter: t.weights, Prompt: t.exchange.PromptTokens, Domain: t.server.cfg.Domain, Random: uint64(now)}
+	i := -1
+	if engine := v.Site.Pools[t.pool].Engine; engine != nil {
+		i, t.estimate = choose.Engine(in, cands)
+	} else {
+		i = choose.Plain(in, cands)
+	}
+	if i < 0 {
+		return nil
+	}
+	return list[i]
+}
+
+// candidates describes the endpoints of a pool to the choice.
+func (t *task) candidates(v *coord.View, now wick.Instant, list []*coord.Runner) []choose.Candidate {
+	cands := make([]choose.Candidate, len(list))
+	for i, r := range list {
+		m := r.Meter.Read(now)
+		res, holds := t.residence(v, r, now)
+		cands[i] = choose.Candidate{
+			Name:    r.Name,
+			Domain:  r.Domain,
+			Slots:   r.Slots,
+			Running: r.Others.Running + m.Running,
+			Waiting: r.Others.Waiting + m.Waiting,
+			Lag:     m.Lag,
+			Fails:   m.Fails,
+			Avoid:   t.avoid[r.Name],
+			Holds:   holds,
+			ReadyIn: res.Ready.Sub(now),
+			Cached:  r.Cached[t.weights],
+			Loads:   r.Loads,
+		}
+	}
+	return cands
+}
+
+// report logs the end of the request and counts it.
+func (t *task) report(err error) {
+	s := t.server
+	whole := s.cfg.Clock.Now().Sub(t.start)
+	var code wick.Code
+	outcome := wick.Answered
+	text := ""
+	if err != nil {
+		e := wick.AsError(err)
+		code, outcome, text = e.Code, e.Outcome, e.Text
+	}
+	s.cfg.Note.Passed(t.route.Kind, code, t.first, whole)
+	if t.waited > 0 {
+		s.cfg.Note.Waited(t.waited)
+	}
+	level := slogLevel(code)
+	s.cfg.Log.Log(context.Background(), level, "request", "request", t.exchange.Request, "route", t.route.Name,
+		"config", t.version, "pool", t.pool, "weights", t.weights.String(), "endpoint", t.last, "sends", t.sends,
+		"status", t.status, "outcome", outcome, "code", code, "cause", text, "waited_ms", t.waited.Milliseconds(),
+		"estimate_ms", t.estimate.Milliseconds(), "first_ms", t.first.Milliseconds(), "whole_ms", whole.Milliseconds(),
+		"left_ms", t.left().Milliseconds())
+}
--- /dev/null
+++ b/hub/hub.go
@@ -0,0 +1,215 @@
+// Package hub links daemons to the holders of terms. A link is one TCP
+// connection that carries CBOR messages both ways, each with its length before
+// it. Links stay inside the machines of one deployment and carry no content of
+// requests, so they are not encrypted.
+package hub
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"currantwick"
+	"currantwick/codec"
+	"currantwick/conns"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// silentFor is how long a link may bring nothing: four heartbeats.
+	silentFor = time.Second
+	// dialWithin bounds a connect and the first message.
+	dialWithin = 500 * time.Millisecond
+	// outboxSize is how many messages may wait for a slow other end, some
+	// seconds' worth.
+	outboxSize = 128
+	// maxMessage bounds one message; a full state of a large deployment takes
+	// a few MiB.
+	maxMessage  = 32 << 20
+	lengthBytes = 4
+)
+
+// Config sets up a Hub.
+type Config struct {
+	Self   wick.Instance
+	Events wick.LinkEvents
+	// Group runs the goroutines.
+	Group *errgroup.Group
+}
+
+// Hub opens and accepts links.
+type Hub struct {
+	cfg    Config
+	dialer net.Dialer
+}
+
+// New returns a hub.
+func New(cfg Config) *Hub {
+	return &Hub{cfg: cfg, dialer: net.Dialer{Timeout: dialWithin, KeepAliveConfig: conns.KeepAlive(), Control: conns.Control}}
+}
+
+// Serve accepts links until ctx ends.
+func (h *Hub) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	for {
+		nc, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept link: %w", err)
+		}
+		h.cfg.Group.Go(func() error {
+			h.run(ctx, nc, "")
+			return nil
+		})
+	}
+}
+
+// Dial opens a link to an address.
+func (h *Hub) Dial(ctx context.Context, to wick.Address) {
+	h.cfg.Group.Go(func() error {
+		nc, err := h.dialer.DialContext(ctx, "tcp", string(to))
+		if err != nil {
+			h.cfg.Events.DialFailed(to, fmt.Errorf("dial daemon: %w", err))
+			return nil
+		}
+		h.run(ctx, nc, to)
+		return nil
+	})
+}
+
+// run serves a link until it ends.
+func (h *Hub) run(ctx context.Context, nc net.Conn, dialed wick.Address) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { nc.Close() })
+	defer stop()
+	l := &link{net: nc, read: bufio.NewReader(nc), outbox: make(chan wick.LinkMessage, outboxSize), cancel: cancel}
+	other, err := l.greet(h.cfg.Self)
+	if err != nil {
+		nc.Close()
+		if dialed != "" {
+			h.cfg.Events.DialFailed(dialed, err)
+		}
+		return
+	}
+	h.cfg.Events.LinkUp(l, other, dialed)
+	h.cfg.Group.Go(func() error {
+		l.send(ctx)
+		return nil
+	})
+	h.cfg.Events.LinkDown(l, l.receive(h.cfg.Events))
+}
+
+// link implements wick.Link.
+type link struct {
+	net    net.Conn
+	read   *bufio.Reader
+	outbox chan wick.LinkMessage
+	cancel context.CancelFunc
+}
+
+var _ wick.Link = (*link)(nil)
+
+// Post implements wick.Link.
+func (l *link) Post(msg wick.LinkMessage) {
+	select {
+	case l.outbox <- msg:
+	default:
+		l.cancel()
+	}
+}
+
+// Close implements wick.Link.
+func (l *link) Close() { l.cancel() }
+
+// greet exchanges the first messages.
+func (l *link) greet(self wick.Instance) (wick.Instance, error) {
+	if err := l.net.SetDeadline(time.Now().Add(dialWithin)); err != nil {
+		return wick.Instance{}, fmt.Errorf("set deadline: %w", err)
+	}
+	if err := l.write(wick.LinkMessage{Hello: &self}); err != nil {
+		return wick.Instance{}, err
+	}
+	msg, err := l.next()
+	if err != nil {
+		return wick.Instance{}, err
+	}
+	if msg.Hello == nil {
+		return wick.Instance{}, errors.New("link: first message is no greeting")
+	}
+	if err := l.net.SetDeadline(time.Time{}); err != nil {
+		return wick.Instance{}, fmt.Errorf("set deadline: %w", err)
+	}
+	return *msg.Hello, nil
+}
+
+// send writes the messages of the outbox until ctx ends.
+func (l *link) send(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case msg := <-l.outbox:
+			if err := l.write(msg); err != nil {
+				l.cancel() // The reader reports the end of the link.
+				return
+			}
+		}
+	}
+}
+
+func (l *link) write(msg wick.LinkMessage) error {
+	data, err := codec.EncodeCBOR(msg)
+	if err != nil {
+		return fmt.Errorf("link: %w", err)
+	}
+	frame := make([]byte, 0, lengthBytes+len(data))
+	frame = binary.BigEndian.AppendUint32(frame, uint32(len(data)))
+	if _, err := l.net.Write(append(frame, data...)); err != nil {
+		return fmt.Errorf("link: write: %w", err)
+	}
+	return nil
+}
+
+// receive hands on the messages of the other end until the link ends.
+func (l *link) receive(to wick.LinkEvents) error {
+	for {
+		if err := l.net.SetReadDeadline(time.Now().Add(silentFor)); err != nil {
+			return fmt.Errorf("set deadline: %w", err)
+		}
+		msg, err := l.next()
+		if err != nil {
+			return err
+		}
+		to.LinkMessage(l, msg)
+	}
+}
+
+func (l *link) next() (wick.LinkMessage, error) {
+	var head [lengthBytes]byte
+	if _, err := io.ReadFull(l.read, head[:]); err != nil {
+		return wick.LinkMessage{}, fmt.Errorf("link: read: %w", err)
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > maxMessage {
+		return wick.LinkMessage{}, fmt.Errorf("link: message of %d bytes", n)
+	}
+	data := make([]byte, n)
+	if _, err := io.ReadFull(l.read, data); err != nil {
+		return wick.LinkMessage{}, fmt.Errorf("link: read: %w", err)
+	}
+	var msg wick.LinkMessage
+	if err := codec.DecodeCBOR(data, &msg); err != nil {
+		return wick.LinkMessage{}, fmt.Errorf("link: %w", err)
+	}
+	return msg, nil
+}
--- /dev/null
+++ b/logs/logs.go
@@ -0,0 +1,84 @@
+// Package logs writes structured log lines without ever making a request wait:
+// lines go through a bounded queue, and those that find it full are counted.
+package logs
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// queueLines is how many lines may wait for the writer: some seconds of a
+	// daemon's traffic.
+	queueLines = 4096
+	// writeEvery is how often lines are written, so that many share one call.
+	writeEvery = 100 * time.Millisecond
+)
+
+// Queue is an io.Writer that never blocks.
+type Queue struct {
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewQueue returns an empty queue.
+func NewQueue() *Queue { return &Queue{lines: make(chan []byte, queueLines)} }
+
+// Logger returns a logger that writes JSON lines to the queue.
+func (q *Queue) Logger(level slog.Level) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(q, &slog.HandlerOptions{Level: level}))
+}
+
+// Write implements io.Writer. It takes one line, or drops it.
+func (q *Queue) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- bytes.Clone(line):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were dropped.
+func (q *Queue) Dropped() int64 { return q.dropped.Load() }
+
+// Run writes lines until ctx ends, and then those that still wait.
+func (q *Queue) Run(ctx context.Context, to io.Writer) error {
+	var batch bytes.Buffer
+	for {
+		select {
+		case <-ctx.Done():
+			q.drain(&batch)
+			_, err := batch.WriteTo(to)
+			return err
+		case line := <-q.lines:
+			batch.Write(line)
+		}
+		// Lines that come close together are written together.
+		timer := time.NewTimer(writeEvery)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+		q.drain(&batch)
+		if _, err := batch.WriteTo(to); err != nil {
+			return err
+		}
+	}
+}
+
+func (q *Queue) drain(to *bytes.Buffer) {
+	for {
+		select {
+		case line := <-q.lines:
+			to.Write(line)
+		default:
+			return
+		}
+	}
+}
--- a/note.go
+++ b/note.go
@@ -42,3 +42,29 @@
 	// whole are the times to the first token and to the end.
 	Ended(code Code, first, whole time.Duration)
 }
+
+// GatewayNote counts what a gateway does. Implementations are safe for
+// concurrent use and never wait.
+type GatewayNote interface {
+	// Passed counts a finished request by kind; code is empty for an answer of
+	// an endpoint. first and whole are the times to the first part of the
+	// answer and to its end.
+	Passed(kind Kind, code Code, first, whole time.Duration)
+	// Waited notes how long a request waited for its adapter.
+	Waited(d time.Duration)
+	// Sent counts a send to an endpoint; again tells that the request was sent
+	// before.
+	Sent(again bool)
+	// Ordered counts an order by its answer.
+	Ordered(kind OrderKind, result OrderResult)
+	// Inspected counts a report that an endpoint was asked for.
+	Inspected(err error)
+	// Stored counts a call to the store.
+	Stored(call string, err error)
+	// Opened counts a new connection to an endpoint.
+	Opened()
+	// Site notes the version of the configuration in force.
+	Site(version uint64)
+	// Holds notes how many shards this daemon holds.
+	Holds(n int)
+}
--- /dev/null
+++ b/reach/reach.go
@@ -0,0 +1,101 @@
+// Package reach carries out what the control thread of a gateway decides: calls
+// to the store, orders to endpoints, and links to other daemons. It waits for
+// their outcomes in goroutines of a group and hands them back as events.
+package reach
+
+import (
+	"context"
+	"time"
+
+	"currantwick"
+	"currantwick/coord"
+	"currantwick/hub"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// putWithin bounds an append.
+const putWithin = time.Second
+
+// Config sets up Steps.
+type Config struct {
+	Store wick.Records
+	Fleet wick.Fleet
+	Clock wick.Clock
+	Group *errgroup.Group
+}
+
+// Steps implements wick.Steps.
+type Steps struct {
+	cfg Config
+	ctx context.Context
+	// thread and hub are set by Start, before the thread runs.
+	thread *coord.Thread
+	hub    *hub.Hub
+}
+
+var _ wick.Steps = (*Steps)(nil)
+
+// New returns steps that go to nobody until Start.
+func New(cfg Config) *Steps { return &Steps{cfg: cfg} }
+
+// Start tells where outcomes go. It is called once, before the thread runs. All
+// that is under way ends with ctx.
+func (s *Steps) Start(ctx context.Context, t *coord.Thread, h *hub.Hub) {
+	s.ctx, s.thread, s.hub = ctx, t, h
+}
+
+// run starts a goroutine of the group.
+func (s *Steps) run(f func()) {
+	s.cfg.Group.Go(func() error {
+		f()
+		return nil
+	})
+}
+
+// Read implements wick.Steps.
+func (s *Steps) Read(topic wick.Topic, from wick.Offset, wait wick.Duration) {
+	s.run(func() {
+		began := s.cfg.Clock.Now()
+		b, err := s.cfg.Store.Read(s.ctx, topic, from, wait)
+		s.thread.TopicRead(topic, false, began, b, err)
+	})
+}
+
+// Newest implements wick.Steps.
+func (s *Steps) Newest(topic wick.Topic) {
+	s.run(func() {
+		began := s.cfg.Clock.Now()
+		b, err := s.cfg.Store.Newest(s.ctx, topic)
+		s.thread.TopicRead(topic, true, began, b, err)
+	})
+}
+
+// Put implements wick.Steps.
+func (s *Steps) Put(at wick.Offset, key string, value []byte) {
+	s.run(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, putWithin)
+		defer cancel()
+		_, ok, err := s.cfg.Store.Put(ctx, wick.TopicDaemons, at, key, value)
+		s.thread.PutDone(key, ok, err)
+	})
+}
+
+// Order implements wick.Steps.
+func (s *Steps) Order(to wick.Address, order wick.RunnerOrder) {
+	s.run(func() {
+		result, err := s.cfg.Fleet.Order(s.ctx, to, order)
+		s.thread.Ordered(order, result, err)
+	})
+}
+
+// Inspect implements wick.Steps.
+func (s *Steps) Inspect(endpoint wick.EndpointName, at wick.Address) {
+	s.run(func() {
+		r, err := s.cfg.Fleet.Inspect(s.ctx, endpoint, at)
+		s.thread.Inspected(endpoint, r, err)
+	})
+}
+
+// Dial implements wick.Steps.
+func (s *Steps) Dial(to wick.Address) { s.hub.Dial(s.ctx, to) }
--- /dev/null
+++ b/slots/slots.go
@@ -0,0 +1,419 @@
+// Package slots decides which adapters an endpoint holds, as the one holder of
+// its orders. Reports of endpoints lag, so the ledger counts from its own
+// orders: what may be there, is on its way or may still be carried out takes a
+// slot.
+//
+// Every order names the number of orders that the endpoint accepted before it.
+// An order without an answer is therefore settled by the next one: if that is
+// accepted, the lost one was not carried out and never will be; if it conflicts,
+// the endpoint is asked what it holds.
+package slots
+
+import (
+	"time"
+
+	"currantwick"
+)
+
+const (
+	// maxIncoming is how many adapters an endpoint loads at once.
+	maxIncoming = 4
+	// defaultFresh and defaultCached are the times of a load from the weight
+	// store and from a copy at the endpoint, as the platform's sheets state
+	// them, with the way there and back. Both are adjusted by what happens.
+	defaultFresh  = 265 * time.Millisecond
+	defaultCached = 35 * time.Millisecond
+	// leastTime and mostTime bound what is learned about a load.
+	leastTime = 20 * time.Millisecond
+	mostTime  = 3 * time.Second
+	// growTime is by how much a load takes longer than thought when the
+	// endpoint still refuses a request, and shrink by how much a time that
+	// sufficed is lowered.
+	growTime = 25 * time.Millisecond
+	shrink   = 0.995
+	// restTime is how long an adapter must be idle before it may be unloaded:
+	// the age of the newest figures of all daemons, and the way of a request.
+	restTime = 500 * time.Millisecond
+	// retryTime is the pause after an order that was refused or lost, and
+	// reportLag the age that reports of endpoints may have.
+	retryTime = 150 * time.Millisecond
+	reportLag = 300 * time.Millisecond
+	// wantFor is how long a wish for an adapter counts after it was last made;
+	// longer than the interval at which waiting requests repeat it.
+	wantFor = 700 * time.Millisecond
+	// maxRecent bounds how many adapters are remembered as cached.
+	maxRecent = 2048
+)
+
+// Place is an adapter in a slot.
+type Place struct {
+	Revision wick.Revision
+	// Ready is when the adapter can serve, as far as is known.
+	Ready wick.Instant
+	// Used is when a request last used the adapter; InUse counts those now.
+	Used  wick.Instant
+	InUse int
+	// incoming tells that the load may not have ended; leaving that the adapter
+	// was ordered out while it was in use.
+	incoming, leaving bool
+	// replaced tells that the load replaces an older version, which keeps its
+	// slot until then.
+	replaced bool
+	cached   bool
+	// unsure tells that the order to load was lost.
+	unsure bool
+}
+
+// want is an adapter that requests wait for.
+type want struct {
+	revision wick.Revision
+	since    wick.Instant
+	last     wick.Instant
+	// after is when the next order for it may be made.
+	after wick.Instant
+}
+
+// Step is what the ledger asks for.
+type Step uint8
+
+// The steps of a ledger.
+const (
+	// StepNone means that there is nothing to do before the time returned.
+	StepNone Step = iota
+	// StepOrder means that the order returned is to be given.
+	StepOrder
+	// StepInspect means that the endpoint is to be asked for its report.
+	StepInspect
+)
+
+// Ledger is the state of one endpoint at the holder of its orders. It is not
+// safe for concurrent use.
+type Ledger struct {
+	capacity wick.Slots
+	places   map[wick.Weights]*Place
+	wants    map[wick.Weights]*want
+	recent   map[wick.Weights]bool
+	// orders is the number of orders that the endpoint accepted.
+	orders wick.OrderCount
+	// synced tells that orders and places are known. least is the lowest number
+	// of orders that a report must show to be new enough.
+	synced bool
+	least  wick.OrderCount
+	// busy tells that an order or a question is under way.
+	busy bool
+	// next is the earliest time for the next step.
+	next          wick.Instant
+	fresh, cached time.Duration
+}
+
+// New returns the ledger of an endpoint that holds at most capacity adapters.
+func New(capacity wick.Slots) *Ledger {
+	return &Ledger{
+		capacity: capacity,
+		places:   make(map[wick.Weights]*Place),
+		wants:    make(map[wick.Weights]*want),
+		recent:   make(map[wick.Weights]bool),
+		fresh:    defaultFresh,
+		cached:   defaultCached,
+	}
+}
+
+// Leaving tells that the adapter was ordered out while it was in use.
+func (p Place) Leaving() bool { return p.leaving }
+
+// Places calls yield for each adapter that has a slot.
+func (l *Ledger) Places(yield func(wick.Weights, Place) bool) {
+	for w, p := range l.places {
+		if !yield(w, *p) {
+			return
+		}
+	}
+}
+
+// SetCapacity changes how many adapters the endpoint holds.
+func (l *Ledger) SetCapacity(n wick.Slots) { l.capacity = n }
+
+// Copies notes adapters of which the endpoint has a copy at hand.
+func (l *Ledger) Copies(list []wick.Weights) {
+	if len(l.recent) > maxRecent {
+		clear(l.recent)
+	}
+	for _, w := range list {
+		l.recent[w] = true
+	}
+}
+
+// Want notes that requests wait for an adapter, at least at a version.
+func (l *Ledger) Want(now wick.Instant, w wick.Weights, r wick.Revision) {
+	if p := l.places[w]; p != nil && p.Revision >= r && !p.leaving {
+		p.Used = now
+		return
+	}
+	v := l.wants[w]
+	if v == nil {
+		v = &want{since: now}
+		l.wants[w] = v
+	}
+	v.revision, v.last = max(v.revision, r), now
+}
+
+// Use notes how many requests use an adapter now.
+func (l *Ledger) Use(now wick.Instant, w wick.Weights, n int) {
+	p := l.places[w]
+	if p == nil {
+		return
+	}
+	if n > 0 || p.InUse > 0 {
+		p.Used = now
+	}
+	p.InUse = n
+}
+
+// Early notes that the endpoint refused a request since the load of its adapter
+// had not ended.
+func (l *Ledger) Early(now wick.Instant, w wick.Weights) {
+	p := l.places[w]
+	if p == nil {
+		return
+	}
+	p.Ready = now.Add(growTime)
+	if p.cached {
+		l.cached = min(l.cached+growTime, mostTime)
+	} else {
+		l.fresh = min(l.fresh+growTime, mostTime)
+	}
+}
+
+// Doubt notes that the endpoint does not hold an adapter that it should.
+func (l *Ledger) Doubt(now wick.Instant, w wick.Weights) {
+	if p := l.places[w]; p == nil || p.incoming {
+		return
+	}
+	l.synced, l.least = false, l.orders
+	l.next = max(l.next, now)
+}
+
+// Unknown notes that the state of the endpoint must be asked for, as of at
+// least reportLag from now.
+func (l *Ledger) Unknown(now wick.Instant) {
+	l.synced, l.least = false, 0
+	l.next = max(l.next, now)
+}
+
+// Next returns the next step, or the time until which there is none.
+func (l *Ledger) Next(now wick.Instant) (Step, wick.RunnerOrder, wick.Instant) {
+	if l.busy {
+		return StepNone, wick.RunnerOrder{}, now.Add(mostTime)
+	}
+	if now < l.next {
+		return StepNone, wick.RunnerOrder{}, l.next
+	}
+	if !l.synced {
+		l.busy = true
+		return StepInspect, wick.RunnerOrder{}, 0
+	}
+	l.settle(now)
+	w, v := l.choose(now)
+	if v == nil {
+		return StepNone, wick.RunnerOrder{}, now.Add(retryTime)
+	}
+	o := wick.RunnerOrder{Kind: wick.OrderLoad, Weights: w, Revision: v.revision, Expected: l.orders}
+	if l.taken() >= l.capacity {
+		victim, ok := l.victim(now)
+		if !ok {
+			return StepNone, wick.RunnerOrder{}, now.Add(retryTime / 2)
+		}
+		o = wick.RunnerOrder{Kind: wick.OrderUnload, Weights: victim, Expected: l.orders}
+	}
+	l.busy = true
+	return StepOrder, o, 0
+}
+
+// settle ends loads whose time is over and forgets wants that nobody repeats.
+func (l *Ledger) settle(now wick.Instant) {
+	for _, p := range l.places {
+		if p.incoming && now >= p.Ready {
+			p.incoming, p.replaced = false, false
+			if p.cached {
+				l.cached = max(time.Duration(float64(l.cached)*shrink), leastTime)
+			} else {
+				l.fresh = max(time.Duration(float64(l.fresh)*shrink), leastTime)
+			}
+		}
+	}
+	for w, v := range l.wants {
+		if now.Sub(v.last) > wantFor {
+			delete(l.wants, w)
+		}
+	}
+}
+
+// taken counts slots; the old version of a replaced adapter has one too.
+func (l *Ledger) taken() wick.Slots {
+	n := len(l.places)
+	for _, p := range l.places {
+		if p.replaced {
+			n++
+		}
+	}
+	return wick.Slots(n)
+}
+
+// choose returns the adapter that waited longest, if one more may be loaded.
+func (l *Ledger) choose(now wick.Instant) (wick.Weights, *want) {
+	incoming := 0
+	for _, p := range l.places {
+		if p.incoming {
+			incoming++
+		}
+	}
+	if incoming >= maxIncoming {
+		return wick.Weights{}, nil
+	}
+	var best wick.Weights
+	var found *want
+	for w, v := range l.wants {
+		if now < v.after {
+			continue
+		}
+		if p := l.places[w]; p != nil && (p.incoming || p.leaving) {
+			continue
+		}
+		if found == nil || v.since < found.since || v.since == found.since && w.String() < best.String() {
+			best, found = w, v
+		}
+	}
+	return best, found
+}
+
+// victim returns the idle adapter that was used longest ago.
+func (l *Ledger) victim(now wick.Instant) (wick.Weights, bool) {
+	var best wick.Weights
+	var found *Place
+	for w, p := range l.places {
+		if p.InUse > 0 || p.incoming || p.leaving || now.Sub(p.Used) < restTime {
+			continue
+		}
+		if found == nil || p.Used < found.Used || p.Used == found.Used && w.String() < best.String() {
+			best, found = w, p
+		}
+	}
+	return best, found != nil
+}
+
+// Ordered takes the answer to the order that Next returned.
+func (l *Ledger) Ordered(now wick.Instant, o wick.RunnerOrder, r wick.OrderResult) {
+	l.busy = false
+	switch r {
+	case wick.OrderStarted, wick.OrderHeld:
+		l.orders = o.Expected + 1
+		l.forgetUnsure()
+		l.accepted(now, o, r)
+	case wick.OrderConflict:
+		// Either an order that was lost has been carried out, or a late one.
+		l.synced, l.least = false, o.Expected
+		l.next = now.Add(reportLag)
+	case wick.OrderLost:
+		l.lost(now, o)
+	default:
+		l.next = now.Add(retryTime)
+		if v := l.wants[o.Weights]; v != nil {
+			v.after = now.Add(retryTime)
+		}
+	}
+}
+
+// forgetUnsure drops the adapters of lost orders, which can't be carried out
+// any more once another order was accepted.
+func (l *Ledger) forgetUnsure() {
+	for w, p := range l.places {
+		if p.unsure {
+			delete(l.places, w)
+		}
+	}
+}
+
+func (l *Ledger) accepted(now wick.Instant, o wick.RunnerOrder, r wick.OrderResult) {
+	if o.Kind == wick.OrderUnload {
+		if r == wick.OrderHeld {
+			delete(l.places, o.Weights)
+			return
+		}
+		if p := l.places[o.Weights]; p != nil {
+			p.leaving = true
+		}
+		// When its requests have ended only the endpoint knows.
+		l.synced, l.least = false, l.orders
+		l.next = now.Add(reportLag)
+		return
+	}
+	l.place(now, o)
+	delete(l.wants, o.Weights)
+	if r == wick.OrderHeld {
+		l.places[o.Weights].Ready = now
+	}
+}
+
+// place gives an adapter that is being loaded a slot.
+func (l *Ledger) place(now wick.Instant, o wick.RunnerOrder) {
+	cached := l.recent[o.Weights]
+	takes := l.fresh
+	if cached {
+		takes = l.cached
+	}
+	p := &Place{Revision: o.Revision, Used: now, Ready: now.Add(takes), incoming: true, cached: cached}
+	if old := l.places[o.Weights]; old != nil {
+		p.InUse, p.replaced = old.InUse, true
+	}
+	l.places[o.Weights] = p
+	l.recent[o.Weights] = true
+}
+
+// lost keeps a slot for an adapter that may be loaded, and repeats the order,
+// which settles what became of it.
+func (l *Ledger) lost(now wick.Instant, o wick.RunnerOrder) {
+	l.next = now.Add(retryTime)
+	if o.Kind == wick.OrderUnload {
+		l.synced, l.least = false, o.Expected
+		return
+	}
+	if _, held := l.places[o.Weights]; !held {
+		l.place(now, o)
+		p := l.places[o.Weights]
+		p.Ready, p.incoming, p.unsure = now.Add(mostTime), false, true
+	}
+	l.wants[o.Weights] = &want{revision: o.Revision, since: now, last: now.Add(mostTime)}
+}
+
+// Inspected takes a report of the endpoint. A failed one is asked for again.
+func (l *Ledger) Inspected(now wick.Instant, r wick.RunnerReport, err error) {
+	l.busy = false
+	if err != nil || r.Orders < l.least {
+		l.next = now.Add(reportLag)
+		return
+	}
+	old := l.places
+	l.places = make(map[wick.Weights]*Place, len(r.Loaded)+len(r.Incoming))
+	for _, v := range r.Loaded {
+		l.places[v.Weights] = &Place{Revision: v.Revision, Ready: now, Used: now}
+	}
+	for _, v := range r.Incoming {
+		p := &Place{Revision: v.Revision, Ready: now.Add(l.fresh), Used: now, incoming: true}
+		_, p.replaced = l.places[v.Weights]
+		l.places[v.Weights] = p
+	}
+	for w, p := range l.places {
+		if was := old[w]; was != nil {
+			p.Used, p.InUse, p.leaving = was.Used, was.InUse, was.leaving
+		}
+		l.recent[w] = true
+	}
+	l.orders, l.synced = r.Orders, true
+	l.next = now
+	for _, p := range l.places {
+		if p.leaving {
+			l.synced, l.least = false, r.Orders
+			l.next = now.Add(reportLag)
+		}
+	}
+}
--- /dev/null
+++ b/tally/meter.go
@@ -0,0 +1,108 @@
+package tally
+
+import (
+	"maps"
+	"math"
+	"sync"
+	"time"
+
+	"currantwick"
+)
+
+const (
+	// lagHalf is the time in which what was seen of an endpoint's speed and
+	// failures loses half its weight.
+	lagHalf = 2 * time.Second
+	// lagPart is the weight of one new observation.
+	lagPart = 0.25
+)
+
+// Meter counts this daemon's requests at one endpoint and how they went. It is
+// safe for concurrent use.
+type Meter struct {
+	mu      sync.Mutex
+	running int
+	waiting wick.Tokens
+	uses    map[wick.Weights]int
+	// lag, in seconds, and fails are averages as of at.
+	lag, fails float64
+	at         wick.Instant
+}
+
+// MeterReading is the state of a Meter.
+type MeterReading struct {
+	wick.EndpointLoad
+	// Lag is by how much first tokens came later than estimated, Fails the
+	// share of requests that failed; both fade.
+	Lag   time.Duration
+	Fails float64
+}
+
+// NewMeter returns a meter without requests.
+func NewMeter() *Meter { return &Meter{uses: make(map[wick.Weights]int)} }
+
+// Start counts a request that is sent.
+func (m *Meter) Start(w wick.Weights, prompt wick.Tokens) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.running++
+	m.waiting += prompt
+	m.uses[w]++
+}
+
+// Begun counts a request whose prompt was read.
+func (m *Meter) Begun(prompt wick.Tokens) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.waiting -= prompt
+}
+
+// Done ends what Start counted.
+func (m *Meter) Done(w wick.Weights) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.running--
+	if m.uses[w]--; m.uses[w] == 0 {
+		delete(m.uses, w)
+	}
+}
+
+// Observe notes how long after the estimate a first token came, and whether
+// the request failed.
+func (m *Meter) Observe(now wick.Instant, lag time.Duration, failed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fade(now)
+	m.lag += lagPart * (max(lag.Seconds(), 0) - m.lag)
+	f := 0.0
+	if failed {
+		f = 1
+	}
+	m.fails += lagPart * (f - m.fails)
+}
+
+func (m *Meter) fade(now wick.Instant) {
+	k := math.Exp2(-now.Sub(m.at).Seconds() / lagHalf.Seconds())
+	m.lag *= k
+	m.fails *= k
+	m.at = now
+}
+
+// Read returns the state of the meter.
+func (m *Meter) Read(now wick.Instant) MeterReading {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fade(now)
+	return MeterReading{
+		EndpointLoad: wick.EndpointLoad{Running: m.running, Waiting: m.waiting},
+		Lag:          time.Duration(m.lag * float64(time.Second)),
+		Fails:        m.fails,
+	}
+}
+
+// Uses returns how many requests use each adapter.
+func (m *Meter) Uses() map[wick.Weights]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.uses)
+}
--- /dev/null
+++ b/verbs/gateway.go
@@ -0,0 +1,99 @@
+package verbs
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"strings"
+
+	"currantwick"
+	"currantwick/boot"
+	"currantwick/logs"
+	"currantwick/platform"
+	"currantwick/stats"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+)
+
+var gatewayVerb = verb{
+	name:    "gateway",
+	short:   "run a daemon on the users' platform",
+	example: "currantwick gateway -settings settings.json -metrics 9464/metrics",
+	run:     runGateway,
+}
+
+func runGateway(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+	file := flags.String("settings", os.Getenv(platform.SettingsVariable), "settings file of the platform, in JSON")
+	metrics := flags.String("metrics", "", "port and path of the metrics, as PORT/PATH; none if empty")
+	level := flags.String("log", "info", "lowest level that is logged: debug, info, warn or error")
+	if err := flags.Parse(args); err != nil {
+		return Usage, err
+	}
+	var lowest slog.Level
+	if err := lowest.UnmarshalText([]byte(*level)); err != nil {
+		return Usage, fmt.Errorf("log level: %w", err)
+	}
+	daemon, err := platform.LoadSettings(*file)
+	if err != nil {
+		return Usage, err
+	}
+	if err := serveGateway(ctx, env, daemon, *metrics, lowest); err != nil {
+		return Failed, err
+	}
+	return Done, nil
+}
+
+// serveGateway runs a daemon and the writer of its log.
+func serveGateway(ctx context.Context, env Env, d wick.Daemon, metrics string, lowest slog.Level) error {
+	queue := logs.NewQueue()
+	log := queue.Logger(lowest).With("host", d.Host)
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	cfg := boot.GatewayConfig{Daemon: d, Log: log, Note: stats.NewGateway(registry, queue.Dropped)}
+	if metrics != "" {
+		address, path, err := metricsAt(d, metrics)
+		if err != nil {
+			return err
+		}
+		cfg.Metrics, cfg.MetricsAddress, cfg.MetricsPath = metricsHandler(registry), address, path
+	}
+	g, err := boot.NewGateway(cfg)
+	if err != nil {
+		return err
+	}
+	writing, done := context.WithCancel(context.WithoutCancel(ctx))
+	var group errgroup.Group
+	group.Go(func() error { return queue.Run(writing, env.Out) })
+	log.Info("start", "domain", d.Domain, "callers", d.Callers, "peers", d.Peers, "store", d.Store, "memory", d.Memory, "fenced", d.Bounds.Fenced)
+	err = g.Run(ctx)
+	log.Info("stop", "err", fmt.Sprint(err))
+	done()
+	if werr := group.Wait(); werr != nil && err == nil {
+		err = fmt.Errorf("write log: %w", werr)
+	}
+	return err
+}
+
+func metricsHandler(r *prometheus.Registry) http.Handler {
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+}
+
+// metricsAt reads PORT/PATH into an address of the daemon and a path.
+func metricsAt(d wick.Daemon, s string) (wick.Address, string, error) {
+	port, path, _ := strings.Cut(s, "/")
+	ip, err := d.Callers.IP()
+	if err != nil {
+		return "", "", fmt.Errorf("metrics: %w", err)
+	}
+	at := wick.Address(ip.String() + ":" + port)
+	if err := at.Check(); err != nil {
+		return "", "", fmt.Errorf("metrics: %w", err)
+	}
+	return at, "/" + path, nil
+}
--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -47,7 +47,7 @@
 
 // verbs lists all verbs in the order of the help.
 var list = []verb{
-	demoVerb, serveVerb, checkVerb, applyVerb, getVerb, diffVerb, statusVerb, drainVerb, goneVerb,
+	demoVerb, serveVerb, gatewayVerb, checkVerb, applyVerb, getVerb, diffVerb, statusVerb, drainVerb, goneVerb,
 	entriesVerb, auditVerb, keysVerb,
 }
 
