Load base models on empty endpoints, and load what is wanted most

An endpoint that restarts is empty, and every order for an adapter conflicts there until its model is loaded; the holder never ordered that. In crowded seconds adapters were loaded in order of their wait, twice over, while their callers had left. Lost orders held an endpoint up for 0.75 s each.

--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -18,8 +18,8 @@
 	"currantwick/conns"
 	"currantwick/coord"
 	"currantwick/direct"
-	"currantwick/hub"
 	"currantwick/limit"
+	"currantwick/links"
 	"currantwick/pause"
 	"currantwick/platform"
 	"currantwick/reach"
@@ -75,7 +75,7 @@
 	thread *coord.Thread
 	server *direct.Server
 	steps  *reach.Steps
-	hub    *hub.Hub
+	hub    *links.Hub
 	pools  []*conns.Pool
 	group  *errgroup.Group
 }
@@ -115,7 +115,7 @@
 		Log:    cfg.Log,
 		Note:   cfg.Note,
 	})
-	g.hub = hub.New(hub.Config{Self: self, Events: g.thread, Group: g.group})
+	g.hub = links.New(links.Config{Self: self, Events: g.thread, Group: g.group})
 	retry, err := retries(cfg.Daemon.Bounds)
 	if err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
--- a/choose/choose.go
+++ b/choose/choose.go
@@ -20,6 +20,10 @@
 	// order.
 	freshLoad  = 300 * time.Millisecond
 	cachedLoad = 60 * time.Millisecond
+	// modelLoad is the time to load a base model and to learn that it is there.
+	modelLoad = 2 * time.Second
+	// loadsAtOnce is how many adapters an endpoint loads at once.
+	loadsAtOnce = 4
 	// newHome is added for an endpoint that is not among the homes of an
 	// adapter that must be loaded, so that daemons choose the same one.
 	newHome = 60 * time.Millisecond
@@ -28,6 +32,9 @@
 	// otherDomain is added for an endpoint in another failure domain: the way,
 	// and the price of the bytes.
 	otherDomain = 15 * time.Millisecond
+	// noSlot is the wait for a slot for each adapter that waits for one: about
+	// a third of a short stream.
+	noSlot = 300 * time.Millisecond
 	// overSlot is the wait for each request beyond the slots of an endpoint.
 	overSlot = 30 * time.Millisecond
 	// perRunning is by how much each request in the batch slows the others.
@@ -59,6 +66,11 @@
 	// Holds tells that the adapter is there or on its way, ready in ReadyIn.
 	Holds   bool
 	ReadyIn time.Duration
+	// Base tells that the adapter's model is there.
+	Base bool
+	// Free counts the adapters that could be loaded there now, beside the Wants
+	// that are waited for.
+	Free, Wants int
 	// Cached tells that a copy of the adapter is at hand, and Loads that the
 	// endpoint takes orders now.
 	Cached, Loads bool
@@ -70,6 +82,8 @@
 	Adapter wick.Weights
 	Prompt  wick.Tokens
 	Domain  wick.Domain
+	// Crowd is by how much loads from the weight store take longer now.
+	Crowd float64
 	// Random breaks ties.
 	Random uint64
 }
@@ -98,17 +112,29 @@
 	if over := c.Running + 1 - int(c.Slots); over > 0 {
 		d += time.Duration(over) * overSlot
 	}
-	switch {
-	case c.Holds:
+	if c.Holds {
 		return d + max(c.ReadyIn, 0)
-	case c.Cached:
-		d += cachedLoad
-	default:
-		d += freshLoad
+	}
+	return d + loadTime(in, c, rank)
+}
+
+// loadTime estimates how long the adapter takes to be ready.
+func loadTime(in Input, c *Candidate, rank int) time.Duration {
+	load := time.Duration(float64(freshLoad) * max(in.Crowd, 1))
+	if c.Cached {
+		load = cachedLoad
+	}
+	// Those that are waited for come first, some at a time.
+	d := load + load*time.Duration(c.Wants)/loadsAtOnce
+	if !c.Base {
+		d += modelLoad
 	}
 	if rank >= homes {
 		d += newHome
 	}
+	if c.Free <= 0 {
+		d += time.Duration(1-c.Free) * noSlot
+	}
 	return d
 }
 
--- a/coord/holders.go
+++ b/coord/holders.go
@@ -15,6 +15,18 @@
 // claim rests.
 const claimFresh = 300 * time.Millisecond
 
+const (
+	// crowdedAfter is how long an adapter waits for a slot before that is
+	// logged, and crowdedEvery how often that is at most for one endpoint.
+	crowdedAfter = 500 * time.Millisecond
+	crowdedEvery = time.Second
+)
+
+// incomingPerEngine is how many adapters may be on their way for each engine
+// before the weight store slows down: the deployments allow about four for three
+// engines.
+const incomingPerEngine = 4.0 / 3
+
 // begin takes a term that stands on the store.
 func (s *state) begin(now wick.Instant, at wick.Offset, c terms.Claim) bool {
 	old := s.terms.Holder(c.Shard)
@@ -140,6 +152,26 @@
 	}
 }
 
+// countIncoming counts the adapters that are on their way to all endpoints, and
+// the engines.
+func (s *state) countIncoming(now wick.Instant) {
+	s.incoming, s.engines = 0, 0
+	for _, e := range s.order {
+		if len(e.info.Models) == 0 {
+			continue
+		}
+		s.engines++
+		for _, r := range e.adapters {
+			if r.Ready > now {
+				s.incoming++
+			}
+		}
+	}
+}
+
+// knee is how many adapters may be on their way before each takes longer.
+func (s *state) knee() int { return max(int(float64(s.engines)*incomingPerEngine), 1) }
+
 // ledger returns the ledger of an endpoint in an own shard, or nil if it takes
 // no orders.
 func (s *state) ledger(e *endpoint) *slots.Ledger {
@@ -153,24 +185,45 @@
 	}
 	l := s.ledgers[e.info.Name]
 	if l == nil {
-		l = slots.New(engine.AdapterSlots)
+		l = slots.New(engine.AdapterSlots, firstModel(engine), e.recent)
 		s.ledgers[e.info.Name] = l
 	}
 	l.SetCapacity(engine.AdapterSlots)
 	return l
 }
 
+func firstModel(e *wick.SiteEngine) wick.ModelName {
+	if len(e.Models) == 0 {
+		return ""
+	}
+	return e.Models[0]
+}
+
+// modelPause is the time between two loads of base models by one holder. All
+// holders together keep to the rate of the weight store.
+func (s *state) modelPause(e *endpoint) time.Duration {
+	site, _ := s.facts.Site()
+	rate := float64(site.Pools[e.info.Pool].Engine.ModelLoads)
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(terms.Shards / rate * float64(time.Second))
+}
+
 func (s *state) stepLedger(now wick.Instant, e *endpoint) {
 	l := s.ledger(e)
 	if l == nil {
 		return
 	}
-	l.Copies(e.info.Cached)
-	step, order, _ := l.Next(now)
+	l.SetCrowd(s.incoming, s.knee())
+	step, order, _ := l.Next(now, now.Sub(s.modelLoad) >= s.modelPause(e))
 	switch step {
 	case slots.StepInspect:
 		s.cfg.Steps.Inspect(e.info.Name, e.info.Address)
 	case slots.StepOrder:
+		if order.Weights.Adapter == "" {
+			s.modelLoad = now
+		}
 		order.Endpoint = e.info.Name
 		order.Holder = s.cfg.Self.Host
 		order.Fence, _ = s.terms.MayOrder(now, e.shard)
@@ -201,6 +254,9 @@
 	}
 	l.Ordered(now, o, e.result)
 	s.place(now, end, l)
+	if o.Kind == wick.OrderLoad {
+		s.incoming++
+	}
 }
 
 func errText(err error) string {
@@ -233,7 +289,7 @@
 func (s *state) place(now wick.Instant, e *endpoint, l *slots.Ledger) {
 	m := make(map[wick.Weights]Residence)
 	for w, p := range l.Places {
-		if p.Leaving() {
+		if !p.Usable() {
 			continue
 		}
 		m[w] = Residence{Revision: p.Revision, Ready: p.Ready}
@@ -249,6 +305,7 @@
 		}
 	}
 	e.adapters = m
+	e.cached = e.recent.Set()
 	s.touch(e)
 }
 
@@ -318,17 +375,31 @@
 				uses[w] += n
 			}
 		}
-		if sum != e.total || own != e.told {
-			e.total, e.told = sum, own
-			s.out.loads = append(s.out.loads, wick.NamedLoad{Endpoint: e.info.Name, Load: sum})
-			s.touch(e)
-		}
 		if l := s.ledgers[e.info.Name]; l != nil {
 			for w := range l.Places {
 				l.Use(now, w, uses[w])
 			}
+			sum.Free, sum.Wants = l.Free(now), l.Wants()
+			s.logCrowded(now, e, l)
 		}
+		if sum != e.total || own != e.told {
+			e.total, e.told = sum, own
+			s.out.loads = append(s.out.loads, wick.NamedLoad{Endpoint: e.info.Name, Load: sum})
+			s.touch(e)
+		}
+	}
+}
+
+// logCrowded logs that adapters wait long for a slot of an endpoint.
+func (s *state) logCrowded(now wick.Instant, e *endpoint, l *slots.Ledger) {
+	c := l.Census(now)
+	if c.Oldest < crowdedAfter || now.Sub(e.crowded) < crowdedEvery {
+		return
 	}
+	e.crowded = now
+	s.log.Warn("adapters wait for slots", "endpoint", e.info.Name, "oldest_ms", c.Oldest.Milliseconds(), "wants", c.Wants, "slots", c.Slots,
+		"in_use", c.InUse, "incoming", c.Incoming, "leaving", c.Leaving, "unsure", c.Unsure, "replaced", c.Replaced,
+		"synced", c.Synced, "busy", c.Busy, "running", e.total.Running)
 }
 
 // instanceText names a daemon in a log line.
--- a/coord/links.go
+++ b/coord/links.go
@@ -284,9 +284,21 @@
 		m[p.Weights] = Residence{Revision: p.Revision, Ready: now.Add(p.ReadyIn.Std())}
 	}
 	e.adapters = m
+	e.recent.Add(now, p.Weights, s.slotsOf(e))
+	e.cached = e.recent.Set()
 	s.touch(e)
 }
 
+// slotsOf returns how many adapters an endpoint holds at most.
+func (s *state) slotsOf(e *endpoint) wick.Slots {
+	if site, _ := s.facts.Site(); site != nil {
+		if engine := site.Pools[e.info.Pool].Engine; engine != nil {
+			return engine.AdapterSlots
+		}
+	}
+	return 0
+}
+
 // fullUpdate returns all that a daemon which links now must know.
 func (s *state) fullUpdate(now wick.Instant) *wick.HolderUpdate {
 	u := s.baseUpdate(now)
--- a/coord/state.go
+++ b/coord/state.go
@@ -40,6 +40,12 @@
 	// dialedTo remembers the host behind a link that this daemon dialed.
 	dialedTo map[wick.Link]wick.HostName
 
+	// incoming counts the adapters on their way as of the last tick, and
+	// engines the endpoints that hold models.
+	incoming, engines int
+	// modelLoad is when this daemon last ordered a base model to be loaded.
+	modelLoad wick.Instant
+
 	out outgoing
 	// putting is the key of the record that is being appended.
 	putting string
@@ -81,6 +87,7 @@
 		holders:   make(map[wick.HostName]*holder),
 		dialing:   make(map[wick.Address]wick.Instant),
 		dialedTo:  make(map[wick.Link]wick.HostName),
+		modelLoad: now.Add(-time.Hour),
 		started:   now,
 		ticked:    now,
 	}
@@ -113,6 +120,7 @@
 	s.claim(now)
 	s.dial(now)
 	s.countUses(now)
+	s.countIncoming(now)
 	s.flush(now, true)
 }
 
--- a/coord/thread.go
+++ b/coord/thread.go
@@ -125,8 +125,8 @@
 func (t *Thread) Stop() { t.post(stopping{}) }
 
 // TopicRead takes the outcome of Read and Newest of wick.Steps.
-func (t *Thread) TopicRead(topic wick.Topic, newest bool, began wick.Instant, b wick.RecordBatch, err error) {
-	t.post(topicRead{topic, newest, began, b, err})
+func (t *Thread) TopicRead(topic wick.Topic, newest bool, began wick.Instant, wait wick.Duration, b wick.RecordBatch, err error) {
+	t.post(topicRead{topic, newest, began, wait, b, err})
 }
 
 // PutDone takes the outcome of Put of wick.Steps.
--- a/coord/topics.go
+++ b/coord/topics.go
@@ -124,6 +124,7 @@
 	topic  wick.Topic
 	newest bool
 	began  wick.Instant
+	wait   wick.Duration
 	batch  wick.RecordBatch
 	err    error
 }
@@ -152,9 +153,13 @@
 	if e.newest {
 		s.complete(now, t, e)
 	}
+	// A read that waited in vain tells of the store as of the end of its wait.
 	t.ok = e.began
+	if len(e.batch.Records) == 0 {
+		t.ok = e.began.Add(e.wait.Std())
+	}
 	if t.id == wick.TopicDaemons {
-		s.terms.Confirm(e.began)
+		s.terms.Confirm(t.ok)
 	}
 	t.due = now
 	if t.id == wick.TopicRunners {
@@ -238,7 +243,8 @@
 		s.log.Info("adapter version announced", "weights", f.Newer.Weights.String(), "version", f.Newer.Revision, "offset", f.Offset)
 		s.renew(now, *f.Newer)
 	case f.Runner != nil:
-		s.log.Info("endpoint described", "endpoint", f.Runner.Name, "offset", f.Offset, "draining", f.Runner.Draining, "started", f.Runner.Started)
+		s.log.Info("endpoint described", "endpoint", f.Runner.Name, "offset", f.Offset, "draining", f.Runner.Draining, "started", f.Runner.Started,
+			"loaded", len(f.Runner.Loaded), "cached", len(f.Runner.Cached))
 	default:
 		s.log.Info("endpoint gone", "endpoint", f.Gone, "offset", f.Offset, "cause", "entry removed")
 	}
--- a/coord/view.go
+++ b/coord/view.go
@@ -6,6 +6,7 @@
 
 	"currantwick"
 	"currantwick/facts"
+	"currantwick/slots"
 	"currantwick/tally"
 	"currantwick/terms"
 )
@@ -23,6 +24,8 @@
 	// Daemons counts those that are known to run.
 	Daemons int
 	Ready   bool
+	// Crowd is by how much loads from the weight store take longer now.
+	Crowd float64
 	// Stopping tells that callers should go elsewhere.
 	Stopping bool
 	changed  chan struct{}
@@ -38,7 +41,8 @@
 	// Loads tells that its holder gives orders now.
 	Loads bool
 	// Others is the load by other daemons.
-	Others   wick.EndpointLoad
+	Others wick.EndpointLoad
+	// Adapters are the adapters and models that it holds.
 	Adapters map[wick.Weights]Residence
 	Cached   map[wick.Weights]bool
 }
@@ -58,9 +62,12 @@
 	// adapters and cached are replaced, never changed, as views share them.
 	adapters map[wick.Weights]Residence
 	cached   map[wick.Weights]bool
+	recent   *slots.Recent
 	// total is the load of all daemons by its holder, and told the own part of
 	// it that the holder knew of.
 	total, told wick.EndpointLoad
+	// crowded is when it was last logged that adapters wait for slots.
+	crowded wick.Instant
 	// view is what was published last; nil if something changed.
 	view *Runner
 }
@@ -87,6 +94,7 @@
 		}
 	}
 	v.Entries, v.Daemons = s.entries()
+	v.Crowd = max(1, float64(s.incoming)/float64(s.knee()))
 	return v
 }
 
@@ -99,7 +107,7 @@
 		Runner:   e.info,
 		Meter:    e.meter,
 		Loads:    loads,
-		Others:   wick.EndpointLoad{Running: max(e.total.Running-e.told.Running, 0), Waiting: max(e.total.Waiting-e.told.Waiting, 0)},
+		Others:   wick.EndpointLoad{Running: max(e.total.Running-e.told.Running, 0), Waiting: max(e.total.Waiting-e.told.Waiting, 0), Free: e.total.Free, Wants: e.total.Wants},
 		Adapters: e.adapters,
 		Cached:   e.cached,
 	}
@@ -156,13 +164,16 @@
 		live[r.Name] = true
 		e := s.endpoints[r.Name]
 		if e == nil || e.info.Started != r.Started {
-			e = &endpoint{shard: terms.ShardOf(r.Name), meter: tally.NewMeter(), adapters: loadedAt(r, now)}
+			e = &endpoint{shard: terms.ShardOf(r.Name), meter: tally.NewMeter(), adapters: loadedAt(r, now), recent: slots.NewRecent()}
 			s.endpoints[r.Name] = e
 			delete(s.ledgers, r.Name)
 		}
 		if e.info != r {
-			e.info, e.cached = r, weightSet(r.Cached)
-			e.view = nil
+			e.info, e.view = r, nil
+			for _, w := range r.Cached {
+				e.recent.Add(now, w, s.slotsOf(e))
+			}
+			e.cached = e.recent.Set()
 		}
 		s.order = append(s.order, e)
 	}
@@ -176,17 +187,12 @@
 }
 
 func loadedAt(r *wick.Runner, now wick.Instant) map[wick.Weights]Residence {
-	m := make(map[wick.Weights]Residence, len(r.Loaded))
+	m := make(map[wick.Weights]Residence, len(r.Models)+len(r.Loaded))
+	for _, name := range r.Models {
+		m[wick.Weights{Model: name}] = Residence{Ready: now}
+	}
 	for _, l := range r.Loaded {
 		m[l.Weights] = Residence{Revision: l.Revision, Ready: now}
 	}
 	return m
 }
-
-func weightSet(list []wick.Weights) map[wick.Weights]bool {
-	m := make(map[wick.Weights]bool, len(list))
-	for _, w := range list {
-		m[w] = true
-	}
-	return m
-}
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -222,4 +222,3 @@
 	}
 	return slog.LevelWarn
 }
-
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -121,9 +121,7 @@
 		within = defaultWithin
 	}
 	t.deadline = t.start.Add(min(within, route.Timeout.Std()))
-	if x.Adapter != "" {
-		t.weights = wick.Weights{Model: x.Model, Adapter: x.Adapter}
-	}
+	t.weights = wick.Weights{Model: x.Model, Adapter: x.Adapter}
 	t.avoid = make(map[wick.EndpointName]bool)
 	s.cfg.Retry.Earn()
 	return nil
--- a/direct/task.go
+++ b/direct/task.go
@@ -15,7 +15,16 @@
 	wantEvery = 400 * time.Millisecond
 	// wantFor is how long a request waits for an endpoint that does not begin
 	// to load before it looks for another one.
-	wantFor = 900 * time.Millisecond
+	wantFor = 1500 * time.Millisecond
+	// leastPatience, objectivePatience and gapPatience tell how long a caller
+	// waits for the first event of a stream: the longest of a time and of
+	// multiples of the route's objective and of its longest pause.
+	leastPatience     = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+	// patiencePart is the part of that time within which the first event must
+	// be expected.
+	patiencePart = 0.85
 	// earlyFor is how long after the expected end of a load a refusal is put
 	// down to the load, and earlyPause the pause before the next try.
 	earlyFor   = time.Second
@@ -49,7 +58,7 @@
 	avoid map[wick.EndpointName]bool
 	// sends counts sends, ran endpoints that may have run the request.
 	sends, ran int
-	// last is the endpoint of the newest send.
+	// last is the endpoint that was picked last.
 	last wick.EndpointName
 	// estimate is the expected time to the first token, as of the last pick.
 	estimate time.Duration
@@ -155,11 +164,15 @@
 		if r == nil {
 			return target{}, t.refuse(wick.CodeNoEndpoint, "no endpoint of %s can take the request", t.pool)
 		}
+		if late := t.hopeless(now, r.Name != chosen); late > 0 {
+			return target{}, t.refuse(wick.CodeOverload, "the answer would begin %v too late", late)
+		}
 		if r.Name != chosen {
 			chosen, since, asked = r.Name, now, now.Add(-wantEvery)
+			t.last = chosen
 		}
 		res, holds := t.residence(v, r, now)
-		if t.weights.Adapter == "" || holds && now >= res.Ready {
+		if holds && now >= res.Ready {
 			return target{r, res.Revision, res.Ready}, nil
 		}
 		if !holds && now.Sub(asked) >= wantEvery {
@@ -178,6 +191,20 @@
 	}
 }
 
+// hopeless returns by how much the first event is expected after the caller
+// has left, if it is. planned tells that the estimate is as of now.
+func (t *task) hopeless(now wick.Instant, planned bool) time.Duration {
+	if t.route.Kind != wick.KindStream || t.started {
+		return 0
+	}
+	most := max(leastPatience, objectivePatience*t.route.Objective.Std(), gapPatience*t.route.Gap.Std())
+	begins := now.Sub(t.start)
+	if planned {
+		begins += t.estimate
+	}
+	return begins - time.Duration(float64(most)*patiencePart)
+}
+
 // wait waits for a time, for a newer view, or for the end of the request.
 func (t *task) wait(ctx context.Context, v *coord.View, now wick.Instant, d time.Duration) error {
 	if t.left() < leastLeft {
@@ -198,13 +225,16 @@
 // residence returns the state of the request's adapter at an endpoint, if it
 // holds a version that may still be used.
 func (t *task) residence(v *coord.View, r *coord.Runner, now wick.Instant) (coord.Residence, bool) {
-	if t.weights.Adapter == "" {
+	if t.weights.Model == "" {
 		return coord.Residence{}, true
 	}
 	res, ok := r.Adapters[t.weights]
-	if !ok {
+	if _, base := r.Adapters[t.weights.Base()]; !ok || !base {
 		return res, false
 	}
+	if t.weights.Adapter == "" {
+		return res, true
+	}
 	newest := v.Newest[t.weights]
 	// A request may wait at the endpoint before it begins, so the older
 	// version is given up well before the bound.
@@ -226,7 +256,7 @@
 		return nil
 	}
 	cands := t.candidates(v, now, list)
-	in := choose.Input{Adapter: t.weights, Prompt: t.exchange.PromptTokens, Domain: t.server.cfg.Domain, Random: uint64(now)}
+	in := choose.Input{Adapter: t.weights, Prompt: t.exchange.PromptTokens, Domain: t.server.cfg.Domain, Crowd: v.Crowd, Random: uint64(now)}
 	i := -1
 	if engine := v.Site.Pools[t.pool].Engine; engine != nil {
 		i, t.estimate = choose.Engine(in, cands)
@@ -245,6 +275,7 @@
 	for i, r := range list {
 		m := r.Meter.Read(now)
 		res, holds := t.residence(v, r, now)
+		_, base := r.Adapters[t.weights.Base()]
 		cands[i] = choose.Candidate{
 			Name:    r.Name,
 			Domain:  r.Domain,
@@ -256,6 +287,9 @@
 			Avoid:   t.avoid[r.Name],
 			Holds:   holds,
 			ReadyIn: res.Ready.Sub(now),
+			Base:    base,
+			Free:    r.Others.Free,
+			Wants:   r.Others.Wants,
 			Cached:  r.Cached[t.weights],
 			Loads:   r.Loads,
 		}
--- a/fleet.go
+++ b/fleet.go
@@ -22,14 +22,23 @@
 	Shard int
 )
 
-// Weights names an adapter of a model.
+// Weights names an adapter of a model, or the model itself where Adapter is
+// empty.
 type Weights struct {
 	Model   ModelName   `cbor:"1,keyasint"`
 	Adapter AdapterName `cbor:"2,keyasint,omitempty"`
 }
 
-// String returns "model/adapter".
-func (w Weights) String() string { return string(w.Model) + "/" + string(w.Adapter) }
+// String returns "model/adapter", or "model".
+func (w Weights) String() string {
+	if w.Adapter == "" {
+		return string(w.Model)
+	}
+	return string(w.Model) + "/" + string(w.Adapter)
+}
+
+// Base returns the model that w belongs to.
+func (w Weights) Base() Weights { return Weights{Model: w.Model} }
 
 // Loaded is an adapter in the memory of an endpoint.
 type Loaded struct {
@@ -76,6 +85,8 @@
 	Timeout Duration
 	// Objective is the time for which the answer, or its first event, aims.
 	Objective Duration
+	// Gap is the longest pause between events of a stream for which it aims.
+	Gap Duration
 	// Rank is the priority, 0 first.
 	Rank int
 	// Attempts is how many endpoints may run one request; positive.
@@ -106,6 +117,11 @@
 	Slots        Slots
 	AdapterSlots Slots
 	CacheTokens  Tokens
+	// Models lists the base models of the pool.
+	Models []ModelName
+	// ModelLoads is how many base models may be loaded from the weight store a
+	// second, over all endpoints; 0 if nothing says so.
+	ModelLoads PerSecond
 }
 
 // Fact is one record of the platform about the world outside. Exactly one of
@@ -163,8 +179,11 @@
 type RunnerReport struct {
 	Started  Started
 	Orders   OrderCount
+	Models   []ModelName
 	Loaded   []Loaded
 	Incoming []Loaded
+	// Busy tells that a base model is being loaded or dropped.
+	Busy bool
 }
 
 // Fleet gives orders to endpoints and asks for their reports.
--- a/instance.go
+++ b/instance.go
@@ -33,6 +33,11 @@
 	// read yet.
 	Running int    `cbor:"1,keyasint,omitempty"`
 	Waiting Tokens `cbor:"2,keyasint,omitempty"`
+	// Free counts the adapters that could be loaded now, without those that
+	// are waited for; negative if more are waited for. Only holders tell it.
+	Free int `cbor:"3,keyasint,omitempty"`
+	// Wants counts the adapters that are waited for.
+	Wants int `cbor:"4,keyasint,omitempty"`
 }
 
 // NamedLoad is the load of a named endpoint.
--- a/hub/hub.go
+++ b/links/hub.go
@@ -1,8 +1,8 @@
-// Package hub links daemons to the holders of terms. A link is one TCP
+// Package links connects daemons to the holders of terms. A link is one TCP
 // connection that carries CBOR messages both ways, each with its length before
 // it. Links stay inside the machines of one deployment and carry no content of
 // requests, so they are not encrypted.
-package hub
+package links
 
 import (
 	"bufio"
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -9,7 +9,7 @@
 
 	"currantwick"
 	"currantwick/coord"
-	"currantwick/hub"
+	"currantwick/links"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -31,7 +31,7 @@
 	ctx context.Context
 	// thread and hub are set by Start, before the thread runs.
 	thread *coord.Thread
-	hub    *hub.Hub
+	hub    *links.Hub
 }
 
 var _ wick.Steps = (*Steps)(nil)
@@ -41,7 +41,7 @@
 
 // Start tells where outcomes go. It is called once, before the thread runs. All
 // that is under way ends with ctx.
-func (s *Steps) Start(ctx context.Context, t *coord.Thread, h *hub.Hub) {
+func (s *Steps) Start(ctx context.Context, t *coord.Thread, h *links.Hub) {
 	s.ctx, s.thread, s.hub = ctx, t, h
 }
 
@@ -58,7 +58,7 @@
 	s.run(func() {
 		began := s.cfg.Clock.Now()
 		b, err := s.cfg.Store.Read(s.ctx, topic, from, wait)
-		s.thread.TopicRead(topic, false, began, b, err)
+		s.thread.TopicRead(topic, false, began, wait, b, err)
 	})
 }
 
@@ -67,7 +67,7 @@
 	s.run(func() {
 		began := s.cfg.Clock.Now()
 		b, err := s.cfg.Store.Newest(s.ctx, topic)
-		s.thread.TopicRead(topic, true, began, b, err)
+		s.thread.TopicRead(topic, true, began, 0, b, err)
 	})
 }
 
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -16,8 +16,13 @@
 )
 
 const (
-	// maxIncoming is how many adapters an endpoint loads at once.
-	maxIncoming = 4
+	// maxIncoming is how many adapters an endpoint loads at once, and
+	// crowdedIncoming how many while the weight store is slow: it serves no more
+	// then, and those that come later may be wanted more.
+	maxIncoming     = 4
+	crowdedIncoming = 2
+	// crowdedFrom is from when the weight store counts as slow.
+	crowdedFrom = 1.3
 	// defaultFresh and defaultCached are the times of a load from the weight
 	// store and from a copy at the endpoint, as the platform's sheets state
 	// them, with the way there and back. Both are adjusted by what happens.
@@ -33,7 +38,7 @@
 	shrink   = 0.995
 	// restTime is how long an adapter must be idle before it may be unloaded:
 	// the age of the newest figures of all daemons, and the way of a request.
-	restTime = 500 * time.Millisecond
+	restTime = 150 * time.Millisecond
 	// retryTime is the pause after an order that was refused or lost, and
 	// reportLag the age that reports of endpoints may have.
 	retryTime = 150 * time.Millisecond
@@ -41,8 +46,6 @@
 	// wantFor is how long a wish for an adapter counts after it was last made;
 	// longer than the interval at which waiting requests repeat it.
 	wantFor = 700 * time.Millisecond
-	// maxRecent bounds how many adapters are remembered as cached.
-	maxRecent = 2048
 )
 
 // Place is an adapter in a slot.
@@ -67,8 +70,11 @@
 // want is an adapter that requests wait for.
 type want struct {
 	revision wick.Revision
-	since    wick.Instant
-	last     wick.Instant
+	// count is how often the adapter was asked for; each waiting request does
+	// so again after a while.
+	count int
+	since wick.Instant
+	last  wick.Instant
 	// after is when the next order for it may be made.
 	after wick.Instant
 }
@@ -90,9 +96,13 @@
 // safe for concurrent use.
 type Ledger struct {
 	capacity wick.Slots
-	places   map[wick.Weights]*Place
-	wants    map[wick.Weights]*want
-	recent   map[wick.Weights]bool
+	// base is the model that an empty endpoint loads, and models those that it
+	// holds.
+	base   wick.ModelName
+	models map[wick.ModelName]bool
+	places map[wick.Weights]*Place
+	wants  map[wick.Weights]*want
+	recent *Recent
 	// orders is the number of orders that the endpoint accepted.
 	orders wick.OrderCount
 	// synced tells that orders and places are known. least is the lowest number
@@ -104,25 +114,37 @@
 	// next is the earliest time for the next step.
 	next          wick.Instant
 	fresh, cached time.Duration
+	// crowd is by how much loads from the weight store take longer now.
+	crowd float64
 }
 
-// New returns the ledger of an endpoint that holds at most capacity adapters.
-func New(capacity wick.Slots) *Ledger {
+// New returns the ledger of an endpoint that holds at most capacity adapters
+// and, if nothing else is wanted, the model base. recent is what it held last.
+func New(capacity wick.Slots, base wick.ModelName, recent *Recent) *Ledger {
 	return &Ledger{
 		capacity: capacity,
+		base:     base,
+		models:   make(map[wick.ModelName]bool),
 		places:   make(map[wick.Weights]*Place),
 		wants:    make(map[wick.Weights]*want),
-		recent:   make(map[wick.Weights]bool),
+		recent:   recent,
 		fresh:    defaultFresh,
 		cached:   defaultCached,
+		crowd:    1,
 	}
 }
 
-// Leaving tells that the adapter was ordered out while it was in use.
-func (p Place) Leaving() bool { return p.leaving }
+// Usable tells that requests may count on the adapter: neither was it ordered
+// out while it was in use, nor was the order to load it lost.
+func (p Place) Usable() bool { return !p.leaving && !p.unsure }
 
-// Places calls yield for each adapter that has a slot.
+// Places calls yield for each model and each adapter that has a slot.
 func (l *Ledger) Places(yield func(wick.Weights, Place) bool) {
+	for m := range l.models {
+		if !yield(wick.Weights{Model: m}, Place{}) {
+			return
+		}
+	}
 	for w, p := range l.places {
 		if !yield(w, *p) {
 			return
@@ -133,18 +155,17 @@
 // SetCapacity changes how many adapters the endpoint holds.
 func (l *Ledger) SetCapacity(n wick.Slots) { l.capacity = n }
 
-// Copies notes adapters of which the endpoint has a copy at hand.
-func (l *Ledger) Copies(list []wick.Weights) {
-	if len(l.recent) > maxRecent {
-		clear(l.recent)
-	}
-	for _, w := range list {
-		l.recent[w] = true
-	}
+// SetCrowd tells how many adapters are on their way to all endpoints, and from
+// how many on each takes longer in proportion.
+func (l *Ledger) SetCrowd(incoming, knee int) {
+	l.crowd = max(1, float64(incoming+1)/float64(max(knee, 1)))
 }
 
 // Want notes that requests wait for an adapter, at least at a version.
 func (l *Ledger) Want(now wick.Instant, w wick.Weights, r wick.Revision) {
+	if w.Adapter == "" && l.models[w.Model] {
+		return
+	}
 	if p := l.places[w]; p != nil && p.Revision >= r && !p.leaving {
 		p.Used = now
 		return
@@ -154,6 +175,7 @@
 		v = &want{since: now}
 		l.wants[w] = v
 	}
+	v.count++
 	v.revision, v.last = max(v.revision, r), now
 }
 
@@ -186,22 +208,16 @@
 
 // Doubt notes that the endpoint does not hold an adapter that it should.
 func (l *Ledger) Doubt(now wick.Instant, w wick.Weights) {
-	if p := l.places[w]; p == nil || p.incoming {
+	if p := l.places[w]; w.Adapter != "" && (p == nil || p.incoming) {
 		return
 	}
 	l.synced, l.least = false, l.orders
 	l.next = max(l.next, now)
 }
 
-// Unknown notes that the state of the endpoint must be asked for, as of at
-// least reportLag from now.
-func (l *Ledger) Unknown(now wick.Instant) {
-	l.synced, l.least = false, 0
-	l.next = max(l.next, now)
-}
-
-// Next returns the next step, or the time until which there is none.
-func (l *Ledger) Next(now wick.Instant) (Step, wick.RunnerOrder, wick.Instant) {
+// Next returns the next step, or the time until which there is none. models
+// tells that a base model may be loaded now.
+func (l *Ledger) Next(now wick.Instant, models bool) (Step, wick.RunnerOrder, wick.Instant) {
 	if l.busy {
 		return StepNone, wick.RunnerOrder{}, now.Add(mostTime)
 	}
@@ -213,22 +229,33 @@
 		return StepInspect, wick.RunnerOrder{}, 0
 	}
 	l.settle(now)
-	w, v := l.choose(now)
-	if v == nil {
-		return StepNone, wick.RunnerOrder{}, now.Add(retryTime)
-	}
-	o := wick.RunnerOrder{Kind: wick.OrderLoad, Weights: w, Revision: v.revision, Expected: l.orders}
-	if l.taken() >= l.capacity {
-		victim, ok := l.victim(now)
-		if !ok {
-			return StepNone, wick.RunnerOrder{}, now.Add(retryTime / 2)
-		}
-		o = wick.RunnerOrder{Kind: wick.OrderUnload, Weights: victim, Expected: l.orders}
+	o, ok := l.order(now, models)
+	if !ok {
+		return StepNone, wick.RunnerOrder{}, now.Add(retryTime / 2)
 	}
+	o.Expected = l.orders
 	l.busy = true
 	return StepOrder, o, 0
 }
 
+// order returns the order that should be given now.
+func (l *Ledger) order(now wick.Instant, models bool) (wick.RunnerOrder, bool) {
+	w, v := l.choose(now)
+	if v == nil && len(l.models) == 0 && l.base != "" {
+		w, v = wick.Weights{Model: l.base}, &want{}
+	}
+	switch {
+	case v == nil:
+		return wick.RunnerOrder{}, false
+	case !l.models[w.Model]:
+		return wick.RunnerOrder{Kind: wick.OrderLoad, Weights: w.Base()}, models
+	case l.taken() < l.capacity:
+		return wick.RunnerOrder{Kind: wick.OrderLoad, Weights: w, Revision: v.revision}, true
+	}
+	victim, ok := l.victim(now)
+	return wick.RunnerOrder{Kind: wick.OrderUnload, Weights: victim}, ok
+}
+
 // settle ends loads whose time is over and forgets wants that nobody repeats.
 func (l *Ledger) settle(now wick.Instant) {
 	for _, p := range l.places {
@@ -259,7 +286,7 @@
 	return wick.Slots(n)
 }
 
-// choose returns the adapter that waited longest, if one more may be loaded.
+// choose returns the adapter that was asked for most, if one more may be loaded.
 func (l *Ledger) choose(now wick.Instant) (wick.Weights, *want) {
 	incoming := 0
 	for _, p := range l.places {
@@ -267,7 +294,7 @@
 			incoming++
 		}
 	}
-	if incoming >= maxIncoming {
+	if incoming >= maxIncoming || incoming >= crowdedIncoming && l.crowd > crowdedFrom {
 		return wick.Weights{}, nil
 	}
 	var best wick.Weights
@@ -279,19 +306,27 @@
 		if p := l.places[w]; p != nil && (p.incoming || p.leaving) {
 			continue
 		}
-		if found == nil || v.since < found.since || v.since == found.since && w.String() < best.String() {
+		if found == nil || v.before(found) || !found.before(v) && w.String() < best.String() {
 			best, found = w, v
 		}
 	}
 	return best, found
 }
 
+// before tells that v is loaded before u.
+func (v *want) before(u *want) bool {
+	if v.count != u.count {
+		return v.count > u.count
+	}
+	return v.since < u.since
+}
+
 // victim returns the idle adapter that was used longest ago.
 func (l *Ledger) victim(now wick.Instant) (wick.Weights, bool) {
 	var best wick.Weights
 	var found *Place
 	for w, p := range l.places {
-		if p.InUse > 0 || p.incoming || p.leaving || now.Sub(p.Used) < restTime {
+		if !p.idle(now) {
 			continue
 		}
 		if found == nil || p.Used < found.Used || p.Used == found.Used && w.String() < best.String() {
@@ -301,6 +336,67 @@
 	return best, found != nil
 }
 
+// idle tells that the adapter may be unloaded.
+func (p *Place) idle(now wick.Instant) bool {
+	return p.InUse == 0 && !p.incoming && !p.leaving && now.Sub(p.Used) >= restTime
+}
+
+// Free counts the adapters that could be loaded now, without those that are
+// waited for.
+func (l *Ledger) Free(now wick.Instant) int {
+	free := int(l.capacity-l.taken()) - len(l.wants)
+	for _, p := range l.places {
+		if p.idle(now) {
+			free++
+		}
+	}
+	return free
+}
+
+// Wants counts the adapters that are waited for.
+func (l *Ledger) Wants() int { return len(l.wants) }
+
+// Census counts the slots of an endpoint by what they are used for, and the
+// adapters that are waited for.
+type Census struct {
+	Slots, InUse, Incoming, Leaving, Unsure, Replaced, Wants int
+	// Oldest is how long the first of the adapters is waited for.
+	Oldest time.Duration
+	// Synced tells that the endpoint's state is known, Busy that an order is
+	// under way.
+	Synced, Busy bool
+}
+
+// Census returns the census.
+func (l *Ledger) Census(now wick.Instant) Census {
+	c := Census{Slots: int(l.capacity), Wants: len(l.wants), Synced: l.synced, Busy: l.busy}
+	for _, p := range l.places {
+		c.count(p)
+	}
+	for _, v := range l.wants {
+		c.Oldest = max(c.Oldest, now.Sub(v.since))
+	}
+	return c
+}
+
+func (c *Census) count(p *Place) {
+	if p.InUse > 0 {
+		c.InUse++
+	}
+	if p.incoming {
+		c.Incoming++
+	}
+	if p.leaving {
+		c.Leaving++
+	}
+	if p.unsure {
+		c.Unsure++
+	}
+	if p.replaced {
+		c.Replaced++
+	}
+}
+
 // Ordered takes the answer to the order that Next returned.
 func (l *Ledger) Ordered(now wick.Instant, o wick.RunnerOrder, r wick.OrderResult) {
 	l.busy = false
@@ -337,6 +433,7 @@
 	if o.Kind == wick.OrderUnload {
 		if r == wick.OrderHeld {
 			delete(l.places, o.Weights)
+			l.recent.Add(now, o.Weights, l.capacity)
 			return
 		}
 		if p := l.places[o.Weights]; p != nil {
@@ -347,8 +444,14 @@
 		l.next = now.Add(reportLag)
 		return
 	}
-	l.place(now, o)
 	delete(l.wants, o.Weights)
+	if o.Weights.Adapter == "" {
+		// Only the endpoint knows when the model is loaded.
+		l.synced, l.least = false, l.orders
+		l.next = now.Add(reportLag)
+		return
+	}
+	l.place(now, o)
 	if r == wick.OrderHeld {
 		l.places[o.Weights].Ready = now
 	}
@@ -356,8 +459,8 @@
 
 // place gives an adapter that is being loaded a slot.
 func (l *Ledger) place(now wick.Instant, o wick.RunnerOrder) {
-	cached := l.recent[o.Weights]
-	takes := l.fresh
+	cached := l.recent.Has(o.Weights)
+	takes := time.Duration(float64(l.fresh) * l.crowd)
 	if cached {
 		takes = l.cached
 	}
@@ -366,14 +469,14 @@
 		p.InUse, p.replaced = old.InUse, true
 	}
 	l.places[o.Weights] = p
-	l.recent[o.Weights] = true
+	l.recent.Add(now, o.Weights, l.capacity)
 }
 
 // lost keeps a slot for an adapter that may be loaded, and repeats the order,
 // which settles what became of it.
 func (l *Ledger) lost(now wick.Instant, o wick.RunnerOrder) {
-	l.next = now.Add(retryTime)
-	if o.Kind == wick.OrderUnload {
+	l.next = now
+	if o.Kind == wick.OrderUnload || o.Weights.Adapter == "" {
 		l.synced, l.least = false, o.Expected
 		return
 	}
@@ -382,7 +485,7 @@
 		p := l.places[o.Weights]
 		p.Ready, p.incoming, p.unsure = now.Add(mostTime), false, true
 	}
-	l.wants[o.Weights] = &want{revision: o.Revision, since: now, last: now.Add(mostTime)}
+	l.wants[o.Weights] = &want{revision: o.Revision, count: 1, since: now, last: now.Add(mostTime)}
 }
 
 // Inspected takes a report of the endpoint. A failed one is asked for again.
@@ -392,6 +495,10 @@
 		l.next = now.Add(reportLag)
 		return
 	}
+	clear(l.models)
+	for _, m := range r.Models {
+		l.models[m] = true
+	}
 	old := l.places
 	l.places = make(map[wick.Weights]*Place, len(r.Loaded)+len(r.Incoming))
 	for _, v := range r.Loaded {
@@ -406,10 +513,13 @@
 		if was := old[w]; was != nil {
 			p.Used, p.InUse, p.leaving = was.Used, was.InUse, was.leaving
 		}
-		l.recent[w] = true
+		l.recent.Add(now, w, l.capacity)
 	}
-	l.orders, l.synced = r.Orders, true
+	l.orders, l.synced = r.Orders, !r.Busy
 	l.next = now
+	if r.Busy {
+		l.least, l.next = r.Orders, now.Add(reportLag)
+	}
 	for _, p := range l.places {
 		if p.leaving {
 			l.synced, l.least = false, r.Orders
--- a/verbs/gateway.go
+++ b/verbs/gateway.go
@@ -7,7 +7,10 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"os/signal"
+	"reflect"
 	"strings"
+	"syscall"
 
 	"currantwick"
 	"currantwick/boot"
@@ -43,14 +46,14 @@
 	if err != nil {
 		return Usage, err
 	}
-	if err := serveGateway(ctx, env, daemon, *metrics, lowest); err != nil {
+	if err := serveGateway(ctx, env, *file, *metrics, daemon, lowest); err != nil {
 		return Failed, err
 	}
 	return Done, nil
 }
 
 // serveGateway runs a daemon and the writer of its log.
-func serveGateway(ctx context.Context, env Env, d wick.Daemon, metrics string, lowest slog.Level) error {
+func serveGateway(ctx context.Context, env Env, file, metrics string, d wick.Daemon, lowest slog.Level) error {
 	queue := logs.NewQueue()
 	log := queue.Logger(lowest).With("host", d.Host)
 	registry := prometheus.NewRegistry()
@@ -71,6 +74,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return queue.Run(writing, env.Out) })
 	log.Info("start", "domain", d.Domain, "callers", d.Callers, "peers", d.Peers, "store", d.Store, "memory", d.Memory, "fenced", d.Bounds.Fenced)
+	group.Go(func() error { return recheck(writing, log, file, d) })
 	err = g.Run(ctx)
 	log.Info("stop", "err", fmt.Sprint(err))
 	done()
@@ -80,6 +84,28 @@
 	return err
 }
 
+// recheck reads the settings file again at each SIGHUP until ctx ends. What a
+// daemon is told at its start holds until it is started again, so a change is
+// only logged.
+func recheck(ctx context.Context, log *slog.Logger, file string, running wick.Daemon) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+		}
+		d, err := platform.LoadSettings(file)
+		if err != nil {
+			log.Error("reload", "kept", "the settings of the start", "err", err)
+			continue
+		}
+		log.Info("reload", "changed", !reflect.DeepEqual(d, running))
+	}
+}
+
 func metricsHandler(r *prometheus.Registry) http.Handler {
 	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
 }
