--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -43,11 +43,13 @@
 	// garbagePercent lets the heap, which is small, grow threefold between
 	// collections.
 	garbagePercent = 200
-	// stopMargin is how long before the kill a stopping daemon ends, and
-	// lameFor how long it serves callers that have not heard of the stop, as a
-	// part of the grace time.
-	stopMargin = time.Second
-	lameFor    = 0.45
+	// stopMargin is how long before the kill a stopping daemon ends.
+	stopMargin = 400 * time.Millisecond
+	// lameFor is how long it takes requests of callers that have not heard of
+	// the stop; streams that begin later may not end before the kill.
+	// lamePart bounds it to a part of the grace time.
+	lameFor  = 2800 * time.Millisecond
+	lamePart = 0.4
 	// sweepEvery is how often idle connections are looked through.
 	sweepEvery = time.Second
 	// retryPart is the part of the shared budget of repeats that is used; the
@@ -254,7 +256,7 @@
 			s.server.SetKeepAlivesEnabled(false)
 		}
 	}
-	lame := time.Duration(float64(grace) * lameFor)
+	lame := min(lameFor, time.Duration(float64(grace)*lamePart))
 	pause.For(context.Background(), lame)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-lame-stopMargin)
 	defer cancel()
--- a/coord/links.go
+++ b/coord/links.go
@@ -233,9 +233,14 @@
 		}
 	}
 	for _, r := range u.Records {
-		if r.Topic < wick.Topics {
-			s.record(now, r.Topic, wick.KeyedRecord{Offset: r.Offset, Key: r.Key, Value: r.Value}, false)
+		if r.Topic >= wick.Topics {
+			continue
+		}
+		from := fromHolder
+		if r.Certain {
+			from = fromCertain
 		}
+		s.record(now, r.Topic, wick.KeyedRecord{Offset: r.Offset, Key: r.Key, Value: r.Value}, from)
 	}
 	for _, name := range u.Reset {
 		if e := s.endpoints[name]; e != nil {
--- a/coord/topics.go
+++ b/coord/topics.go
@@ -147,7 +147,7 @@
 		return
 	}
 	for _, rec := range e.batch.Records {
-		s.record(now, t.id, rec, true)
+		s.record(now, t.id, rec, fromStore)
 	}
 	t.next = e.batch.Next
 	if e.newest {
@@ -198,40 +198,54 @@
 	}
 }
 
-// record takes a record, read from the store by this daemon or a holder.
-func (s *state) record(now wick.Instant, topic wick.Topic, rec wick.KeyedRecord, own bool) {
+// source tells how a record came to this daemon.
+type source uint8
+
+const (
+	// fromStore is a record that this daemon read.
+	fromStore source = iota
+	// fromHolder is one that a holder read, and fromCertain one of an endpoint
+	// that a holder judged to be gone.
+	fromHolder
+	fromCertain
+)
+
+// record takes a record.
+func (s *state) record(now wick.Instant, topic wick.Topic, rec wick.KeyedRecord, from source) {
 	changed := false
 	if topic == wick.TopicDaemons {
 		changed = s.daemonRecord(now, rec)
 	} else {
-		changed = s.factRecord(now, topic, rec, own)
+		changed = s.factRecord(now, topic, rec, from)
 	}
-	if !changed {
+	lapsed := topic == wick.TopicRunners && len(rec.Value) == 0 && from == fromStore
+	if !changed && !lapsed {
 		return
 	}
-	raw := wick.RelayedRecord{Topic: topic, Offset: rec.Offset, Key: rec.Key, Value: rec.Value}
-	s.raw[topic][rec.Key] = raw
-	if own {
+	raw := wick.RelayedRecord{Topic: topic, Offset: rec.Offset, Key: rec.Key, Value: rec.Value, Certain: lapsed && changed}
+	if changed {
+		s.raw[topic][rec.Key] = raw
+	}
+	if from == fromStore {
 		s.out.records = append(s.out.records, raw)
 	}
 }
 
 // relayGone tells linked daemons that an endpoint is gone.
 func (s *state) relayGone(f wick.Fact) {
-	raw := wick.RelayedRecord{Topic: wick.TopicRunners, Offset: f.Offset, Key: string(f.Gone)}
+	raw := wick.RelayedRecord{Topic: wick.TopicRunners, Offset: f.Offset, Key: string(f.Gone), Certain: true}
 	s.raw[wick.TopicRunners][raw.Key] = raw
 	s.out.records = append(s.out.records, raw)
 }
 
 // factRecord takes a record of the operator or of an endpoint.
-func (s *state) factRecord(now wick.Instant, topic wick.Topic, rec wick.KeyedRecord, own bool) bool {
+func (s *state) factRecord(now wick.Instant, topic wick.Topic, rec wick.KeyedRecord, from source) bool {
 	f, err := s.cfg.Reader.Decode(topic, rec)
 	if err != nil {
 		s.log.Warn("record refused", "topic", topic, "key", rec.Key, "offset", rec.Offset, "err", err)
 		return false
 	}
-	// A holder tells of an endpoint's end only when it is certain.
-	certain := f.Gone != "" && !own
+	certain := from == fromCertain
 	if certain && !s.facts.Remove(f) || !certain && !s.facts.Apply(now, f) {
 		return false
 	}
--- a/instance.go
+++ b/instance.go
@@ -100,6 +100,10 @@
 	Offset Offset `cbor:"2,keyasint"`
 	Key    string `cbor:"3,keyasint"`
 	Value  []byte `cbor:"4,keyasint,omitempty"`
+	// Certain tells of a record without value that the holder has judged the
+	// endpoint to be gone. Otherwise the entry may have lapsed in an outage
+	// that only the holder saw.
+	Certain bool `cbor:"5,keyasint,omitempty"`
 }
 
 // HolderUpdate is what a holder of terms tells the daemons linked to it. Fields
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -402,12 +402,16 @@
 	l.busy = false
 	switch r {
 	case wick.OrderStarted, wick.OrderHeld:
-		l.orders = o.Expected + 1
+		l.orders = o.Expected
+		if r == wick.OrderStarted || o.Kind == wick.OrderUnload {
+			// A load of what is already held is not counted.
+			l.orders++
+		}
 		l.forgetUnsure()
 		l.accepted(now, o, r)
 	case wick.OrderConflict:
 		// Either an order that was lost has been carried out, or a late one.
-		l.synced, l.least = false, o.Expected
+		l.synced, l.least = false, 0
 		l.next = now.Add(reportLag)
 	case wick.OrderLost:
 		l.lost(now, o)
