--- a/arch_test.go
+++ b/arch_test.go
@@ -172,3 +172,46 @@
 		}
 	}
 }
+
+// platformNames are parts of the platform's names.
+var platformNames = []string{
+	"Currantwick-", "Kv-", "/currantwick/", "keyed.", "fencingToken", "pathPrefix", "sessionAffinity", "CURRANTWICK_BOOT",
+}
+
+func TestPlatformNamesStayInside(t *testing.T) {
+	for _, s := range sources(t) {
+		if s.isTest() || s.dir == "platform" {
+			continue
+		}
+		ast.Inspect(s.file, func(n ast.Node) bool {
+			lit, ok := n.(*ast.BasicLit)
+			if !ok || lit.Kind != token.STRING {
+				return true
+			}
+			for _, name := range platformNames {
+				if strings.Contains(lit.Value, name) {
+					t.Errorf("%s: %s is a name of the platform", s.pos(n), lit.Value)
+				}
+			}
+			return true
+		})
+	}
+}
+
+// platformImports are the packages of the project that the platform's adapter
+// may use; none of them decides anything.
+var platformImports = []string{"currantwick", "currantwick/conns"}
+
+func TestPlatformDecidesNothing(t *testing.T) {
+	for _, s := range sources(t) {
+		if s.isTest() || s.dir != "platform" {
+			continue
+		}
+		for _, imp := range s.file.Imports {
+			name := strings.Trim(imp.Path.Value, `"`)
+			if strings.HasPrefix(name, "currantwick") && !slices.Contains(platformImports, name) {
+				t.Errorf("%s: the platform's adapter imports %s", s.pos(imp), name)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/choose/choose_test.go
@@ -0,0 +1,92 @@
+package choose_test
+
+import (
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/choose"
+)
+
+func TestEngine(t *testing.T) {
+	w := wick.Weights{Model: "m", Adapter: "a"}
+	ready := choose.Candidate{Name: "ready", Domain: "d", Slots: 8, Base: true, Holds: true, Loads: true, Free: 4}
+	cold := choose.Candidate{Name: "cold", Domain: "d", Slots: 8, Base: true, Loads: true, Free: 4}
+	with := func(c choose.Candidate, f func(*choose.Candidate)) choose.Candidate {
+		f(&c)
+		return c
+	}
+	tests := []struct {
+		name string
+		list []choose.Candidate
+		want int
+	}{
+		{"none", nil, -1},
+		{"the one that holds the adapter", []choose.Candidate{cold, ready}, 1},
+		{"not behind a long prompt", []choose.Candidate{with(ready, func(c *choose.Candidate) { c.Waiting = 20000 }), cold}, 1},
+		{"not where it failed", []choose.Candidate{with(ready, func(c *choose.Candidate) { c.Avoid = true }), cold}, 1},
+		{"not one that fails others", []choose.Candidate{with(ready, func(c *choose.Candidate) { c.Fails = 0.8 }), cold}, 1},
+		{"not one that is slow", []choose.Candidate{with(ready, func(c *choose.Candidate) { c.Lag = time.Second }), cold}, 1},
+		{"not one that is full", []choose.Candidate{with(ready, func(c *choose.Candidate) { c.Running = 40 }), cold}, 1},
+		{"not one whose load has long to go", []choose.Candidate{with(ready, func(c *choose.Candidate) { c.ReadyIn = time.Second }), cold}, 1},
+		{"a copy at hand", []choose.Candidate{cold, with(cold, func(c *choose.Candidate) { c.Cached = true })}, 1},
+		{"a free slot", []choose.Candidate{with(cold, func(c *choose.Candidate) { c.Free = 0 }), cold}, 1},
+		{"fewer adapters waited for", []choose.Candidate{with(cold, func(c *choose.Candidate) { c.Wants = 9 }), cold}, 1},
+		{"the model is there", []choose.Candidate{with(cold, func(c *choose.Candidate) { c.Base = false }), cold}, 1},
+		{"the own domain", []choose.Candidate{with(ready, func(c *choose.Candidate) { c.Domain = "e" }), ready}, 1},
+		{"none that takes orders", []choose.Candidate{with(cold, func(c *choose.Candidate) { c.Loads = false })}, -1},
+		{"a holder without orders still serves", []choose.Candidate{with(ready, func(c *choose.Candidate) { c.Loads = false })}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, _ := choose.Engine(choose.Input{Adapter: w, Prompt: 500, Domain: "d"}, test.list)
+			if got != test.want {
+				t.Errorf("got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+func TestPlain(t *testing.T) {
+	idle := choose.Candidate{Name: "idle", Domain: "d", Slots: 6}
+	tests := []struct {
+		name string
+		list []choose.Candidate
+		want int
+	}{
+		{"none", nil, -1},
+		{"the idle one", []choose.Candidate{{Name: "busy", Domain: "d", Slots: 6, Running: 30}, idle}, 1},
+		{"not where it failed", []choose.Candidate{{Name: "bad", Domain: "d", Slots: 6, Avoid: true}, idle}, 1},
+		{"not the slow one", []choose.Candidate{{Name: "slow", Domain: "d", Slots: 6, Lag: 300 * time.Millisecond}, idle}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for random := range uint64(50) {
+				if got := choose.Plain(choose.Input{Domain: "d", Random: random}, test.list); got != test.want {
+					t.Fatalf("got %d, want %d", got, test.want)
+				}
+			}
+		})
+	}
+}
+
+// All daemons load an adapter on the same endpoints.
+func TestHomesAgree(t *testing.T) {
+	list := make([]choose.Candidate, 12)
+	for i := range list {
+		list[i] = choose.Candidate{Name: wick.EndpointName(rune('a' + i)), Domain: "d", Slots: 8, Base: true, Loads: true, Free: 4}
+	}
+	seen := make(map[int]bool)
+	for _, name := range []wick.AdapterName{"a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"} {
+		in := choose.Input{Adapter: wick.Weights{Model: "m", Adapter: name}, Domain: "d"}
+		first, _ := choose.Engine(in, list)
+		in.Random = 77
+		if again, _ := choose.Engine(in, list); again != first {
+			t.Errorf("%s: endpoint %d and then %d", name, first, again)
+		}
+		seen[first] = true
+	}
+	if len(seen) < 4 {
+		t.Errorf("eight adapters went to %d endpoints", len(seen))
+	}
+}
--- /dev/null
+++ b/facts/facts_test.go
@@ -0,0 +1,145 @@
+package facts_test
+
+import (
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/facts"
+)
+
+func ms(n int) wick.Instant { return wick.Instant(time.Duration(n) * time.Millisecond) }
+
+func runner(at wick.Offset, started wick.Started, draining bool) wick.Fact {
+	return wick.Fact{Offset: at, Runner: &wick.Runner{Name: "r", Pool: "p", Started: started, Draining: draining}}
+}
+
+func gone(at wick.Offset) wick.Fact { return wick.Fact{Offset: at, Gone: "r"} }
+
+func TestRunners(t *testing.T) {
+	type step struct {
+		at   wick.Instant
+		fact wick.Fact
+		// away and back tell that the store is lost or found at that instant.
+		away, back bool
+	}
+	tests := []struct {
+		name  string
+		steps []step
+		at    wick.Instant
+		there bool
+		// draining and started are those of an endpoint that is there.
+		draining bool
+		started  wick.Started
+	}{
+		{"described", []step{{fact: runner(1, 5, false)}}, 0, true, false, 5},
+		{"gone", []step{{fact: runner(1, 5, false)}, {fact: gone(2)}}, 0, false, false, 0},
+		{"an older end changes nothing", []step{{fact: runner(3, 5, false)}, {fact: gone(2)}}, 0, true, false, 5},
+		{"a late heartbeat takes no notice back", []step{{fact: runner(1, 5, true)}, {fact: runner(2, 5, false)}}, 0, true, true, 5},
+		{"a new incarnation does", []step{{fact: runner(1, 5, true)}, {fact: runner(2, 6, false)}}, 0, true, false, 6},
+		{"lapsed in an outage", []step{{fact: runner(1, 5, false)}, {away: true}, {fact: gone(2)}}, ms(9000), true, false, 5},
+		{
+			"lapsed and not back", []step{{fact: runner(1, 5, false)}, {away: true}, {fact: gone(2)}, {at: ms(100), back: true}},
+			ms(2500), false, false, 0,
+		},
+		{
+			"lapsed and still awaited", []step{{fact: runner(1, 5, false)}, {away: true}, {fact: gone(2)}, {at: ms(100), back: true}},
+			ms(2000), true, false, 5,
+		},
+		{
+			"lapsed and back", []step{{fact: runner(1, 5, false)}, {away: true}, {fact: gone(2)}, {at: ms(100), back: true}, {at: ms(200), fact: runner(3, 5, false)}},
+			ms(9000), true, false, 5,
+		},
+		{
+			"left by notice in an outage", []step{{fact: runner(1, 5, true)}, {away: true}, {fact: gone(2)}},
+			0, false, false, 0,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := facts.New()
+			for _, st := range test.steps {
+				switch {
+				case st.away:
+					s.Reach(st.at, false)
+				case st.back:
+					s.Reach(st.at, true)
+				default:
+					s.Apply(st.at, st.fact)
+				}
+			}
+			s.Expire(test.at)
+			r := s.Runner("r")
+			if (r != nil) != test.there {
+				t.Fatalf("there is %v, want %v", r != nil, test.there)
+			}
+			if r != nil && (r.Draining != test.draining || r.Started != test.started) {
+				t.Errorf("draining %v, started %d; want %v, %d", r.Draining, r.Started, test.draining, test.started)
+			}
+		})
+	}
+}
+
+func TestCompleteTakesOutTheMissing(t *testing.T) {
+	tests := []struct {
+		name  string
+		known map[wick.EndpointName]bool
+		end   wick.Offset
+		there bool
+	}{
+		{"listed", map[wick.EndpointName]bool{"r": true}, 9, true},
+		{"missing", nil, 9, false},
+		{"described later than the list", nil, 4, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := facts.New()
+			s.Apply(0, runner(5, 1, false))
+			s.Complete(ms(5000), test.known, test.end)
+			if there := s.Runner("r") != nil; there != test.there {
+				t.Errorf("there is %v, want %v", there, test.there)
+			}
+		})
+	}
+}
+
+func TestRoutes(t *testing.T) {
+	s := facts.New()
+	s.Apply(0, wick.Fact{Offset: 1, Site: &wick.Site{Version: 1, Routes: []wick.SiteRoute{
+		{Name: "root", Host: "h", Prefix: "/"}, {Name: "deep", Host: "h", Prefix: "/a/b/"}, {Name: "shallow", Host: "h", Prefix: "/a/"},
+		{Name: "other", Host: "g", Prefix: "/a/"},
+	}}})
+	tests := []struct {
+		host, path string
+		want       wick.RouteName
+	}{
+		{"h", "/a/b/c", "deep"},
+		{"h", "/a/bc", "shallow"},
+		{"h", "/a", "root"},
+		{"h", "/x", "root"},
+		{"g", "/a/b/", "other"},
+		{"g", "/b/", ""},
+		{"f", "/a/", ""},
+	}
+	for _, test := range tests {
+		r, ok := s.Routes().Find(test.host, test.path)
+		if r.Name != test.want || ok != (test.want != "") {
+			t.Errorf("%s%s: got route %q, want %q", test.host, test.path, r.Name, test.want)
+		}
+	}
+}
+
+func TestNothingGoesBack(t *testing.T) {
+	s := facts.New()
+	s.Apply(0, wick.Fact{Offset: 5, Site: &wick.Site{Version: 9}})
+	s.Apply(0, wick.Fact{Offset: 4, Site: &wick.Site{Version: 8}})
+	if site, _ := s.Site(); site.Version != 9 {
+		t.Errorf("configuration %d is in force, want 9", site.Version)
+	}
+	w := wick.Weights{Model: "m", Adapter: "a"}
+	s.Apply(0, wick.Fact{Offset: 6, Newer: &wick.Loaded{Weights: w, Revision: 3}})
+	s.Apply(0, wick.Fact{Offset: 7, Newer: &wick.Loaded{Weights: w, Revision: 2}})
+	if got := s.Newest()[w].Number; got != 3 {
+		t.Errorf("newest version is %d, want 3", got)
+	}
+}
--- /dev/null
+++ b/slots/slots_test.go
@@ -0,0 +1,227 @@
+package slots_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/slots"
+
+	"pgregory.net/rapid"
+)
+
+const base = wick.ModelName("m")
+
+func adapter(n int) wick.Weights {
+	return wick.Weights{Model: base, Adapter: wick.AdapterName(fmt.Sprintf("a%d", n))}
+}
+
+func ms(n int) wick.Instant { return wick.Instant(time.Duration(n) * time.Millisecond) }
+
+// engine is an endpoint that carries orders out as the platform says.
+type engine struct {
+	capacity int
+	models   bool
+	held     map[wick.Weights]wick.Revision
+	orders   wick.OrderCount
+	// late are orders that were not answered and may be carried out at any time.
+	late []wick.RunnerOrder
+}
+
+// take carries an order out, unless it expects another number of orders.
+func (e *engine) take(o wick.RunnerOrder) wick.OrderResult {
+	if o.Expected != e.orders {
+		return wick.OrderConflict
+	}
+	if o.Weights.Adapter == "" {
+		e.models = true
+		e.orders++
+		return wick.OrderStarted
+	}
+	if o.Kind == wick.OrderUnload {
+		delete(e.held, o.Weights)
+		e.orders++
+		return wick.OrderHeld
+	}
+	if r, ok := e.held[o.Weights]; ok && r >= o.Revision {
+		return wick.OrderHeld
+	}
+	e.held[o.Weights] = o.Revision
+	e.orders++
+	return wick.OrderStarted
+}
+
+func (e *engine) report() wick.RunnerReport {
+	r := wick.RunnerReport{Orders: e.orders}
+	if e.models {
+		r.Models = []wick.ModelName{base}
+	}
+	for w, v := range e.held {
+		r.Loaded = append(r.Loaded, wick.Loaded{Weights: w, Revision: v})
+	}
+	return r
+}
+
+func TestFirstSteps(t *testing.T) {
+	tests := []struct {
+		name   string
+		report wick.RunnerReport
+		wants  []wick.Weights
+		models bool
+		want   slots.Step
+		order  wick.RunnerOrder
+	}{
+		{
+			"empty endpoint loads the model", wick.RunnerReport{}, nil, true,
+			slots.StepOrder, wick.RunnerOrder{Kind: wick.OrderLoad, Weights: wick.Weights{Model: base}},
+		},
+		{"no model while the store's rate is used up", wick.RunnerReport{}, nil, false, slots.StepNone, wick.RunnerOrder{}},
+		{
+			"an adapter waits for its model", wick.RunnerReport{}, []wick.Weights{adapter(1)}, true,
+			slots.StepOrder, wick.RunnerOrder{Kind: wick.OrderLoad, Weights: wick.Weights{Model: base}},
+		},
+		{
+			"a free slot takes the adapter", wick.RunnerReport{Models: []wick.ModelName{base}, Orders: 3}, []wick.Weights{adapter(1)}, true,
+			slots.StepOrder, wick.RunnerOrder{Kind: wick.OrderLoad, Weights: adapter(1), Expected: 3},
+		},
+		{
+			"what is asked for most comes first", wick.RunnerReport{Models: []wick.ModelName{base}},
+			[]wick.Weights{adapter(1), adapter(2), adapter(2)}, true,
+			slots.StepOrder, wick.RunnerOrder{Kind: wick.OrderLoad, Weights: adapter(2)},
+		},
+		{
+			"nothing is wanted", wick.RunnerReport{Models: []wick.ModelName{base}}, nil, true,
+			slots.StepNone, wick.RunnerOrder{},
+		},
+		{
+			"a model that is being loaded", wick.RunnerReport{Busy: true}, []wick.Weights{adapter(1)}, true,
+			slots.StepNone, wick.RunnerOrder{},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := slots.New(2, base, slots.NewRecent())
+			if step, _, _ := l.Next(0, true); step != slots.StepInspect {
+				t.Fatalf("first step is %v, want an inspection", step)
+			}
+			l.Inspected(0, test.report, nil)
+			for _, w := range test.wants {
+				l.Want(ms(1), w, 0)
+			}
+			step, order, _ := l.Next(ms(2), test.models)
+			if step != test.want || order != test.order {
+				t.Errorf("got step %v %+v, want %v %+v", step, order, test.want, test.order)
+			}
+		})
+	}
+}
+
+func TestVictims(t *testing.T) {
+	tests := []struct {
+		name string
+		// use is applied to adapters 0 and 1 of a full endpoint at 100 ms.
+		use    [2]int
+		at     wick.Instant
+		victim int
+	}{
+		{"an idle adapter makes room", [2]int{1, 0}, ms(400), 1},
+		{"none while both are used", [2]int{1, 1}, ms(400), -1},
+		{"none before it rested", [2]int{0, 0}, ms(120), -1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := slots.New(2, base, slots.NewRecent())
+			l.Next(0, true)
+			l.Inspected(0, wick.RunnerReport{
+				Models: []wick.ModelName{base},
+				Loaded: []wick.Loaded{{Weights: adapter(0), Revision: 1}, {Weights: adapter(1), Revision: 1}},
+			}, nil)
+			for i := range test.use {
+				l.Use(ms(100), adapter(i), 1)
+				l.Use(ms(100), adapter(i), test.use[i])
+			}
+			l.Want(test.at, adapter(9), 0)
+			step, order, _ := l.Next(test.at, true)
+			if test.victim < 0 {
+				if step != slots.StepNone {
+					t.Fatalf("got %v %+v, want no step", step, order)
+				}
+				return
+			}
+			if step != slots.StepOrder || order.Kind != wick.OrderUnload || order.Weights != adapter(test.victim) {
+				t.Errorf("got %v %+v, want to unload adapter %d", step, order, test.victim)
+			}
+		})
+	}
+}
+
+// An order for what is already held is not counted by the endpoint.
+func TestHeldLoadIsNotCounted(t *testing.T) {
+	tests := []struct {
+		kind wick.OrderKind
+		next wick.OrderCount
+	}{
+		{wick.OrderLoad, 5},
+		{wick.OrderUnload, 6},
+	}
+	for _, test := range tests {
+		l := slots.New(4, base, slots.NewRecent())
+		l.Next(0, true)
+		l.Inspected(0, wick.RunnerReport{Models: []wick.ModelName{base}, Orders: 5}, nil)
+		l.Want(0, adapter(1), 0)
+		l.Next(0, true)
+		l.Ordered(0, wick.RunnerOrder{Kind: test.kind, Weights: adapter(1), Expected: 5}, wick.OrderHeld)
+		l.Want(ms(1), adapter(2), 0)
+		_, order, _ := l.Next(ms(200), true)
+		if order.Expected != test.next {
+			t.Errorf("%s: next order expects %d, want %d", test.kind, order.Expected, test.next)
+		}
+	}
+}
+
+// Whatever orders are lost, late or carried out, an endpoint is never ordered to
+// hold more adapters than it has slots for.
+func TestNeverOverfilled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := &engine{capacity: rapid.IntRange(1, 4).Draw(t, "capacity"), models: true, held: make(map[wick.Weights]wick.Revision)}
+		l := slots.New(wick.Slots(e.capacity), base, slots.NewRecent())
+		now := wick.Instant(0)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "pause")) * time.Millisecond)
+			l.Want(now, adapter(rapid.IntRange(0, 6).Draw(t, "want")), wick.Revision(rapid.IntRange(0, 2).Draw(t, "revision")))
+			if len(e.late) > 0 && rapid.Bool().Draw(t, "late") {
+				e.take(e.late[0])
+				e.late = e.late[1:]
+			}
+			e.check(t)
+			step, order, _ := l.Next(now, true)
+			switch step {
+			case slots.StepInspect:
+				l.Inspected(now, e.report(), nil)
+			case slots.StepOrder:
+				l.Ordered(now, order, e.answer(t, order))
+			}
+			e.check(t)
+		}
+	})
+}
+
+// answer lets an order arrive, be lost after it was carried out, or come late.
+func (e *engine) answer(t *rapid.T, o wick.RunnerOrder) wick.OrderResult {
+	switch rapid.IntRange(0, 3).Draw(t, "fate") {
+	case 0:
+		e.late = append(e.late, o)
+		return wick.OrderLost
+	case 1:
+		e.take(o)
+		return wick.OrderLost
+	}
+	return e.take(o)
+}
+
+func (e *engine) check(t *rapid.T) {
+	if len(e.held) > e.capacity {
+		t.Fatalf("%d adapters in %d slots", len(e.held), e.capacity)
+	}
+}
