--- /dev/null
+++ b/direct/direct_test.go
@@ -0,0 +1,336 @@
+package direct_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/coord"
+	"currantwick/direct"
+	"currantwick/facts"
+	"currantwick/limit"
+	"currantwick/tally"
+)
+
+// reply is what a fake endpoint answers to one send.
+type reply struct {
+	status int
+	notRun bool
+	body   string
+	// cut breaks the body off, and err the whole send.
+	cut bool
+	err error
+}
+
+var errCut = errors.New("connection reset")
+
+// sender implements wick.Sender by a list of replies.
+type sender struct {
+	replies []reply
+	sent    []wick.Attempt
+}
+
+func (s *sender) Send(_ context.Context, a wick.Attempt) (*wick.Received, error) {
+	s.sent = append(s.sent, a)
+	if len(s.replies) == 0 {
+		return nil, wick.NotRunf(wick.CodeNoEndpoint, "no reply is left")
+	}
+	r := s.replies[0]
+	s.replies = s.replies[1:]
+	if r.err != nil {
+		return nil, r.err
+	}
+	return &wick.Received{Status: r.status, NotRun: r.notRun, Body: &body{Reader: strings.NewReader(r.body), cut: r.cut}}, nil
+}
+
+// body is the body of a reply.
+type body struct {
+	io.Reader
+	cut bool
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) && b.cut {
+		err = errCut
+	}
+	return n, err
+}
+
+func (b *body) Close() error { return nil }
+
+// sink implements wick.Sink.
+type sink struct {
+	status int
+	body   bytes.Buffer
+}
+
+func (s *sink) Start(status int, _ []wick.Field) error {
+	s.status = status
+	return nil
+}
+
+func (s *sink) Send(p []byte) error {
+	s.body.Write(p)
+	return nil
+}
+
+// control implements direct.Control by a fixed view.
+type control struct {
+	view  *coord.View
+	wants []wick.AdapterWant
+}
+
+func (c *control) View() *coord.View { return c.view }
+
+func (c *control) Tell(w wick.AdapterWant) { c.wants = append(c.wants, w) }
+
+// clock implements wick.Clock.
+type clock struct{ start time.Time }
+
+func (c clock) Now() wick.Instant { return wick.Instant(time.Since(c.start)) }
+
+// note implements wick.GatewayNote.
+type note struct{}
+
+func (note) Passed(wick.Kind, wick.Code, time.Duration, time.Duration) {}
+func (note) Waited(time.Duration)                                      {}
+func (note) Sent(bool)                                                 {}
+func (note) Ordered(wick.OrderKind, wick.OrderResult)                  {}
+func (note) Inspected(error)                                           {}
+func (note) Stored(string, error)                                      {}
+func (note) Opened()                                                   {}
+func (note) Site(uint64)                                               {}
+func (note) Holds(int)                                                 {}
+
+var (
+	model   = wick.Weights{Model: "m"}
+	adapter = wick.Weights{Model: "m", Adapter: "a"}
+)
+
+// view returns a view with two endpoints in each pool.
+func view(routes ...wick.SiteRoute) *coord.View {
+	site := &wick.Site{Version: 3, Routes: routes, Pools: map[wick.PoolName]wick.SitePool{
+		"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: &wick.SiteEngine{Slots: 8, AdapterSlots: 4}},
+	}}
+	f := facts.New()
+	f.Apply(0, wick.Fact{Offset: 1, Site: site})
+	v := &coord.View{Site: site, Routes: f.Routes(), Pools: make(map[wick.PoolName][]*coord.Runner), Ready: true}
+	for pool := range site.Pools {
+		for _, name := range []wick.EndpointName{"1", "2"} {
+			v.Pools[pool] = append(v.Pools[pool], &coord.Runner{
+				Runner:   &wick.Runner{Name: wick.EndpointName(pool) + "-" + name, Pool: pool, Slots: 8},
+				Meter:    tally.NewMeter(),
+				Loads:    true,
+				Adapters: map[wick.Weights]coord.Residence{model: {}, adapter: {Revision: 1}},
+			})
+		}
+	}
+	return v
+}
+
+func route(kind wick.Kind, pool wick.PoolName, attempts int, resumable bool) wick.SiteRoute {
+	return wick.SiteRoute{
+		Name: "r", Host: "h", Prefix: "/", Kind: kind, Attempts: attempts, Resumable: resumable,
+		Timeout: wick.Duration(2 * time.Second), Objective: wick.Duration(time.Second), Split: []wick.Share{{Pool: pool, Weight: 1}},
+	}
+}
+
+func server(t *testing.T, c direct.Control, s wick.Sender, retry wick.RetryBudget) *direct.Server {
+	t.Helper()
+	return direct.New(direct.Config{
+		Domain:  "d",
+		Bounds:  wick.Bounds{Revision: wick.Duration(5 * time.Second), EntriesTTL: wick.Duration(5 * time.Second)},
+		Control: c, Sender: s, Clock: clock{time.Now()}, Retry: retry,
+		Log: slog.New(slog.DiscardHandler), Note: note{},
+	})
+}
+
+func TestPass(t *testing.T) {
+	const safe, unsafe, stream = wick.KindSafe, wick.KindUnsafe, wick.KindStream
+	notRun := wick.NotRunf(wick.CodeNoEndpoint, "connection refused")
+	broken := wick.Unknownf(wick.CodeBroken, "connection reset")
+	tests := []struct {
+		name      string
+		kind      wick.Kind
+		attempts  int
+		resumable bool
+		replies   []reply
+		// status and body are what the caller gets; outcome that of the error.
+		status  int
+		body    string
+		outcome wick.Outcome
+		sends   int
+	}{
+		{"answer", unsafe, 1, false, []reply{{status: 200, body: "hi"}}, 200, "hi", "", 1},
+		{"failure of the endpoint", unsafe, 1, false, []reply{{status: 500, body: "no"}}, 500, "no", "", 1},
+		{"unsafe after a statement of not run", unsafe, 1, false, []reply{{status: 503, notRun: true}, {status: 200, body: "hi"}}, 200, "hi", "", 2},
+		{"unsafe after a refused connection", unsafe, 1, false, []reply{{err: notRun}, {status: 200, body: "hi"}}, 200, "hi", "", 2},
+		{"unsafe after a lost answer", unsafe, 3, false, []reply{{err: broken}}, 0, "", wick.Unknown, 1},
+		{"unsafe with a broken body", unsafe, 3, false, []reply{{status: 200, body: "h", cut: true}}, 0, "", wick.Unknown, 1},
+		{"unsafe after 503 without the statement", unsafe, 3, false, []reply{{status: 503, body: "x"}}, 503, "x", "", 1},
+		{"safe after a lost answer", safe, 2, false, []reply{{err: broken}, {status: 200, body: "hi"}}, 200, "hi", "", 2},
+		{"safe with a broken body", safe, 2, false, []reply{{status: 200, body: "h", cut: true}, {status: 200, body: "hi"}}, 200, "hi", "", 2},
+		{"safe after a failure", safe, 2, false, []reply{{status: 500, body: "no"}, {status: 200, body: "hi"}}, 200, "hi", "", 2},
+		{"safe with one attempt", safe, 1, false, []reply{{err: broken}}, 0, "", wick.Unknown, 1},
+		{"all refuse", unsafe, 1, false, []reply{{status: 503, notRun: true}, {status: 503, notRun: true}}, 0, "", wick.NotRun, 2},
+		{"stream", stream, 1, false, []reply{{status: 200, body: "id: 1\n\nid: 2\n\n"}}, 200, "id: 1\n\nid: 2\n\n", "", 1},
+		{"stream that may not go on", stream, 2, false, []reply{{status: 200, body: "id: 1\n\nid: 2\nda", cut: true}}, 200, "id: 1\n\n", wick.Unknown, 1},
+		{
+			"stream that goes on", stream, 2, true,
+			[]reply{{status: 200, body: "id: 1\n\nid: 2\nda", cut: true}, {status: 200, body: "id: 2\ndata\n\n"}},
+			200, "id: 1\n\nid: 2\ndata\n\n", "", 2,
+		},
+		{
+			"stream that breaks before its first event", stream, 2, true,
+			[]reply{{status: 200, body: "id: 1\nda", cut: true}, {status: 200, body: "id: 1\ndata\n\n"}},
+			200, "id: 1\ndata\n\n", "", 2,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pool := wick.PoolName("plain")
+			x := &wick.Exchange{Request: "q", Host: "h", Path: "/x", Method: "POST", Target: "/x"}
+			if test.kind == stream {
+				pool, x.Model, x.Adapter = "llm", "m", "a"
+			}
+			send, to := &sender{replies: test.replies}, &sink{}
+			c := &control{view: view(route(test.kind, pool, test.attempts, test.resumable))}
+			err := server(t, c, send, limit.Unlimited{}).Pass(t.Context(), x, to)
+			var outcome wick.Outcome
+			if err != nil {
+				outcome = wick.AsError(err).Outcome
+			}
+			if to.status != test.status || to.body.String() != test.body || outcome != test.outcome || len(send.sent) != test.sends {
+				t.Errorf("got %d %q, outcome %q after %d sends; want %d %q, %q after %d",
+					to.status, to.body.String(), outcome, len(send.sent), test.status, test.body, test.outcome, test.sends)
+			}
+		})
+	}
+}
+
+// A resumed stream goes on after the last whole event, at another endpoint.
+func TestResumeAfterLastWholeEvent(t *testing.T) {
+	send := &sender{replies: []reply{{status: 200, body: "id: 7\n\nid: 8\n", cut: true}, {status: 200, body: "id: 8\n\n"}}}
+	c := &control{view: view(route(wick.KindStream, "llm", 2, true))}
+	x := &wick.Exchange{Request: "q", Host: "h", Path: "/", Model: "m", Adapter: "a"}
+	if err := server(t, c, send, limit.Unlimited{}).Pass(t.Context(), x, &sink{}); err != nil {
+		t.Fatal(err)
+	}
+	if got := send.sent[1].Resume; got != "7" {
+		t.Errorf("resumed after %q, want 7", got)
+	}
+	if send.sent[0].Endpoint == send.sent[1].Endpoint {
+		t.Errorf("resumed at %s, which broke off", send.sent[1].Endpoint)
+	}
+}
+
+// A request is not repeated beyond the budget, and its refusal says when to come
+// back.
+func TestRepeatsKeepToTheBudget(t *testing.T) {
+	retry, err := limit.NewRetries(limit.RetryConfig{Part: 0.01, Burst: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusal := reply{status: 503, notRun: true}
+	send := &sender{replies: slices.Repeat([]reply{refusal}, 9)}
+	c := &control{view: view(route(wick.KindUnsafe, "plain", 1, false))}
+	s := server(t, c, send, retry)
+	for range 3 {
+		err := s.Pass(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: "/"}, &sink{})
+		if e := wick.AsError(err); e.Outcome != wick.NotRun || e.RetryAfter <= 0 {
+			t.Errorf("got %v with retry after %v, want not run and a time", e, e.RetryAfter)
+		}
+	}
+	if len(send.sent) != 4 {
+		t.Errorf("%d sends of 3 requests with one repeat in the budget, want 4", len(send.sent))
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	ready := func() *coord.View { return view(route(wick.KindUnsafe, "plain", 1, false)) }
+	tests := []struct {
+		name string
+		view *coord.View
+		path string
+		code wick.Code
+	}{
+		{"no configuration", &coord.View{}, "/", wick.CodeStale},
+		{"no route", view(wick.SiteRoute{Host: "h", Prefix: "/a/"}), "/b", wick.CodeNoRoute},
+		{"no endpoint", func() *coord.View { v := ready(); v.Pools = nil; return v }(), "/", wick.CodeNoEndpoint},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := server(t, &control{view: test.view}, &sender{}, limit.Unlimited{})
+			e := wick.AsError(s.Pass(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: test.path}, &sink{}))
+			if e.Code != test.code || e.Outcome != wick.NotRun {
+				t.Errorf("got %v, want %s and not run", e, test.code)
+			}
+		})
+	}
+}
+
+// The time that an endpoint gets is what the caller has left, within the route's
+// timeout.
+func TestTimeLeft(t *testing.T) {
+	tests := []struct {
+		name   string
+		within time.Duration
+		most   time.Duration
+	}{
+		{"the caller's", time.Second, time.Second},
+		{"the route's", time.Minute, 2 * time.Second},
+		{"not said", 0, 2 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			send := &sender{replies: []reply{{status: 200}}}
+			c := &control{view: view(route(wick.KindUnsafe, "plain", 1, false))}
+			x := &wick.Exchange{Request: "q", Host: "h", Path: "/", Within: wick.Duration(test.within)}
+			if err := server(t, c, send, limit.Unlimited{}).Pass(t.Context(), x, &sink{}); err != nil {
+				t.Fatal(err)
+			}
+			got := send.sent[0].Within.Std()
+			if got > test.most || got < test.most-500*time.Millisecond {
+				t.Errorf("handed on %v, want just under %v", got, test.most)
+			}
+		})
+	}
+}
+
+// An older version of an adapter is not used once the newer one has been known
+// for a while.
+func TestOlderVersionIsNotUsed(t *testing.T) {
+	tests := []struct {
+		name  string
+		heard time.Duration
+		sends int
+	}{
+		{"just announced", 0, 1},
+		{"announced a while ago", -3 * time.Second, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			v := view(route(wick.KindStream, "llm", 1, false))
+			f := facts.New()
+			f.Apply(wick.Instant(test.heard), wick.Fact{Offset: 9, Newer: &wick.Loaded{Weights: adapter, Revision: 2}})
+			v.Newest = f.Newest()
+			send, c := &sender{replies: []reply{{status: 200}}}, &control{view: v}
+			x := &wick.Exchange{Request: "q", Host: "h", Path: "/", Model: "m", Adapter: "a", Within: wick.Duration(300 * time.Millisecond)}
+			_ = server(t, c, send, limit.Unlimited{}).Pass(t.Context(), x, &sink{})
+			if len(send.sent) != test.sends {
+				t.Errorf("%d sends, want %d", len(send.sent), test.sends)
+			}
+			if test.sends == 0 && (len(c.wants) == 0 || c.wants[0].Revision != 2) {
+				t.Errorf("asked for %+v, want version 2", c.wants)
+			}
+		})
+	}
+}
