Weigh the streams beside a long prompt, and kept beginnings of prompts

Long prompts now go where few streams run, and short ones elsewhere. Holders pass on where long beginnings are kept.

--- a/choose/choose.go
+++ b/choose/choose.go
@@ -13,9 +13,19 @@
 )
 
 const (
-	// readRate is how many prompt tokens an engine reads a millisecond; the
-	// slower of the platform's engines.
-	readRate = 19.2
+	// DefaultRate is how many prompt tokens an engine reads a millisecond where
+	// nothing was seen yet; that of the slower of the platform's engines.
+	DefaultRate = 19.2
+	// longPrompt is the length of a prompt, in tokens, from which its reading
+	// makes the pauses of the streams beside it long: several of the pieces
+	// that engines read between two tokens.
+	longPrompt = 3000
+	// perStream is added for each stream beside which a prompt of twice that
+	// length would be read. It weighs what a late stream is worth against a
+	// late long one.
+	perStream = 40 * time.Millisecond
+	// besideLong is added for a short prompt beside the reading of a long one.
+	besideLong = 150 * time.Millisecond
 	// freshLoad and cachedLoad are the times of a load, with the way of the
 	// order.
 	freshLoad  = 300 * time.Millisecond
@@ -82,6 +92,8 @@
 	Adapter wick.Weights
 	Prompt  wick.Tokens
 	Domain  wick.Domain
+	// Rate is how many prompt tokens an engine reads a millisecond; positive.
+	Rate float64
 	// Crowd is by how much loads from the weight store take longer now.
 	Crowd float64
 	// Random breaks ties.
@@ -106,8 +118,15 @@
 }
 
 func estimate(in Input, c *Candidate, rank int) time.Duration {
-	read := float64(c.Waiting+max(in.Prompt-c.Kept, 0)) / readRate
+	unread := max(in.Prompt-c.Kept, 0)
+	read := float64(c.Waiting+unread) / in.Rate
 	d := time.Duration(read*float64(time.Millisecond)) + common(in.Domain, c)
+	switch {
+	case unread >= longPrompt:
+		d += time.Duration(float64(c.Running) * float64(perStream) * float64(unread) / (2 * longPrompt))
+	case c.Waiting >= longPrompt:
+		d += besideLong
+	}
 	d += time.Duration(c.Running) * perRunning
 	if over := c.Running + 1 - int(c.Slots); over > 0 {
 		d += time.Duration(over) * overSlot
--- a/choose/choose_test.go
+++ b/choose/choose_test.go
@@ -33,13 +33,14 @@
 		{"a free slot", []choose.Candidate{with(cold, func(c *choose.Candidate) { c.Free = 0 }), cold}, 1},
 		{"fewer adapters waited for", []choose.Candidate{with(cold, func(c *choose.Candidate) { c.Wants = 9 }), cold}, 1},
 		{"the model is there", []choose.Candidate{with(cold, func(c *choose.Candidate) { c.Base = false }), cold}, 1},
+		{"not beside the reading of a long prompt", []choose.Candidate{with(ready, func(c *choose.Candidate) { c.Waiting = 3000 }), with(ready, func(c *choose.Candidate) { c.Waiting = 1000; c.Running = 9 })}, 1},
 		{"the own domain", []choose.Candidate{with(ready, func(c *choose.Candidate) { c.Domain = "e" }), ready}, 1},
 		{"none that takes orders", []choose.Candidate{with(cold, func(c *choose.Candidate) { c.Loads = false })}, -1},
 		{"a holder without orders still serves", []choose.Candidate{with(ready, func(c *choose.Candidate) { c.Loads = false })}, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			got, _ := choose.Engine(choose.Input{Adapter: w, Prompt: 500, Domain: "d"}, test.list)
+			got, _ := choose.Engine(choose.Input{Adapter: w, Prompt: 500, Domain: "d", Rate: choose.DefaultRate}, test.list)
 			if got != test.want {
 				t.Errorf("got %d, want %d", got, test.want)
 			}
@@ -78,7 +79,7 @@
 	}
 	seen := make(map[int]bool)
 	for _, name := range []wick.AdapterName{"a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"} {
-		in := choose.Input{Adapter: wick.Weights{Model: "m", Adapter: name}, Domain: "d"}
+		in := choose.Input{Adapter: wick.Weights{Model: "m", Adapter: name}, Domain: "d", Rate: choose.DefaultRate}
 		first, _ := choose.Engine(in, list)
 		in.Random = 77
 		if again, _ := choose.Engine(in, list); again != first {
--- a/coord/holders.go
+++ b/coord/holders.go
@@ -65,30 +65,28 @@
 
 // announce writes this daemon's own record.
 func (s *state) announce(now wick.Instant) {
-	t := &s.topics[wick.TopicDaemons]
-	if s.announced || s.putting != "" || !t.loaded || s.stopping || now.Sub(t.ok) > claimFresh {
+	if s.announced || s.putting != "" || s.stopping || now < s.putNext {
 		return
 	}
-	s.put(keyDaemon+string(s.cfg.Self.Host), s.cfg.Self)
+	s.put(wick.Anywhere, keyDaemon+string(s.cfg.Self.Host), s.cfg.Self)
 }
 
-// put appends a record of this daemon's own if nothing stands on the store that
-// it has not read.
-func (s *state) put(key string, v any) {
+// put appends a record of this daemon's own.
+func (s *state) put(at wick.Offset, key string, v any) {
 	data, err := codec.EncodeJSON(v)
 	if err != nil {
 		s.log.Error("record not encoded", "key", key, "err", err)
 		return
 	}
 	s.putting = key
-	s.cfg.Steps.Put(s.topics[wick.TopicDaemons].next, key, data)
+	s.cfg.Steps.Put(at, key, data)
 }
 
 // claim begins terms of shards without a live holder, and ends the own ones
 // when the daemon stops.
 func (s *state) claim(now wick.Instant) {
 	t := &s.topics[wick.TopicDaemons]
-	if !t.loaded && t.heard < 0 || s.putting != "" {
+	if !t.loaded && t.heard < 0 || s.putting != "" || now < s.putNext {
 		return
 	}
 	var claims []terms.Claim
@@ -110,7 +108,8 @@
 	}
 	c := claims[0]
 	s.log.Info("claiming term", "shard", c.Shard, "left", c.Left, "read_age", now.Sub(t.ok))
-	s.put(keyTerm+strconv.Itoa(int(c.Shard)), c)
+	// Nothing may stand on the store that this daemon has not read.
+	s.put(t.next, keyTerm+strconv.Itoa(int(c.Shard)), c)
 }
 
 // candidates lists the daemons that may hold terms.
--- a/coord/links.go
+++ b/coord/links.go
@@ -49,6 +49,7 @@
 	places    []wick.AdapterPlace
 	readyAt   []wick.Instant
 	loads     []wick.NamedLoad
+	kept      []wick.KeptBegin
 	instances bool
 	sent      wick.Instant
 }
@@ -217,6 +218,11 @@
 			delete(uses, u.Weights)
 		}
 	}
+	for _, k := range r.Kept {
+		if e := s.endpoints[k.Endpoint]; e != nil && e.meter.Keep(k.Chain) {
+			s.out.kept = append(s.out.kept, k)
+		}
+	}
 	for _, w := range r.Wants {
 		if e := s.endpoints[w.Endpoint]; e != nil {
 			s.want(now, e, w)
@@ -257,6 +263,11 @@
 			s.touch(e)
 		}
 	}
+	for _, k := range u.Kept {
+		if e := s.endpoints[k.Endpoint]; e != nil {
+			e.meter.Keep(k.Chain)
+		}
+	}
 	if u.Instances != nil {
 		h.instances = u.Instances
 		s.dirty = true
@@ -371,7 +382,7 @@
 func (s *state) sendUpdate(now wick.Instant) {
 	o := &s.out
 	u := s.baseUpdate(now)
-	u.Records, u.Places, u.Loads = o.records, o.places, o.loads
+	u.Records, u.Places, u.Loads, u.Kept = o.records, o.places, o.loads, o.kept
 	for i := range u.Places {
 		u.Places[i].ReadyIn = wick.Duration(max(o.readyAt[i].Sub(now), 0))
 	}
@@ -384,6 +395,25 @@
 	s.out = outgoing{sent: now}
 }
 
+// keptBegin is what traffic of this daemon tells of a prompt.
+type keptBegin struct {
+	kept wick.KeptBegin
+}
+
+func (e keptBegin) apply(s *state, _ wick.Instant) {
+	end := s.endpoints[e.kept.Endpoint]
+	if end == nil {
+		return
+	}
+	if s.terms.Holds(end.shard) {
+		s.out.kept = append(s.out.kept, e.kept)
+		return
+	}
+	if h := s.holders[s.terms.Holder(end.shard).Holder]; h != nil {
+		h.link.Post(wick.LinkMessage{Report: &wick.InstanceReport{Ready: s.ready(), Kept: []wick.KeptBegin{e.kept}}})
+	}
+}
+
 // sendReport tells a holder what this daemon does at its endpoints.
 func (s *state) sendReport(now wick.Instant, h *holder) {
 	if now.Sub(h.reported) < loadsEvery && h.ready == s.ready() {
--- a/coord/state.go
+++ b/coord/state.go
@@ -49,6 +49,8 @@
 	out outgoing
 	// putting is the key of the record that is being appended.
 	putting string
+	// putNext is the earliest time for the next append after a failed one.
+	putNext wick.Instant
 	// announced tells that the own record stands on the store.
 	announced bool
 	started   wick.Instant
--- a/coord/thread.go
+++ b/coord/thread.go
@@ -120,6 +120,9 @@
 // Tell tells the holder of an endpoint's orders of an adapter there.
 func (t *Thread) Tell(w wick.AdapterWant) { t.post(wanted{w}) }
 
+// Kept tells that an endpoint read a long beginning of a prompt.
+func (t *Thread) Kept(k wick.KeptBegin) { t.post(keptBegin{k}) }
+
 // Stop begins the end of the daemon: callers are sent elsewhere, and terms are
 // given up.
 func (t *Thread) Stop() { t.post(stopping{}) }
--- a/coord/topics.go
+++ b/coord/topics.go
@@ -24,9 +24,14 @@
 	// heartbeat of an endpoint is a record, so that waiting for one would
 	// return at once.
 	runnersEvery = 500 * time.Millisecond
-	// staleAfter is the age from which a daemon reads for itself what the
-	// readers should have told it.
-	staleAfter = 1300 * time.Millisecond
+	// staleAfter is the age from which the first holder reads for itself what
+	// it should have been told: the interval of the reads, a heartbeat, and the
+	// ways. Each next holder waits staleStep longer, so that one of them reads
+	// for all; other daemons wait staleMost, which leaves half a second of the
+	// shortest bound on news.
+	staleAfter = 900 * time.Millisecond
+	staleStep  = 150 * time.Millisecond
+	staleMost  = 1500 * time.Millisecond
 	// ownEvery is how often it does so.
 	ownEvery = 400 * time.Millisecond
 	// failPause is the pause after a failed read.
@@ -83,10 +88,11 @@
 // read may wait for a record. A few holders read for all; whoever hears nothing
 // from them reads for itself.
 func (s *state) reads(now wick.Instant, t *topic) (time.Duration, bool) {
-	if !t.loaded && t.heard < 0 || now.Sub(t.fresh()) > staleAfter {
+	place := s.readerPlace()
+	stale := min(staleAfter+time.Duration(place)*staleStep, staleMost)
+	if !t.loaded && t.heard < 0 || now.Sub(t.fresh()) > stale {
 		return 0, true
 	}
-	place := s.readerPlace()
 	switch {
 	case t.id == wick.TopicDaemons && s.terms.HoldsAny():
 		if s.cfg.Bounds.Fenced {
@@ -116,7 +122,7 @@
 			seen[term.Holder] = true
 		}
 	}
-	return terms.Shards
+	return terms.Shards + 1
 }
 
 // topicRead is the outcome of a read.
@@ -302,15 +308,17 @@
 
 func (e putDone) apply(s *state, now wick.Instant) {
 	s.putting = ""
-	t := &s.topics[wick.TopicDaemons]
 	switch {
 	case e.err != nil:
 		s.log.Warn("append failed", "key", e.key, "err", e.err)
-		t.due = now.Add(failPause)
+		s.putNext = now.Add(failPause)
 	case !e.ok:
 		s.log.Info("append came too late", "key", e.key)
+	case strings.HasPrefix(e.key, keyDaemon):
+		s.announced = true
+		return
 	}
 	// What stands on the store is read before the next append is decided.
+	t := &s.topics[wick.TopicDaemons]
 	t.heard, t.ok = -1, -1
-	t.due = min(t.due, max(now, t.due))
 }
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -31,6 +31,7 @@
 type Control interface {
 	View() *coord.View
 	Tell(w wick.AdapterWant)
+	Kept(k wick.KeptBegin)
 }
 
 // Config sets up a Server.
@@ -48,13 +49,14 @@
 
 // Server implements wick.Gateway.
 type Server struct {
-	cfg Config
+	cfg   Config
+	rates rates
 }
 
 var _ wick.Gateway = (*Server)(nil)
 
 // New returns a server.
-func New(cfg Config) *Server { return &Server{cfg} }
+func New(cfg Config) *Server { return &Server{cfg: cfg} }
 
 // Ready implements wick.Gateway.
 func (s *Server) Ready() bool { return s.cfg.Control.View().Ready }
@@ -122,6 +124,7 @@
 	}
 	t.deadline = t.start.Add(min(within, route.Timeout.Std()))
 	t.weights = wick.Weights{Model: x.Model, Adapter: x.Adapter}
+	t.begins = begins(t.weights, x.Parts)
 	t.avoid = make(map[wick.EndpointName]bool)
 	s.cfg.Retry.Earn()
 	return nil
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -92,6 +92,8 @@
 
 func (c *control) Tell(w wick.AdapterWant) { c.wants = append(c.wants, w) }
 
+func (c *control) Kept(wick.KeptBegin) {}
+
 // clock implements wick.Clock.
 type clock struct{ start time.Time }
 
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -74,6 +74,7 @@
 			begun()
 			if t.first == 0 {
 				t.observe(to, sent, rec)
+				t.keep(to, t.server.cfg.Clock.Now().Sub(sent))
 			}
 			if serr := t.sendEvents(rec, &in, buf[:n]); serr != nil {
 				return serr
--- a/direct/task.go
+++ b/direct/task.go
@@ -54,6 +54,8 @@
 	route    wick.SiteRoute
 	pool     wick.PoolName
 	weights  wick.Weights
+	// begins are the beginnings of the prompt that other requests may share.
+	begins []wick.PromptBegin
 	// avoid lists endpoints that failed the request.
 	avoid map[wick.EndpointName]bool
 	// sends counts sends, ran endpoints that may have run the request.
@@ -256,7 +258,7 @@
 		return nil
 	}
 	cands := t.candidates(v, now, list)
-	in := choose.Input{Adapter: t.weights, Prompt: t.exchange.PromptTokens, Domain: t.server.cfg.Domain, Crowd: v.Crowd, Random: uint64(now)}
+	in := choose.Input{Adapter: t.weights, Prompt: t.exchange.PromptTokens, Domain: t.server.cfg.Domain, Crowd: v.Crowd, Rate: t.server.rates.of(t.pool), Random: uint64(now)}
 	i := -1
 	if engine := v.Site.Pools[t.pool].Engine; engine != nil {
 		i, t.estimate = choose.Engine(in, cands)
@@ -282,6 +284,7 @@
 			Slots:   r.Slots,
 			Running: r.Others.Running + m.Running,
 			Waiting: r.Others.Waiting + m.Waiting,
+			Kept:    r.Meter.Kept(t.begins),
 			Lag:     m.Lag,
 			Fails:   m.Fails,
 			Avoid:   t.avoid[r.Name],
--- a/exchange.go
+++ b/exchange.go
@@ -31,6 +31,16 @@
 // EventID is the id of an event in a stream.
 type EventID string
 
+// Chain identifies the beginning of a prompt for one adapter: all parts up to
+// one of them.
+type Chain uint64
+
+// PromptBegin is a beginning of a prompt that other requests may share.
+type PromptBegin struct {
+	Chain  Chain
+	Tokens Tokens
+}
+
 // Exchange is one request that is passed through: the caller's method, target,
 // header and body go to an endpoint unchanged. A front end decodes it once.
 type Exchange struct {
--- a/fleet.go
+++ b/fleet.go
@@ -226,6 +226,9 @@
 	Lost bool
 }
 
+// Anywhere stands for the end of a topic, wherever that is.
+const Anywhere = ^Offset(0)
+
 // Records is the platform's store of keyed records. Implementations are safe for concurrent use
 // and repeat nothing.
 type Records interface {
@@ -233,9 +236,9 @@
 	Read(ctx Context, topic Topic, from Offset, wait Duration) (RecordBatch, error)
 	// Newest returns the newest record of each key.
 	Newest(ctx Context, topic Topic) (RecordBatch, error)
-	// Put appends a record if the topic ends at an offset. It reports whether
-	// that was so; after an error the record may or may not stand there, or do
-	// so later.
+	// Put appends a record, if the topic ends at an offset or at is Anywhere.
+	// It reports whether that was so; after an error the record may or may not
+	// stand there, or do so later.
 	Put(ctx Context, topic Topic, at Offset, key string, value []byte) (Offset, bool, error)
 }
 
--- a/instance.go
+++ b/instance.go
@@ -74,6 +74,12 @@
 	Reason   WantReason   `cbor:"4,keyasint,omitempty"`
 }
 
+// KeptBegin tells that an endpoint read a long beginning of a prompt.
+type KeptBegin struct {
+	Endpoint EndpointName `cbor:"1,keyasint"`
+	Chain    Chain        `cbor:"2,keyasint"`
+}
+
 // InstanceReport is what a daemon tells a holder of what it does at the holder's
 // endpoints. Fields that did not change are left out.
 type InstanceReport struct {
@@ -81,6 +87,7 @@
 	Loads []NamedLoad   `cbor:"2,keyasint,omitempty"`
 	Uses  []AdapterUse  `cbor:"3,keyasint,omitempty"`
 	Wants []AdapterWant `cbor:"4,keyasint,omitempty"`
+	Kept  []KeptBegin   `cbor:"5,keyasint,omitempty"`
 }
 
 // AdapterPlace tells that an endpoint holds an adapter, or no longer does.
@@ -119,6 +126,7 @@
 	Reset  []EndpointName `cbor:"4,keyasint,omitempty"`
 	Places []AdapterPlace `cbor:"5,keyasint,omitempty"`
 	Loads  []NamedLoad    `cbor:"6,keyasint,omitempty"`
+	Kept   []KeptBegin    `cbor:"8,keyasint,omitempty"`
 	// Members lists all daemons that are linked to the holder; nil if that did
 	// not change.
 	Instances []InstanceState `cbor:"7,keyasint,omitempty"`
@@ -176,7 +184,7 @@
 	// Read reads a topic from an offset on, Newest its newest records.
 	Read(topic Topic, from Offset, wait Duration)
 	Newest(topic Topic)
-	// Put appends a record to TopicDaemons if it ends at an offset.
+	// Put appends a record to TopicDaemons, as Put of Records does.
 	Put(at Offset, key string, value []byte)
 	// Order gives an order to an endpoint, Inspect asks it for a report.
 	Order(to Address, order RunnerOrder)
--- a/tally/meter.go
+++ b/tally/meter.go
@@ -13,6 +13,9 @@
 	// lagHalf is the time in which what was seen of an endpoint's speed and
 	// failures loses half its weight.
 	lagHalf = 2 * time.Second
+	// maxKept bounds the beginnings of prompts that are remembered for one
+	// endpoint; its memory holds fewer long ones.
+	maxKept = 64
 	// lagPart is the weight of one new observation.
 	lagPart = 0.25
 )
@@ -27,6 +30,10 @@
 	// lag, in seconds, and fails are averages as of at.
 	lag, fails float64
 	at         wick.Instant
+	// kept are prompts' beginnings that the endpoint read, of which order lists
+	// the oldest first.
+	kept  map[wick.Chain]bool
+	order []wick.Chain
 }
 
 // MeterReading is the state of a Meter.
@@ -39,7 +46,39 @@
 }
 
 // NewMeter returns a meter without requests.
-func NewMeter() *Meter { return &Meter{uses: make(map[wick.Weights]int)} }
+func NewMeter() *Meter {
+	return &Meter{uses: make(map[wick.Weights]int), kept: make(map[wick.Chain]bool)}
+}
+
+// Keep notes that the endpoint read a beginning of a prompt, and reports
+// whether that is news.
+func (m *Meter) Keep(c wick.Chain) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.kept[c] {
+		return false
+	}
+	m.kept[c] = true
+	m.order = append(m.order, c)
+	if len(m.order) > maxKept {
+		delete(m.kept, m.order[0])
+		m.order = m.order[1:]
+	}
+	return true
+}
+
+// Kept returns how many tokens of a prompt the endpoint still keeps, as far as
+// is known.
+func (m *Meter) Kept(list []wick.PromptBegin) wick.Tokens {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i := len(list) - 1; i >= 0; i-- {
+		if m.kept[list[i].Chain] {
+			return list[i].Tokens
+		}
+	}
+	return 0
+}
 
 // Start counts a request that is sent.
 func (m *Meter) Start(w wick.Weights, prompt wick.Tokens) {
