Let orders go on while an adapter that was ordered out still serves

One such adapter held up all orders of its endpoint until a report no longer listed it (logged as unsynced with up to 13 adapters waited for). Loads from the weight store weigh 500 ms, with their price. A daemon without a configuration asks callers to come back as late as they honour.

--- a/choose/choose.go
+++ b/choose/choose.go
@@ -21,14 +21,14 @@
 	// that engines read between two tokens.
 	longPrompt = 3000
 	// perStream is added for each stream beside which a prompt of twice that
-	// length would be read. It weighs what a late stream is worth against a
-	// late long one.
-	perStream = 40 * time.Millisecond
+	// length would be read. It weighs a late stream against a late long one.
+	perStream = 20 * time.Millisecond
 	// besideLong is added for a short prompt beside the reading of a long one.
 	besideLong = 150 * time.Millisecond
-	// freshLoad and cachedLoad are the times of a load, with the way of the
-	// order.
-	freshLoad  = 300 * time.Millisecond
+	// freshLoad and cachedLoad weigh a load: its time, with the way of the
+	// order, and for one from the weight store as much again for its price and
+	// for the slot that it takes from another adapter.
+	freshLoad  = 500 * time.Millisecond
 	cachedLoad = 60 * time.Millisecond
 	// modelLoad is the time to load a base model and to learn that it is there.
 	modelLoad = 2 * time.Second
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -22,8 +22,9 @@
 	// defaultWithin is the time of a request whose caller does not say how
 	// long it waits; its route's timeout bounds it further.
 	defaultWithin = time.Minute
-	// unreadyRetry is when callers may come back to a daemon that knows no
-	// configuration yet.
+	// unreadyRetry is the least time after which callers may come back to a
+	// daemon that knows no configuration yet; nobody can say how long that
+	// lasts.
 	unreadyRetry = 300 * time.Millisecond
 )
 
@@ -108,7 +109,7 @@
 	v := s.cfg.Control.View()
 	if v.Site == nil {
 		e := wick.NotRunf(wick.CodeStale, "no configuration is known yet")
-		e.RetryAfter = wick.Duration(unreadyRetry)
+		e.RetryAfter = wick.Duration(max(unreadyRetry, time.Duration(float64(x.Within)*retryPart)))
 		return e
 	}
 	t.version = v.Site.Version
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -59,6 +59,9 @@
 	// incoming tells that the load may not have ended; leaving that the adapter
 	// was ordered out while it was in use.
 	incoming, leaving bool
+	// left is the number of orders that the endpoint has accepted once it was
+	// ordered out.
+	left wick.OrderCount
 	// replaced tells that the load replaces an older version, which keeps its
 	// slot until then.
 	replaced bool
@@ -111,6 +114,8 @@
 	least  wick.OrderCount
 	// busy tells that an order or a question is under way.
 	busy bool
+	// check is when to ask for the adapters that are leaving; 0 if none is.
+	check wick.Instant
 	// next is the earliest time for the next step.
 	next          wick.Instant
 	fresh, cached time.Duration
@@ -224,7 +229,7 @@
 	if now < l.next {
 		return StepNone, wick.RunnerOrder{}, l.next
 	}
-	if !l.synced {
+	if !l.synced || l.check > 0 && now >= l.check {
 		l.busy = true
 		return StepInspect, wick.RunnerOrder{}, 0
 	}
@@ -441,11 +446,10 @@
 			return
 		}
 		if p := l.places[o.Weights]; p != nil {
-			p.leaving = true
+			p.leaving, p.left = true, l.orders
 		}
 		// When its requests have ended only the endpoint knows.
-		l.synced, l.least = false, l.orders
-		l.next = now.Add(reportLag)
+		l.check = now.Add(reportLag)
 		return
 	}
 	delete(l.wants, o.Weights)
@@ -495,7 +499,11 @@
 // Inspected takes a report of the endpoint. A failed one is asked for again.
 func (l *Ledger) Inspected(now wick.Instant, r wick.RunnerReport, err error) {
 	l.busy = false
-	if err != nil || r.Orders < l.least {
+	switch {
+	case l.synced:
+		l.checked(now, r, err)
+		return
+	case err != nil || r.Orders < l.least:
 		l.next = now.Add(reportLag)
 		return
 	}
@@ -513,9 +521,13 @@
 		_, p.replaced = l.places[v.Weights]
 		l.places[v.Weights] = p
 	}
+	l.check = 0
 	for w, p := range l.places {
 		if was := old[w]; was != nil {
-			p.Used, p.InUse, p.leaving = was.Used, was.InUse, was.leaving
+			p.Used, p.InUse, p.leaving, p.left = was.Used, was.InUse, was.leaving, was.left
+		}
+		if p.leaving {
+			l.check = now.Add(reportLag)
 		}
 		l.recent.Add(now, w, l.capacity)
 	}
@@ -524,10 +536,23 @@
 	if r.Busy {
 		l.least, l.next = r.Orders, now.Add(reportLag)
 	}
-	for _, p := range l.places {
-		if p.leaving {
-			l.synced, l.least = false, r.Orders
-			l.next = now.Add(reportLag)
+}
+
+// checked frees the slots of adapters that a report no longer lists though they
+// were ordered out before it was made. Other orders go on meanwhile.
+func (l *Ledger) checked(now wick.Instant, r wick.RunnerReport, err error) {
+	l.check = 0
+	held := make(map[wick.Weights]bool, len(r.Loaded))
+	for _, v := range r.Loaded {
+		held[v.Weights] = true
+	}
+	for w, p := range l.places {
+		switch {
+		case !p.leaving:
+		case err == nil && r.Orders >= p.left && !held[w]:
+			delete(l.places, w)
+		default:
+			l.check = now.Add(reportLag)
 		}
 	}
 }
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -225,3 +225,48 @@
 		t.Fatalf("%d adapters in %d slots", len(e.held), e.capacity)
 	}
 }
+
+// While an adapter that was ordered out still serves, its slot is taken, but
+// other orders go on.
+func TestOrdersGoOnWhileAnAdapterLeaves(t *testing.T) {
+	l := slots.New(2, base, slots.NewRecent())
+	l.Next(0, true)
+	both := []wick.Loaded{{Weights: adapter(0), Revision: 1}, {Weights: adapter(1), Revision: 1}}
+	l.Inspected(0, wick.RunnerReport{Models: []wick.ModelName{base}, Loaded: both}, nil)
+	unload := func(at int, want wick.OrderResult) wick.Weights {
+		t.Helper()
+		step, order, _ := l.Next(ms(at), true)
+		if step != slots.StepOrder || order.Kind != wick.OrderUnload {
+			t.Fatalf("at %d ms: got %v %+v, want an order to unload", at, step, order)
+		}
+		l.Ordered(ms(at), order, want)
+		return order.Weights
+	}
+	l.Want(ms(400), adapter(9), 0)
+	leaving := unload(400, wick.OrderStarted)
+	if gone := unload(410, wick.OrderHeld); gone == leaving {
+		t.Fatalf("%v was ordered out twice", gone)
+	}
+	tests := []struct {
+		name string
+		at   int
+		want slots.Step
+		kind wick.OrderKind
+	}{
+		{"the free slot is used", 420, slots.StepOrder, wick.OrderLoad},
+		{"the endpoint is asked for the other", 900, slots.StepInspect, ""},
+	}
+	for _, test := range tests {
+		step, order, _ := l.Next(ms(test.at), true)
+		if step != test.want || order.Kind != test.kind {
+			t.Errorf("%s: got %v %+v", test.name, step, order)
+		}
+		if step == slots.StepOrder {
+			l.Ordered(ms(test.at), order, wick.OrderStarted)
+		}
+	}
+	l.Inspected(ms(900), wick.RunnerReport{Orders: 3, Loaded: []wick.Loaded{{Weights: adapter(9)}}}, nil)
+	if c := l.Census(ms(900)); c.Leaving != 0 {
+		t.Errorf("%d adapters still leave", c.Leaving)
+	}
+}
