--- a/direct/task.go
+++ b/direct/task.go
@@ -143,14 +143,20 @@
 }
 
 // refuse returns the error of a request that is given up and did not run, or
-// may have run if an endpoint did not say otherwise.
+// may have run if an endpoint did not say otherwise. The caller may come back
+// when about half of the work before it is done; where no endpoint can be had,
+// nothing says when that ends.
 func (t *task) refuse(code wick.Code, format string, args ...any) error {
 	if t.ran > 0 {
 		return wick.Unknownf(code, format, args...)
 	}
 	e := wick.NotRunf(code, format, args...)
 	most := time.Duration(float64(t.left()) * retryPart)
-	e.RetryAfter = wick.Duration(max(min(max(t.estimate/2, retryLeast), most), 0))
+	after := most
+	if code != wick.CodeNoEndpoint {
+		after = min(max(t.estimate/2, retryLeast), most)
+	}
+	e.RetryAfter = wick.Duration(max(after, 0))
 	return e
 }
 
