--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -155,8 +155,8 @@
 // A claim rests on a reading that is no older than a fraction of a second.
 func TestClaimNeedsAFreshReading(t *testing.T) {
 	w := newWorld(t, true)
-	w.announced = true
 	w.read(0, wick.TopicDaemons)
+	w.announced = true
 	w.tick(ms(800))
 	if len(w.steps.puts) != 0 {
 		t.Fatalf("appended %v on a reading of 0.8 s ago", w.steps.puts)
@@ -316,6 +316,7 @@
 func TestStopGivesTermsUp(t *testing.T) {
 	w := newWorld(t, true)
 	w.start(t)
+	w.putting, w.steps.puts = "", nil // Claims of the other shards.
 	stopping{}.apply(w.state, ms(1))
 	if v := w.publish(ms(2)); v.Ready || len(v.Entries) != 0 {
 		t.Errorf("ready %v with entries %v", v.Ready, v.Entries)
--- a/coord/state.go
+++ b/coord/state.go
@@ -129,6 +129,7 @@
 // step makes the decisions that follow from events.
 func (s *state) step(now wick.Instant) {
 	s.readTopics(now)
+	s.claim(now)
 	s.orderStep(now)
 	s.flush(now, false)
 }
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -35,8 +35,9 @@
 	// of the new term.
 	takeoverMargin = 400 * time.Millisecond
 	// confirmWithin is how old the last reading of the store may be by which a
-	// holder knows that it still is one.
-	confirmWithin = 2500 * time.Millisecond
+	// holder knows that it still is one: the longest wait of a read for a
+	// record, its timeout, and the pause of a slow process.
+	confirmWithin = 3200 * time.Millisecond
 	// strictWithin is the same where endpoints do not check fencing tokens;
 	// the lease covers it.
 	strictWithin = 1200 * time.Millisecond
@@ -223,18 +224,18 @@
 		}
 		rank, host := t.rank(s, alive, held)
 		held[host]++
-		if now.Sub(t.vacant[s]) >= t.suspicion(s, alive)+time.Duration(min(rank, maxRank))*rankDelay {
+		if now.Sub(t.vacant[s]) >= t.suspicion(s)+time.Duration(min(rank, maxRank))*rankDelay {
 			claims = append(claims, s)
 		}
 	}
 	return claims
 }
 
-// suspicion is how long a shard without a live holder is left alone.
-func (t *Table) suspicion(s wick.Shard, alive []Candidate) time.Duration {
+// suspicion is how long a shard without a live holder is left alone. A former
+// holder that restarts may go on at once, while others must wait for its lease.
+func (t *Table) suspicion(s wick.Shard) time.Duration {
 	term := t.terms[s]
-	restarted := slices.ContainsFunc(alive, func(c Candidate) bool { return c.Host == term.Holder })
-	if term.Fence == 0 || term.Left || restarted {
+	if term.Fence == 0 || term.Left || term.Holder == t.cfg.Self {
 		return 0
 	}
 	return suspectFor
