--- a/direct/stream.go
+++ b/direct/stream.go
@@ -76,6 +76,7 @@
 				t.observe(to, sent, rec)
 				t.keep(to, t.server.cfg.Clock.Now().Sub(sent))
 			}
+			t.measurePause()
 			if serr := t.sendEvents(rec, &in, buf[:n]); serr != nil {
 				return serr
 			}
@@ -92,6 +93,15 @@
 	}
 }
 
+// measurePause notes that a part of the stream came.
+func (t *task) measurePause() {
+	now := t.server.cfg.Clock.Now()
+	if t.part > 0 {
+		t.pause = max(t.pause, now.Sub(t.part))
+	}
+	t.part = now
+}
+
 func (t *task) sendEvents(rec *wick.Received, in *events, p []byte) error {
 	whole := in.add(p)
 	if whole == nil {
--- a/direct/task.go
+++ b/direct/task.go
@@ -66,9 +66,13 @@
 	estimate time.Duration
 	waited   time.Duration
 	first    time.Duration
-	status   int
-	started  bool
-	resume   wick.EventID
+	// pause is the longest time between two parts of a stream, of which the
+	// last came at part.
+	pause   time.Duration
+	part    wick.Instant
+	status  int
+	started bool
+	resume  wick.EventID
 }
 
 // target is a picked endpoint.
@@ -325,6 +329,6 @@
 	s.cfg.Log.Log(context.Background(), level, "request", "request", t.exchange.Request, "route", t.route.Name,
 		"config", t.version, "pool", t.pool, "weights", t.weights.String(), "endpoint", t.last, "sends", t.sends,
 		"status", t.status, "outcome", outcome, "code", code, "cause", text, "waited_ms", t.waited.Milliseconds(),
-		"estimate_ms", t.estimate.Milliseconds(), "first_ms", t.first.Milliseconds(), "whole_ms", whole.Milliseconds(),
+		"estimate_ms", t.estimate.Milliseconds(), "first_ms", t.first.Milliseconds(), "pause_ms", t.pause.Milliseconds(), "whole_ms", whole.Milliseconds(),
 		"left_ms", t.left().Milliseconds())
 }
