--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -52,12 +52,6 @@
 	lamePart = 0.4
 	// sweepEvery is how often idle connections are looked through.
 	sweepEvery = time.Second
-	// retryPart is the part of the shared budget of repeats that is used; the
-	// rest covers daemons that joined or left unnoticed.
-	retryPart = 0.7
-	// retryDaemons is the number of daemons over which the slack of the budget
-	// is split where more are not known.
-	retryDaemons = 8
 )
 
 // GatewayConfig sets up a Gateway.
@@ -118,7 +112,8 @@
 		Note:   cfg.Note,
 	})
 	g.hub = links.New(links.Config{Self: self, Events: g.thread, Group: g.group})
-	retry, err := retries(cfg.Daemon.Bounds)
+	bounds := cfg.Daemon.Bounds
+	retry, err := limit.NewShared(bounds.RetryRatio, bounds.RetrySlack)
 	if err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
@@ -128,25 +123,13 @@
 		Control: g.thread,
 		Sender:  runners,
 		Clock:   watch,
-		Retry:   retry,
+		Retry:   tally.NewShared(retry),
 		Log:     cfg.Log,
 		Note:    cfg.Note,
 	})
 	return g, nil
 }
 
-// retries returns this daemon's share of the budget of repeats.
-func retries(b wick.Bounds) (wick.RetryBudget, error) {
-	budget, err := limit.NewRetries(limit.RetryConfig{
-		Part:  b.RetryRatio * retryPart,
-		Burst: max(int(float64(b.RetrySlack)*retryPart)/retryDaemons, 1),
-	})
-	if err != nil {
-		return nil, err
-	}
-	return tally.NewRetries(budget), nil
-}
-
 func instance(d wick.Daemon) (wick.Instance, error) {
 	var b [8]byte
 	if _, err := rand.Read(b[:]); err != nil {
@@ -158,6 +141,7 @@
 		Peers:       d.Peers,
 		Callers:     d.Callers,
 		Domain:      d.Domain,
+		Power:       d.Power,
 	}, nil
 }
 
--- a/coord/holders.go
+++ b/coord/holders.go
@@ -22,6 +22,16 @@
 	crowdedEvery = time.Second
 )
 
+const (
+	// membersPerStep is the number of linked daemons with which loads are told
+	// half as often, so that a holder's traffic does not grow with the product
+	// of daemons and endpoints.
+	membersPerStep = 16
+	// tellTokens is the change in unread prompts, in tokens, that is told where
+	// many listen: some 50 ms of an engine's time.
+	tellTokens = 1000
+)
+
 // incomingPerEngine is how many adapters may be on their way for each engine
 // before the weight store slows down: the deployments allow about four for three
 // engines.
@@ -114,12 +124,12 @@
 
 // candidates lists the daemons that may hold terms.
 func (s *state) candidates(now wick.Instant) []terms.Candidate {
-	list := []terms.Candidate{{Host: s.cfg.Self.Host, Incarnation: s.cfg.Self.Incarnation}}
+	list := []terms.Candidate{{Host: s.cfg.Self.Host, Incarnation: s.cfg.Self.Incarnation, Power: s.cfg.Self.Power}}
 	seen := map[wick.HostName]bool{s.cfg.Self.Host: true}
 	add := func(d wick.Instance) {
 		if !seen[d.Host] {
 			seen[d.Host] = true
-			list = append(list, terms.Candidate{Host: d.Host, Incarnation: d.Incarnation})
+			list = append(list, terms.Candidate{Host: d.Host, Incarnation: d.Incarnation, Power: d.Power})
 		}
 	}
 	for _, d := range s.known() {
@@ -383,12 +393,31 @@
 		}
 		if sum != e.total || own != e.told {
 			e.total, e.told = sum, own
-			s.out.loads = append(s.out.loads, wick.NamedLoad{Endpoint: e.info.Name, Load: sum})
 			s.touch(e)
 		}
+		if now >= s.loadsNext && s.worthTelling(e.sent, sum) {
+			e.sent = sum
+			s.out.loads = append(s.out.loads, wick.NamedLoad{Endpoint: e.info.Name, Load: sum})
+		}
+	}
+	if now >= s.loadsNext {
+		s.loadsNext = now.Add(loadsEvery * time.Duration(1+len(s.members)/membersPerStep))
 	}
 }
 
+// worthTelling tells whether the load of an endpoint differs enough from what
+// the linked daemons know. Where many listen, small changes are not told.
+func (s *state) worthTelling(old, now wick.EndpointLoad) bool {
+	if len(s.members) < membersPerStep || (old.Free > 0) != (now.Free > 0) {
+		return old != now
+	}
+	least := max(now.Running/4, 2)
+	return abs(now.Running-old.Running) >= least || abs(now.Wants-old.Wants) >= 2 ||
+		abs(int(now.Waiting-old.Waiting)) >= tellTokens
+}
+
+func abs(n int) int { return max(n, -n) }
+
 // logCrowded logs that adapters wait long for a slot of an endpoint.
 func (s *state) logCrowded(now wick.Instant, e *endpoint, l *slots.Ledger) {
 	c := l.Census(now)
--- a/coord/state.go
+++ b/coord/state.go
@@ -57,6 +57,8 @@
 	ticked    wick.Instant
 	stopping  bool
 	wasReady  bool
+	// loadsNext is when loads are told next.
+	loadsNext wick.Instant
 	dirty     bool
 }
 
--- a/coord/view.go
+++ b/coord/view.go
@@ -66,6 +66,8 @@
 	// total is the load of all daemons by its holder, and told the own part of
 	// it that the holder knew of.
 	total, told wick.EndpointLoad
+	// sent is the load that the linked daemons were told last.
+	sent wick.EndpointLoad
 	// crowded is when it was last logged that adapters wait for slots.
 	crowded wick.Instant
 	// view is what was published last; nil if something changed.
@@ -153,7 +155,9 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b wick.EntryPoint) int { return cmp.Compare(a.Host, b.Host) })
-	return list, len(seen)
+	// Records of daemons stay on the store, so a daemon that has just started
+	// knows about how many there are.
+	return list, max(len(seen), len(s.daemons))
 }
 
 // syncEndpoints brings the endpoints in line with the facts.
--- a/daemon.go
+++ b/daemon.go
@@ -27,6 +27,8 @@
 	Cores  int
 	Memory Bytes
 	Files  int
+	// Power compares the machine with others; positive.
+	Power  Power
 	Bounds Bounds
 }
 
@@ -78,6 +80,9 @@
 	if d.Cores < 1 {
 		errs = append(errs, badField("Cores", "must be at least 1, not %d", d.Cores))
 	}
+	if d.Power <= 0 {
+		errs = append(errs, badField("Power", "must be positive, not %v", d.Power))
+	}
 	if d.Memory <= 0 {
 		errs = append(errs, badField("Memory", "must be positive, not %d bytes", d.Memory))
 	}
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -43,7 +43,7 @@
 	Sender  wick.Sender
 	// Clock is the one that the view's instants are readings of.
 	Clock wick.Clock
-	Retry wick.RetryBudget
+	Retry wick.SharedBudget
 	Log   *slog.Logger
 	Note  wick.GatewayNote
 }
@@ -127,7 +127,7 @@
 	t.weights = wick.Weights{Model: x.Model, Adapter: x.Adapter}
 	t.begins = begins(t.weights, x.Parts)
 	t.avoid = make(map[wick.EndpointName]bool)
-	s.cfg.Retry.Earn()
+	s.cfg.Retry.Earn(v.Daemons)
 	return nil
 }
 
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -145,7 +145,7 @@
 	}
 }
 
-func server(t *testing.T, c direct.Control, s wick.Sender, retry wick.RetryBudget) *direct.Server {
+func server(t *testing.T, c direct.Control, s wick.Sender, retry wick.SharedBudget) *direct.Server {
 	t.Helper()
 	return direct.New(direct.Config{
 		Domain:  "d",
@@ -155,6 +155,16 @@
 	})
 }
 
+// budget returns a budget of repeats for one daemon.
+func budget(t *testing.T, slack int) wick.SharedBudget {
+	t.Helper()
+	b, err := limit.NewShared(0.01, slack)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
 func TestPass(t *testing.T) {
 	const safe, unsafe, stream = wick.KindSafe, wick.KindUnsafe, wick.KindStream
 	notRun := wick.NotRunf(wick.CodeNoEndpoint, "connection refused")
@@ -205,7 +215,7 @@
 			}
 			send, to := &sender{replies: test.replies}, &sink{}
 			c := &control{view: view(route(test.kind, pool, test.attempts, test.resumable))}
-			err := server(t, c, send, limit.Unlimited{}).Pass(t.Context(), x, to)
+			err := server(t, c, send, budget(t, 1000)).Pass(t.Context(), x, to)
 			var outcome wick.Outcome
 			if err != nil {
 				outcome = wick.AsError(err).Outcome
@@ -223,7 +233,7 @@
 	send := &sender{replies: []reply{{status: 200, body: "id: 7\n\nid: 8\n", cut: true}, {status: 200, body: "id: 8\n\n"}}}
 	c := &control{view: view(route(wick.KindStream, "llm", 2, true))}
 	x := &wick.Exchange{Request: "q", Host: "h", Path: "/", Model: "m", Adapter: "a"}
-	if err := server(t, c, send, limit.Unlimited{}).Pass(t.Context(), x, &sink{}); err != nil {
+	if err := server(t, c, send, budget(t, 1000)).Pass(t.Context(), x, &sink{}); err != nil {
 		t.Fatal(err)
 	}
 	if got := send.sent[1].Resume; got != "7" {
@@ -237,14 +247,10 @@
 // A request is not repeated beyond the budget, and its refusal says when to come
 // back.
 func TestRepeatsKeepToTheBudget(t *testing.T) {
-	retry, err := limit.NewRetries(limit.RetryConfig{Part: 0.01, Burst: 1})
-	if err != nil {
-		t.Fatal(err)
-	}
 	refusal := reply{status: 503, notRun: true}
 	send := &sender{replies: slices.Repeat([]reply{refusal}, 9)}
 	c := &control{view: view(route(wick.KindUnsafe, "plain", 1, false))}
-	s := server(t, c, send, retry)
+	s := server(t, c, send, budget(t, 1))
 	for range 3 {
 		err := s.Pass(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: "/"}, &sink{})
 		if e := wick.AsError(err); e.Outcome != wick.NotRun || e.RetryAfter <= 0 {
@@ -270,7 +276,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			s := server(t, &control{view: test.view}, &sender{}, limit.Unlimited{})
+			s := server(t, &control{view: test.view}, &sender{}, budget(t, 1000))
 			e := wick.AsError(s.Pass(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: test.path}, &sink{}))
 			if e.Code != test.code || e.Outcome != wick.NotRun {
 				t.Errorf("got %v, want %s and not run", e, test.code)
@@ -296,7 +302,7 @@
 			send := &sender{replies: []reply{{status: 200}}}
 			c := &control{view: view(route(wick.KindUnsafe, "plain", 1, false))}
 			x := &wick.Exchange{Request: "q", Host: "h", Path: "/", Within: wick.Duration(test.within)}
-			if err := server(t, c, send, limit.Unlimited{}).Pass(t.Context(), x, &sink{}); err != nil {
+			if err := server(t, c, send, budget(t, 1000)).Pass(t.Context(), x, &sink{}); err != nil {
 				t.Fatal(err)
 			}
 			got := send.sent[0].Within.Std()
@@ -326,7 +332,7 @@
 			v.Newest = f.Newest()
 			send, c := &sender{replies: []reply{{status: 200}}}, &control{view: v}
 			x := &wick.Exchange{Request: "q", Host: "h", Path: "/", Model: "m", Adapter: "a", Within: wick.Duration(300 * time.Millisecond)}
-			_ = server(t, c, send, limit.Unlimited{}).Pass(t.Context(), x, &sink{})
+			_ = server(t, c, send, budget(t, 1000)).Pass(t.Context(), x, &sink{})
 			if len(send.sent) != test.sends {
 				t.Errorf("%d sends, want %d", len(send.sent), test.sends)
 			}
--- a/direct/task.go
+++ b/direct/task.go
@@ -128,7 +128,7 @@
 		return t.ended(ctx, a.cause)
 	case t.ran > 0 && (t.ran >= t.route.Attempts || !t.repeatable()):
 		return a.cause
-	case !a.free && !t.server.cfg.Retry.Spend():
+	case !a.free && !t.server.cfg.Retry.Spend(t.server.cfg.Control.View().Daemons):
 		return t.refuse(a.cause.Code, "%v; no more repeats are allowed", a.cause)
 	}
 	return nil
--- a/instance.go
+++ b/instance.go
@@ -10,6 +10,8 @@
 	Peers   Address `json:"Peers" cbor:"3,keyasint"`
 	Callers Address `json:"Callers" cbor:"4,keyasint"`
 	Domain  Domain  `json:"Domain" cbor:"5,keyasint"`
+	// Power compares what the machines can do.
+	Power Power `json:"Power" cbor:"6,keyasint"`
 }
 
 // Check implements Checker.
--- a/policy_route.go
+++ b/policy_route.go
@@ -83,6 +83,15 @@
 	Spend() bool
 }
 
+// SharedBudget is one daemon's part of a budget of repeats that all daemons
+// share. The implementation below limit leaves the locking to package tally.
+type SharedBudget interface {
+	// Earn counts a request, while so many daemons run.
+	Earn(daemons int)
+	// Spend reports whether one more repeat may be made.
+	Spend(daemons int) bool
+}
+
 // RetryPolicy names an implementation of RetryBudget in the settings.
 type RetryPolicy string
 
--- a/tally/guard.go
+++ b/tally/guard.go
@@ -32,6 +32,31 @@
 	return r.budget.Spend()
 }
 
+// Shared locks a shared budget for traffic threads.
+type Shared struct {
+	mu     sync.Mutex
+	budget wick.SharedBudget
+}
+
+var _ wick.SharedBudget = (*Shared)(nil)
+
+// NewShared returns a budget that is safe for concurrent use.
+func NewShared(b wick.SharedBudget) *Shared { return &Shared{budget: b} }
+
+// Earn implements wick.SharedBudget.
+func (s *Shared) Earn(daemons int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Earn(daemons)
+}
+
+// Spend implements wick.SharedBudget.
+func (s *Shared) Spend(daemons int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Spend(daemons)
+}
+
 // Hedges locks a hedger that traffic threads share.
 type Hedges struct {
 	mu     sync.Mutex
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -202,6 +202,7 @@
 type Candidate struct {
 	Host        wick.HostName
 	Incarnation wick.Incarnation
+	Power       wick.Power
 }
 
 // Claims returns the shards that this daemon should claim now. alive lists the
@@ -242,16 +243,30 @@
 }
 
 func live(term Term, alive []Candidate) bool {
-	return term.Fence > 0 && !term.Left && slices.Contains(alive, Candidate{term.Holder, term.Incarnation})
+	return term.Fence > 0 && !term.Left && slices.ContainsFunc(alive, func(c Candidate) bool {
+		return c.Host == term.Holder && c.Incarnation == term.Incarnation
+	})
 }
 
 // rank returns this daemon's place among the candidates for a shard, and the
 // first one. A former holder comes first, since it need not wait for its own
-// lease; then those with fewer shards.
+// lease; then machines of at least half the power of the best, and those with
+// fewer shards.
 func (t *Table) rank(s wick.Shard, alive []Candidate, held map[wick.HostName]int) (int, wick.HostName) {
 	order := slices.Clone(alive)
+	var best wick.Power
+	for _, c := range order {
+		best = max(best, c.Power)
+	}
+	weak := func(c Candidate) int {
+		if 2*c.Power < best {
+			return 1
+		}
+		return 0
+	}
 	slices.SortFunc(order, func(a, b Candidate) int {
 		return cmp.Or(
+			cmp.Compare(weak(a), weak(b)),
 			cmp.Compare(t.claimCost(s, a, held), t.claimCost(s, b, held)),
 			cmp.Compare(score(s, a.Host), score(s, b.Host)),
 			cmp.Compare(a.Host, b.Host),
--- a/units.go
+++ b/units.go
@@ -16,6 +16,9 @@
 	PerSecond float64
 	// Level orders priorities: a higher level is served first.
 	Level int
+	// Power compares machines by their processors and links: the cores that a
+	// daemon may use, lessened where its link is slow.
+	Power float64
 	// Cost is the estimated time, in seconds, that a request occupies a batch
 	// slot on a runner of ordinary speed.
 	Cost float64
