Keep a loaded adapter until its requests are heard of

Ruled out: conflicts of orders, as all were accepted.

Log lines name topics and answers to orders instead of numbering them.

--- a/coord/holders.go
+++ b/coord/holders.go
@@ -44,7 +44,7 @@
 		return false
 	}
 	s.log.Info("term begun", "shard", c.Shard, "holder", c.Holder, "fence", s.terms.Holder(c.Shard).Fence,
-		"before", old.Holder, "left", c.Left, "orders_in", s.terms.Holder(c.Shard).From.Sub(now))
+		"before", old.Holder, "left", c.Left, "orders_in_ms", s.terms.Holder(c.Shard).From.Sub(now).Milliseconds())
 	held := 0
 	for sh := range wick.Shard(terms.Shards) {
 		if s.terms.Holds(sh) {
@@ -117,7 +117,7 @@
 		return
 	}
 	c := claims[0]
-	s.log.Info("claiming term", "shard", c.Shard, "left", c.Left, "read_age", now.Sub(t.ok))
+	s.log.Info("claiming term", "shard", c.Shard, "left", c.Left, "read_age_ms", now.Sub(t.ok).Milliseconds())
 	// Nothing may stand on the store that this daemon has not read.
 	s.put(t.next, keyTerm+strconv.Itoa(int(c.Shard)), c)
 }
@@ -251,7 +251,7 @@
 	o := e.order
 	s.cfg.Note.Ordered(o.Kind, e.result)
 	s.log.Info("order", "endpoint", o.Endpoint, "kind", o.Kind, "weights", o.Weights.String(), "version", o.Revision,
-		"expected", o.Expected, "fence", o.Fence, "result", e.result, "err", errText(e.err))
+		"expected", o.Expected, "fence", o.Fence, "result", e.result.String(), "err", errText(e.err))
 	end, l := s.endpoints[o.Endpoint], s.ledgers[o.Endpoint]
 	if end == nil || l == nil {
 		return
--- a/coord/state.go
+++ b/coord/state.go
@@ -105,7 +105,7 @@
 // tick makes the decisions that time alone brings about.
 func (s *state) tick(now wick.Instant) {
 	if now.Sub(s.ticked) > pausedAfter {
-		s.log.Warn("process stood still", "for", now.Sub(s.ticked))
+		s.log.Warn("process stood still", "for_ms", now.Sub(s.ticked).Milliseconds())
 		s.terms.Paused()
 	}
 	s.ticked = now
--- a/coord/topics.go
+++ b/coord/topics.go
@@ -144,11 +144,11 @@
 	}
 	if t.failing {
 		t.failing = false
-		s.log.Info("store regained", "topic", t.id)
+		s.log.Info("store regained", "topic", t.id.String())
 	}
 	s.facts.Reach(now, true)
 	if e.batch.Lost {
-		s.log.Warn("records deleted before they were read", "topic", t.id, "from", t.next)
+		s.log.Warn("records deleted before they were read", "topic", t.id.String(), "from", t.next)
 		t.loaded = false
 		return
 	}
@@ -200,7 +200,7 @@
 	}
 	if !t.failing {
 		t.failing = true
-		s.log.Warn("store lost", "topic", t.id, "err", err)
+		s.log.Warn("store lost", "topic", t.id.String(), "err", err)
 	}
 }
 
@@ -248,7 +248,7 @@
 func (s *state) factRecord(now wick.Instant, topic wick.Topic, rec wick.KeyedRecord, from source) bool {
 	f, err := s.cfg.Reader.Decode(topic, rec)
 	if err != nil {
-		s.log.Warn("record refused", "topic", topic, "key", rec.Key, "offset", rec.Offset, "err", err)
+		s.log.Warn("record refused", "topic", topic.String(), "key", rec.Key, "offset", rec.Offset, "err", err)
 		return false
 	}
 	certain := from == fromCertain
@@ -280,7 +280,7 @@
 	if name, ok := strings.CutPrefix(rec.Key, keyDaemon); ok {
 		var d wick.Instance
 		if err := codec.DecodeJSON(rec.Value, &d); err != nil || string(d.Host) != name {
-			s.log.Warn("record refused", "topic", wick.TopicDaemons, "key", rec.Key, "offset", rec.Offset, "err", err)
+			s.log.Warn("record refused", "topic", wick.TopicDaemons.String(), "key", rec.Key, "offset", rec.Offset, "err", err)
 			return false
 		}
 		old, known := s.daemons[d.Host]
@@ -293,7 +293,7 @@
 	}
 	var c terms.Claim
 	if err := codec.DecodeJSON(rec.Value, &c); err != nil || keyTerm+strconv.Itoa(int(c.Shard)) != rec.Key {
-		s.log.Warn("record refused", "topic", wick.TopicDaemons, "key", rec.Key, "offset", rec.Offset, "err", err)
+		s.log.Warn("record refused", "topic", wick.TopicDaemons.String(), "key", rec.Key, "offset", rec.Offset, "err", err)
 		return false
 	}
 	return s.begin(now, rec.Offset, c)
--- a/fleet.go
+++ b/fleet.go
@@ -174,6 +174,15 @@
 	OrderRefused
 )
 
+// String names the answer in log lines and metrics.
+func (r OrderResult) String() string {
+	names := [...]string{"lost", "started", "held", "conflict", "fenced", "refused"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
+
 // RunnerReport is what an endpoint says of its adapters when asked, some
 // hundred milliseconds old.
 type RunnerReport struct {
@@ -208,6 +217,15 @@
 	Topics
 )
 
+// String names the topic in log lines.
+func (t Topic) String() string {
+	names := [Topics]string{"configuration", "runners", "daemons"}
+	if t < Topics {
+		return names[t]
+	}
+	return "unknown"
+}
+
 // KeyedRecord is a record of a topic. The topic keeps the newest of each key.
 type KeyedRecord struct {
 	Offset Offset
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -36,9 +36,10 @@
 	// sufficed is lowered.
 	growTime = 25 * time.Millisecond
 	shrink   = 0.995
-	// restTime is how long an adapter must be idle before it may be unloaded:
-	// the age of the newest figures of all daemons, and the way of a request.
-	restTime = 150 * time.Millisecond
+	// restTime is how long an adapter must be idle, and ready, before it may be
+	// unloaded: the age of the newest figures of all daemons, and the way of a
+	// request.
+	restTime = 200 * time.Millisecond
 	// retryTime is the pause after an order that was refused or lost, and
 	// reportLag the age that reports of endpoints may have.
 	retryTime = 150 * time.Millisecond
@@ -343,7 +344,7 @@
 
 // idle tells that the adapter may be unloaded.
 func (p *Place) idle(now wick.Instant) bool {
-	return p.InUse == 0 && !p.incoming && !p.leaving && now.Sub(p.Used) >= restTime
+	return p.InUse == 0 && !p.incoming && !p.leaving && now.Sub(max(p.Used, p.Ready)) >= restTime
 }
 
 // Free counts the adapters that could be loaded now, without those that are
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -270,3 +270,39 @@
 		t.Errorf("%d adapters still leave", c.Leaving)
 	}
 }
+
+// Requests that wait for an adapter are sent when it is ready, and their holder
+// hears of them a little later. It must not make room before that.
+func TestLoadedAdapterStaysUntilItsRequestsAreHeardOf(t *testing.T) {
+	tests := []struct {
+		name string
+		// after is the time since the adapter became ready.
+		after int
+		want  slots.Step
+	}{
+		{"as it becomes ready", 0, slots.StepNone},
+		{"before its requests are heard of", 100, slots.StepNone},
+		{"long after", 400, slots.StepOrder},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := slots.New(1, base, slots.NewRecent())
+			l.Next(0, true)
+			l.Inspected(0, wick.RunnerReport{Models: []wick.ModelName{base}}, nil)
+			l.Want(0, adapter(1), 0)
+			_, order, _ := l.Next(0, true)
+			l.Ordered(0, order, wick.OrderStarted)
+			var ready wick.Instant
+			for w, p := range l.Places {
+				if w == adapter(1) {
+					ready = p.Ready
+				}
+			}
+			at := ready.Add(time.Duration(test.after) * time.Millisecond)
+			l.Want(at, adapter(2), 0)
+			if step, _, _ := l.Next(at, true); step != test.want {
+				t.Errorf("step %v, want %v", step, test.want)
+			}
+		})
+	}
+}
--- a/stats/gateway.go
+++ b/stats/gateway.go
@@ -26,16 +26,6 @@
 
 var _ wick.GatewayNote = (*Gateway)(nil)
 
-// orderResults names the answers to orders.
-var orderResults = map[wick.OrderResult]string{
-	wick.OrderLost:     "lost",
-	wick.OrderStarted:  "started",
-	wick.OrderHeld:     "held",
-	wick.OrderConflict: "conflict",
-	wick.OrderFenced:   "fenced",
-	wick.OrderRefused:  "refused",
-}
-
 // NewGateway registers the metrics of a gateway. dropped returns the number of
 // log lines that were dropped. The registry must not hold them yet.
 func NewGateway(registry *prometheus.Registry, dropped func() int64) *Gateway {
@@ -95,7 +85,7 @@
 
 // Ordered implements wick.GatewayNote.
 func (g *Gateway) Ordered(kind wick.OrderKind, result wick.OrderResult) {
-	g.orders.WithLabelValues(string(kind), orderResults[result]).Inc()
+	g.orders.WithLabelValues(string(kind), result.String()).Inc()
 }
 
 // Inspected implements wick.GatewayNote.
