--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -74,6 +74,8 @@
 	hub    *links.Hub
 	pools  []*conns.Pool
 	group  *errgroup.Group
+	// failed ends when a goroutine of the group fails.
+	failed context.Context
 }
 
 // NewGateway builds a daemon that Run starts.
@@ -89,7 +91,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
-	g := &Gateway{cfg: cfg, group: new(errgroup.Group)}
+	g := &Gateway{cfg: cfg}
+	g.group, g.failed = errgroup.WithContext(context.Background())
 	traffic := conns.New(conns.Config{Opened: cfg.Note.Opened})
 	orders := conns.New(conns.Config{PerAddress: 1})
 	calls := conns.New(conns.Config{PerAddress: int(wick.Topics)})
@@ -150,6 +153,7 @@
 func (g *Gateway) Run(stop context.Context) error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
+	defer context.AfterFunc(g.failed, cancel)()
 	servers, err := g.listen(ctx)
 	if err != nil {
 		return err
@@ -159,8 +163,12 @@
 	g.group.Go(func() error { return g.sweep(ctx) })
 	g.group.Go(func() error {
 		defer cancel()
-		<-stop.Done()
-		g.shutdown(servers)
+		select {
+		case <-stop.Done():
+			g.shutdown(servers)
+		case <-ctx.Done():
+		}
+		g.close(servers)
 		return nil
 	})
 	return g.group.Wait()
@@ -252,6 +260,10 @@
 			g.cfg.Log.Warn("requests were cut off at the end of the grace time", "err", err)
 		}
 	}
+}
+
+// close ends all servers, with the connections that are left.
+func (g *Gateway) close(servers []service) {
 	for _, s := range servers {
 		if err := s.server.Close(); err != nil {
 			g.cfg.Log.Warn("server not closed", "server", s.name, "err", err)
--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -83,8 +83,6 @@
 type world struct {
 	*state
 	steps *steps
-	// end is the end of the daemons' topic.
-	end wick.Offset
 }
 
 func newWorld(t *testing.T, fenced bool) *world {
--- a/coord/holders.go
+++ b/coord/holders.go
@@ -184,7 +184,7 @@
 // ledger returns the ledger of an endpoint in an own shard, or nil if it takes
 // no orders.
 func (s *state) ledger(e *endpoint) *slots.Ledger {
-	site, _ := s.facts.Site()
+	site := s.facts.Site()
 	if site == nil || !s.mayOrder[e.shard] {
 		return nil
 	}
@@ -211,7 +211,7 @@
 // modelPause is the time between two loads of base models by one holder. All
 // holders together keep to the rate of the weight store.
 func (s *state) modelPause(e *endpoint) time.Duration {
-	site, _ := s.facts.Site()
+	site := s.facts.Site()
 	rate := float64(site.Pools[e.info.Pool].Engine.ModelLoads)
 	if rate <= 0 {
 		return 0
@@ -225,7 +225,7 @@
 		return
 	}
 	l.SetCrowd(s.incoming, s.knee())
-	step, order, _ := l.Next(now, now.Sub(s.modelLoad) >= s.modelPause(e))
+	step, order := l.Next(now, now.Sub(s.modelLoad) >= s.modelPause(e))
 	switch step {
 	case slots.StepInspect:
 		s.cfg.Steps.Inspect(e.info.Name, e.info.Address)
--- a/coord/links.go
+++ b/coord/links.go
@@ -307,7 +307,7 @@
 
 // slotsOf returns how many adapters an endpoint holds at most.
 func (s *state) slotsOf(e *endpoint) wick.Slots {
-	if site, _ := s.facts.Site(); site != nil {
+	if site := s.facts.Site(); site != nil {
 		if engine := site.Pools[e.info.Pool].Engine; engine != nil {
 			return engine.AdapterSlots
 		}
--- a/coord/view.go
+++ b/coord/view.go
@@ -77,7 +77,7 @@
 // publish returns the view of the current state.
 func (s *state) publish(now wick.Instant) *View {
 	s.dirty = false
-	site, _ := s.facts.Site()
+	site := s.facts.Site()
 	v := &View{
 		Site:     site,
 		Routes:   s.facts.Routes(),
@@ -133,7 +133,7 @@
 
 // ready tells whether callers can be served.
 func (s *state) ready() bool {
-	site, _ := s.facts.Site()
+	site := s.facts.Site()
 	return site != nil && len(s.order) > 0 && !s.stopping
 }
 
--- a/daemon.go
+++ b/daemon.go
@@ -11,7 +11,6 @@
 type Daemon struct {
 	Host   HostName
 	Domain Domain
-	Region string
 	// Callers, Ready and Directory are the addresses to listen on: for
 	// requests, for the platform's question whether the daemon is ready, and
 	// for the question which addresses to use. Ready and Directory may be empty.
@@ -23,10 +22,9 @@
 	Seeds []Address
 	// Store is the address of the platform's store.
 	Store Address
-	// Cores, Memory and Files bound what the process may use.
+	// Cores and Memory bound what the process may use.
 	Cores  int
 	Memory Bytes
-	Files  int
 	// Power compares the machine with others; positive.
 	Power  Power
 	Bounds Bounds
@@ -38,19 +36,14 @@
 	Lease Duration
 	// Fenced tells that endpoints refuse orders with an old fencing token.
 	Fenced bool
-	// Drain is how long after a notice new requests may still be sent to an
-	// endpoint that leaves.
-	Drain Duration
 	// Grace is the time between the request to stop and the kill.
 	Grace Duration
-	// Propagation is the time in which a configuration is in force everywhere,
-	// Revision that in which a new adapter version is used.
-	Propagation, Revision Duration
+	// Revision is the time in which a new adapter version is used.
+	Revision Duration
 	// RetryRatio and RetrySlack bound the sends beyond the first of each
-	// request over all daemons in RetryWindow.
-	RetryRatio  float64
-	RetrySlack  int
-	RetryWindow Duration
+	// request over all daemons: a part of the requests, and a number more.
+	RetryRatio float64
+	RetrySlack int
 	// EntriesTTL is the longest time for which callers keep an answer about
 	// which addresses to use.
 	EntriesTTL Duration
@@ -97,11 +90,8 @@
 		value Duration
 	}{
 		{"Lease", b.Lease},
-		{"Drain", b.Drain},
 		{"Grace", b.Grace},
-		{"Propagation", b.Propagation},
 		{"Revision", b.Revision},
-		{"RetryWindow", b.RetryWindow},
 		{"EntriesTTL", b.EntriesTTL},
 	}
 	for _, t := range times {
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -120,7 +120,7 @@
 // view returns a view with two endpoints in each pool.
 func view(routes ...wick.SiteRoute) *coord.View {
 	site := &wick.Site{Version: 3, Routes: routes, Pools: map[wick.PoolName]wick.SitePool{
-		"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: &wick.SiteEngine{Slots: 8, AdapterSlots: 4}},
+		"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: &wick.SiteEngine{AdapterSlots: 4}},
 	}}
 	f := facts.New()
 	f.Apply(0, wick.Fact{Offset: 1, Site: site})
--- a/exchange.go
+++ b/exchange.go
@@ -122,11 +122,7 @@
 	// Elsewhere tells that another endpoint has the address, or that what the
 	// request names is not loaded there.
 	Elsewhere bool
-	// Leaving tells that the endpoint closes the connection after the answer.
-	Leaving bool
-	// Sealed tells that the endpoint signed the answer.
-	Sealed bool
-	Body   Body
+	Body      Body
 }
 
 // Body is the body of an answer.
--- a/facts/facts.go
+++ b/facts/facts.go
@@ -124,7 +124,7 @@
 // for what its holder knows better.
 func alike(a, b *wick.Runner) bool {
 	return a.Pool == b.Pool && a.Address == b.Address && a.Domain == b.Domain && a.Slots == b.Slots &&
-		a.Draining == b.Draining && a.Leaves == b.Leaves && slices.Equal(a.Models, b.Models) &&
+		a.Draining == b.Draining && slices.Equal(a.Models, b.Models) &&
 		slices.Equal(a.Cached, b.Cached)
 }
 
@@ -199,8 +199,8 @@
 	return gone
 }
 
-// Site returns the configuration in force, or nil, and its offset.
-func (s *State) Site() (*wick.Site, wick.Offset) { return s.site, s.siteAt }
+// Site returns the configuration in force, or nil.
+func (s *State) Site() *wick.Site { return s.site }
 
 // Routes returns an index of the configuration's routes.
 func (s *State) Routes() Routes { return s.routes }
--- a/facts/facts_test.go
+++ b/facts/facts_test.go
@@ -133,7 +133,7 @@
 	s := facts.New()
 	s.Apply(0, wick.Fact{Offset: 5, Site: &wick.Site{Version: 9}})
 	s.Apply(0, wick.Fact{Offset: 4, Site: &wick.Site{Version: 8}})
-	if site, _ := s.Site(); site.Version != 9 {
+	if site := s.Site(); site.Version != 9 {
 		t.Errorf("configuration %d is in force, want 9", site.Version)
 	}
 	w := wick.Weights{Model: "m", Adapter: "a"}
--- a/fleet.go
+++ b/fleet.go
@@ -56,14 +56,10 @@
 	Started Started
 	// Draining tells that no new requests may be sent there.
 	Draining bool
-	// Leaves is how long after the notice the endpoint is gone; 0 if it does
-	// not say.
-	Leaves Duration
-	Models []ModelName
-	Loaded []Loaded
+	Models   []ModelName
+	Loaded   []Loaded
 	// Cached are the adapters that load fast, since a copy is at hand.
 	Cached []Weights
-	Orders OrderCount
 }
 
 // Site is a configuration in force.
@@ -106,17 +102,14 @@
 
 // SitePool describes the endpoints of a pool.
 type SitePool struct {
-	Name       PoolName
-	HealthPath string
+	Name PoolName
 	// Engine is nil for a plain service.
 	Engine *SiteEngine
 }
 
 // SiteEngine describes the model engines of a pool.
 type SiteEngine struct {
-	Slots        Slots
 	AdapterSlots Slots
-	CacheTokens  Tokens
 	// Models lists the base models of the pool.
 	Models []ModelName
 	// ModelLoads is how many base models may be loaded from the weight store a
@@ -186,7 +179,6 @@
 // RunnerReport is what an endpoint says of its adapters when asked, some
 // hundred milliseconds old.
 type RunnerReport struct {
-	Started  Started
 	Orders   OrderCount
 	Models   []ModelName
 	Loaded   []Loaded
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -88,7 +88,7 @@
 
 // The steps of a ledger.
 const (
-	// StepNone means that there is nothing to do before the time returned.
+	// StepNone means that there is nothing to do now.
 	StepNone Step = iota
 	// StepOrder means that the order returned is to be given.
 	StepOrder
@@ -221,27 +221,24 @@
 	l.next = max(l.next, now)
 }
 
-// Next returns the next step, or the time until which there is none. models
-// tells that a base model may be loaded now.
-func (l *Ledger) Next(now wick.Instant, models bool) (Step, wick.RunnerOrder, wick.Instant) {
-	if l.busy {
-		return StepNone, wick.RunnerOrder{}, now.Add(mostTime)
-	}
-	if now < l.next {
-		return StepNone, wick.RunnerOrder{}, l.next
+// Next returns the next step, and the order for StepOrder. models tells that a
+// base model may be loaded now.
+func (l *Ledger) Next(now wick.Instant, models bool) (Step, wick.RunnerOrder) {
+	if l.busy || now < l.next {
+		return StepNone, wick.RunnerOrder{}
 	}
 	if !l.synced || l.check > 0 && now >= l.check {
 		l.busy = true
-		return StepInspect, wick.RunnerOrder{}, 0
+		return StepInspect, wick.RunnerOrder{}
 	}
 	l.settle(now)
 	o, ok := l.order(now, models)
 	if !ok {
-		return StepNone, wick.RunnerOrder{}, now.Add(retryTime / 2)
+		return StepNone, wick.RunnerOrder{}
 	}
 	o.Expected = l.orders
 	l.busy = true
-	return StepOrder, o, 0
+	return StepOrder, o
 }
 
 // order returns the order that should be given now.
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -102,14 +102,14 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			l := slots.New(2, base, slots.NewRecent())
-			if step, _, _ := l.Next(0, true); step != slots.StepInspect {
+			if step, _ := l.Next(0, true); step != slots.StepInspect {
 				t.Fatalf("first step is %v, want an inspection", step)
 			}
 			l.Inspected(0, test.report, nil)
 			for _, w := range test.wants {
 				l.Want(ms(1), w, 0)
 			}
-			step, order, _ := l.Next(ms(2), test.models)
+			step, order := l.Next(ms(2), test.models)
 			if step != test.want || order != test.order {
 				t.Errorf("got step %v %+v, want %v %+v", step, order, test.want, test.order)
 			}
@@ -142,7 +142,7 @@
 				l.Use(ms(100), adapter(i), test.use[i])
 			}
 			l.Want(test.at, adapter(9), 0)
-			step, order, _ := l.Next(test.at, true)
+			step, order := l.Next(test.at, true)
 			if test.victim < 0 {
 				if step != slots.StepNone {
 					t.Fatalf("got %v %+v, want no step", step, order)
@@ -173,7 +173,7 @@
 		l.Next(0, true)
 		l.Ordered(0, wick.RunnerOrder{Kind: test.kind, Weights: adapter(1), Expected: 5}, wick.OrderHeld)
 		l.Want(ms(1), adapter(2), 0)
-		_, order, _ := l.Next(ms(200), true)
+		_, order := l.Next(ms(200), true)
 		if order.Expected != test.next {
 			t.Errorf("%s: next order expects %d, want %d", test.kind, order.Expected, test.next)
 		}
@@ -195,7 +195,7 @@
 				e.late = e.late[1:]
 			}
 			e.check(t)
-			step, order, _ := l.Next(now, true)
+			step, order := l.Next(now, true)
 			switch step {
 			case slots.StepInspect:
 				l.Inspected(now, e.report(), nil)
@@ -235,7 +235,7 @@
 	l.Inspected(0, wick.RunnerReport{Models: []wick.ModelName{base}, Loaded: both}, nil)
 	unload := func(at int, want wick.OrderResult) wick.Weights {
 		t.Helper()
-		step, order, _ := l.Next(ms(at), true)
+		step, order := l.Next(ms(at), true)
 		if step != slots.StepOrder || order.Kind != wick.OrderUnload {
 			t.Fatalf("at %d ms: got %v %+v, want an order to unload", at, step, order)
 		}
@@ -257,7 +257,7 @@
 		{"the endpoint is asked for the other", 900, slots.StepInspect, ""},
 	}
 	for _, test := range tests {
-		step, order, _ := l.Next(ms(test.at), true)
+		step, order := l.Next(ms(test.at), true)
 		if step != test.want || order.Kind != test.kind {
 			t.Errorf("%s: got %v %+v", test.name, step, order)
 		}
@@ -290,7 +290,7 @@
 			l.Next(0, true)
 			l.Inspected(0, wick.RunnerReport{Models: []wick.ModelName{base}}, nil)
 			l.Want(0, adapter(1), 0)
-			_, order, _ := l.Next(0, true)
+			_, order := l.Next(0, true)
 			l.Ordered(0, order, wick.OrderStarted)
 			var ready wick.Instant
 			for w, p := range l.Places {
@@ -300,7 +300,7 @@
 			}
 			at := ready.Add(time.Duration(test.after) * time.Millisecond)
 			l.Want(at, adapter(2), 0)
-			if step, _, _ := l.Next(at, true); step != test.want {
+			if step, _ := l.Next(at, true); step != test.want {
 				t.Errorf("step %v, want %v", step, test.want)
 			}
 		})
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -7,7 +7,7 @@
 
 import (
 	"cmp"
-	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -60,7 +60,7 @@
 // Check implements wick.Checker.
 func (c Claim) Check() error {
 	if c.Shard < 0 || c.Shard >= Shards {
-		return errors.New("Shard: out of range")
+		return fmt.Errorf("shard %d is out of range", c.Shard)
 	}
 	return c.Holder.Check()
 }
@@ -72,8 +72,6 @@
 	Fence wick.Fence
 	// From is when the holder may give orders, on this daemon's clock.
 	From wick.Instant
-	// heard is when this daemon learned of the term.
-	heard wick.Instant
 }
 
 // Config sets up a Table.
@@ -118,7 +116,7 @@
 	if fence <= old.Fence {
 		return false
 	}
-	term := Term{Claim: c, Fence: fence, From: now, heard: now}
+	term := Term{Claim: c, Fence: fence, From: now}
 	// The same machine may go on at once. So may the next holder after one
 	// that gave its term up, if fencing covers its last orders.
 	waits := old.Fence > 0 && old.Holder != c.Holder && !(old.Left && t.cfg.Fenced)
