--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/fakes"
 	"currantwick/terms"
 )
 
@@ -47,19 +48,6 @@
 	return f, nil
 }
 
-// note implements wick.GatewayNote.
-type note struct{}
-
-func (note) Passed(wick.Kind, wick.Code, time.Duration, time.Duration) {}
-func (note) Waited(time.Duration)                                      {}
-func (note) Sent(bool)                                                 {}
-func (note) Ordered(wick.OrderKind, wick.OrderResult)                  {}
-func (note) Inspected(error)                                           {}
-func (note) Stored(string, error)                                      {}
-func (note) Opened()                                                   {}
-func (note) Site(uint64)                                               {}
-func (note) Holds(int)                                                 {}
-
 // still implements wick.Clock.
 type still struct{}
 
@@ -91,7 +79,7 @@
 	return &world{steps: st, state: newState(Config{
 		Self:   instance("a", 1),
 		Bounds: wick.Bounds{Lease: wick.Duration(3 * time.Second), Fenced: fenced, Revision: wick.Duration(5 * time.Second)},
-		Clock:  still{}, Steps: st, Reader: reader{}, Log: slog.New(slog.DiscardHandler), Note: note{},
+		Clock:  still{}, Steps: st, Reader: reader{}, Log: slog.New(slog.DiscardHandler), Note: fakes.GatewayNote{},
 	})}
 }
 
--- /dev/null
+++ b/coord/orders.go
@@ -0,0 +1,238 @@
+package coord
+
+import (
+	"time"
+
+	"currantwick"
+	"currantwick/slots"
+	"currantwick/terms"
+)
+
+// incomingPerEngine is how many adapters may be on their way for each engine
+// before the weight store slows down: the deployments allow about four for three
+// engines.
+const incomingPerEngine = 4.0 / 3
+
+// orderStep starts the orders and questions that are due.
+func (s *state) orderStep(now wick.Instant) {
+	for sh := range wick.Shard(terms.Shards) {
+		_, may := s.terms.MayOrder(now, sh)
+		may = may && !s.stopping
+		if may != s.mayOrder[sh] {
+			s.mayOrder[sh] = may
+			s.dirty, s.out.shards = true, true
+			s.log.Info("orders", "shard", sh, "flow", may, "fence", s.terms.Holder(sh).Fence)
+		}
+	}
+	for _, e := range s.order {
+		if s.mayOrder[e.shard] {
+			s.stepLedger(now, e)
+		}
+	}
+}
+
+// countIncoming counts the adapters that are on their way to all endpoints, and
+// the engines.
+func (s *state) countIncoming(now wick.Instant) {
+	s.incoming, s.engines = 0, 0
+	for _, e := range s.order {
+		if len(e.info.Models) == 0 {
+			continue
+		}
+		s.engines++
+		for _, r := range e.adapters {
+			if r.Ready > now {
+				s.incoming++
+			}
+		}
+	}
+}
+
+// knee is how many adapters may be on their way before each takes longer.
+func (s *state) knee() int { return max(int(float64(s.engines)*incomingPerEngine), 1) }
+
+// ledger returns the ledger of an endpoint in an own shard, or nil if it takes
+// no orders.
+func (s *state) ledger(e *endpoint) *slots.Ledger {
+	site := s.facts.Site()
+	if site == nil || !s.mayOrder[e.shard] {
+		return nil
+	}
+	engine := site.Pools[e.info.Pool].Engine
+	if engine == nil {
+		return nil
+	}
+	l := s.ledgers[e.info.Name]
+	if l == nil {
+		l = slots.New(engine.AdapterSlots, firstModel(engine), e.recent)
+		s.ledgers[e.info.Name] = l
+	}
+	l.SetCapacity(engine.AdapterSlots)
+	return l
+}
+
+func firstModel(e *wick.SiteEngine) wick.ModelName {
+	if len(e.Models) == 0 {
+		return ""
+	}
+	return e.Models[0]
+}
+
+// modelPause is the time between two loads of base models by one holder. All
+// holders together keep to the rate of the weight store.
+func (s *state) modelPause(e *endpoint) time.Duration {
+	site := s.facts.Site()
+	rate := float64(site.Pools[e.info.Pool].Engine.ModelLoads)
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(terms.Shards / rate * float64(time.Second))
+}
+
+func (s *state) stepLedger(now wick.Instant, e *endpoint) {
+	l := s.ledger(e)
+	if l == nil {
+		return
+	}
+	l.SetCrowd(s.incoming, s.knee())
+	step, order := l.Next(now, now.Sub(s.modelLoad) >= s.modelPause(e))
+	switch step {
+	case slots.StepInspect:
+		s.cfg.Steps.Inspect(e.info.Name, e.info.Address)
+	case slots.StepOrder:
+		if order.Weights.Adapter == "" {
+			s.modelLoad = now
+		}
+		order.Endpoint = e.info.Name
+		order.Holder = s.cfg.Self.Host
+		order.Fence, _ = s.terms.MayOrder(now, e.shard)
+		s.cfg.Steps.Order(e.info.Address, order)
+	}
+}
+
+// ordered is the outcome of an order.
+type ordered struct {
+	order  wick.RunnerOrder
+	result wick.OrderResult
+	err    error
+}
+
+func (e ordered) apply(s *state, now wick.Instant) {
+	o := e.order
+	s.cfg.Note.Ordered(o.Kind, e.result)
+	s.log.Info("order", "endpoint", o.Endpoint, "kind", o.Kind, "weights", o.Weights.String(), "version", o.Revision,
+		"expected", o.Expected, "fence", o.Fence, "result", e.result.String(), "err", errText(e.err))
+	end, l := s.endpoints[o.Endpoint], s.ledgers[o.Endpoint]
+	if end == nil || l == nil {
+		return
+	}
+	if e.result == wick.OrderFenced && s.terms.Holder(end.shard).Fence == o.Fence {
+		s.log.Warn("term lost", "shard", end.shard, "fence", o.Fence, "cause", "a later holder's token was seen")
+		s.terms.Fenced(end.shard)
+		s.dirty = true
+	}
+	l.Ordered(now, o, e.result)
+	s.place(now, end, l)
+	if o.Kind == wick.OrderLoad {
+		s.incoming++
+	}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// inspected is the outcome of a question for a report.
+type inspected struct {
+	endpoint wick.EndpointName
+	report   wick.RunnerReport
+	err      error
+}
+
+func (e inspected) apply(s *state, now wick.Instant) {
+	s.cfg.Note.Inspected(e.err)
+	s.log.Info("report", "endpoint", e.endpoint, "orders", e.report.Orders, "loaded", len(e.report.Loaded),
+		"incoming", len(e.report.Incoming), "err", errText(e.err))
+	end, l := s.endpoints[e.endpoint], s.ledgers[e.endpoint]
+	if end == nil || l == nil {
+		return
+	}
+	l.Inspected(now, e.report, e.err)
+	s.place(now, end, l)
+}
+
+// place publishes what the ledger of an endpoint says.
+func (s *state) place(now wick.Instant, e *endpoint, l *slots.Ledger) {
+	m := make(map[wick.Weights]Residence)
+	for w, p := range l.Places {
+		if !p.Usable() {
+			continue
+		}
+		m[w] = Residence{Revision: p.Revision, Ready: p.Ready}
+	}
+	for w, r := range m {
+		if old, ok := e.adapters[w]; !ok || old != r {
+			s.out.place(wick.AdapterPlace{Endpoint: e.info.Name, Weights: w, Revision: r.Revision}, r.Ready)
+		}
+	}
+	for w := range e.adapters {
+		if _, ok := m[w]; !ok {
+			s.out.place(wick.AdapterPlace{Endpoint: e.info.Name, Weights: w, Gone: true}, now)
+		}
+	}
+	e.adapters = m
+	e.cached = e.recent.Set()
+	s.touch(e)
+}
+
+// renew orders a newer version of an adapter wherever an older one is held.
+func (s *state) renew(now wick.Instant, newer wick.Loaded) {
+	for name, l := range s.ledgers {
+		e := s.endpoints[name]
+		if e == nil {
+			continue
+		}
+		if held, ok := e.adapters[newer.Weights]; ok && held.Revision < newer.Revision {
+			l.Want(now, newer.Weights, newer.Revision)
+		}
+	}
+}
+
+// wanted is what traffic of this daemon tells of an adapter.
+type wanted struct {
+	want wick.AdapterWant
+}
+
+func (e wanted) apply(s *state, now wick.Instant) {
+	end := s.endpoints[e.want.Endpoint]
+	if end == nil {
+		return
+	}
+	if s.terms.Holds(end.shard) {
+		s.want(now, end, e.want)
+		return
+	}
+	if h := s.holders[s.terms.Holder(end.shard).Holder]; h != nil {
+		h.link.Post(wick.LinkMessage{Report: &wick.InstanceReport{Ready: s.ready(), Wants: []wick.AdapterWant{e.want}}})
+	}
+}
+
+// want takes what a daemon tells of an adapter at an endpoint of an own shard.
+func (s *state) want(now wick.Instant, e *endpoint, w wick.AdapterWant) {
+	l := s.ledger(e)
+	if l == nil {
+		return
+	}
+	switch w.Reason {
+	case wick.WantEarly:
+		l.Early(now, w.Weights)
+		s.place(now, e, l)
+	case wick.WantMissing:
+		l.Doubt(now, w.Weights)
+	default:
+		l.Want(now, w.Weights, w.Revision)
+	}
+}
--- /dev/null
+++ b/coord/update.go
@@ -0,0 +1,188 @@
+package coord
+
+import (
+	"currantwick"
+)
+
+// outgoing collects what the linked daemons are told next.
+type outgoing struct {
+	shards    bool
+	records   []wick.RelayedRecord
+	places    []wick.AdapterPlace
+	readyAt   []wick.Instant
+	loads     []wick.NamedLoad
+	kept      []wick.KeptBegin
+	instances bool
+	sent      wick.Instant
+}
+
+// place adds the state of an adapter.
+func (o *outgoing) place(p wick.AdapterPlace, ready wick.Instant) {
+	o.places = append(o.places, p)
+	o.readyAt = append(o.readyAt, ready)
+}
+
+// update takes what a holder tells.
+func (s *state) update(now wick.Instant, h *holder, u *wick.HolderUpdate) {
+	s.updateShards(h, u.Shards)
+	for i, age := range u.Age {
+		if age >= 0 {
+			s.topics[i].heard = max(s.topics[i].heard, now.Add(-age.Std()))
+		}
+	}
+	for _, r := range u.Records {
+		if r.Topic >= wick.Topics {
+			continue
+		}
+		from := fromHolder
+		if r.Certain {
+			from = fromCertain
+		}
+		s.record(now, r.Topic, wick.KeyedRecord{Offset: r.Offset, Key: r.Key, Value: r.Value}, from)
+	}
+	for _, name := range u.Reset {
+		if e := s.endpoints[name]; e != nil {
+			e.adapters = make(map[wick.Weights]Residence)
+			s.touch(e)
+		}
+	}
+	for _, p := range u.Places {
+		s.placed(now, p)
+	}
+	for _, l := range u.Loads {
+		if e := s.endpoints[l.Endpoint]; e != nil {
+			e.total, e.told = l.Load, h.loads[l.Endpoint]
+			s.touch(e)
+		}
+	}
+	for _, k := range u.Kept {
+		if e := s.endpoints[k.Endpoint]; e != nil {
+			e.meter.Keep(k.Chain)
+		}
+	}
+	if u.Instances != nil {
+		h.instances = u.Instances
+		s.dirty = true
+	}
+}
+
+func (s *state) updateShards(h *holder, list []wick.Shard) {
+	now := make(map[wick.Shard]bool, len(list))
+	for _, sh := range list {
+		now[sh] = true
+		s.dirty = s.dirty || !h.shards[sh]
+	}
+	s.dirty = s.dirty || len(now) != len(h.shards)
+	h.shards = now
+}
+
+// placed takes the state of an adapter at an endpoint of another holder.
+func (s *state) placed(now wick.Instant, p wick.AdapterPlace) {
+	e := s.endpoints[p.Endpoint]
+	if e == nil || s.terms.Holds(e.shard) {
+		return
+	}
+	m := make(map[wick.Weights]Residence, len(e.adapters)+1)
+	for w, r := range e.adapters {
+		m[w] = r
+	}
+	if p.Gone {
+		delete(m, p.Weights)
+	} else {
+		m[p.Weights] = Residence{Revision: p.Revision, Ready: now.Add(p.ReadyIn.Std())}
+	}
+	e.adapters = m
+	e.recent.Add(now, p.Weights, s.slotsOf(e))
+	e.cached = e.recent.Set()
+	s.touch(e)
+}
+
+// slotsOf returns how many adapters an endpoint holds at most.
+func (s *state) slotsOf(e *endpoint) wick.Slots {
+	if site := s.facts.Site(); site != nil {
+		if engine := site.Pools[e.info.Pool].Engine; engine != nil {
+			return engine.AdapterSlots
+		}
+	}
+	return 0
+}
+
+// fullUpdate returns all that a daemon which links now must know.
+func (s *state) fullUpdate(now wick.Instant) *wick.HolderUpdate {
+	u := s.baseUpdate(now)
+	for topic := range s.raw {
+		for _, r := range s.raw[topic] {
+			u.Records = append(u.Records, r)
+		}
+	}
+	for _, e := range s.order {
+		if !s.mayOrder[e.shard] || s.ledgers[e.info.Name] == nil {
+			continue
+		}
+		u.Reset = append(u.Reset, e.info.Name)
+		for w, r := range e.adapters {
+			u.Places = append(u.Places, wick.AdapterPlace{
+				Endpoint: e.info.Name, Weights: w, Revision: r.Revision, ReadyIn: wick.Duration(max(r.Ready.Sub(now), 0)),
+			})
+		}
+		u.Loads = append(u.Loads, wick.NamedLoad{Endpoint: e.info.Name, Load: e.total})
+	}
+	u.Instances = s.instances()
+	return u
+}
+
+func (s *state) baseUpdate(now wick.Instant) *wick.HolderUpdate {
+	u := &wick.HolderUpdate{}
+	for sh, may := range s.mayOrder {
+		if may {
+			u.Shards = append(u.Shards, wick.Shard(sh))
+		}
+	}
+	for i := range s.topics {
+		u.Age[i] = -1
+		if s.topics[i].ok >= 0 {
+			u.Age[i] = wick.Duration(now.Sub(s.topics[i].ok))
+		}
+	}
+	return u
+}
+
+// instances lists this daemon and those linked to it.
+func (s *state) instances() []wick.InstanceState {
+	list := []wick.InstanceState{{Instance: s.cfg.Self, Ready: s.ready()}}
+	for _, m := range s.members {
+		list = append(list, wick.InstanceState{Instance: m.instance, Ready: m.ready})
+	}
+	return list
+}
+
+// flush sends what changed to the linked daemons. Places, records and shards
+// go at once, loads and heartbeats with the ticks.
+func (s *state) flush(now wick.Instant, tick bool) {
+	o := &s.out
+	urgent := len(o.records) > 0 || len(o.places) > 0 || o.shards || o.instances
+	if urgent || tick && (len(o.loads) > 0 && now.Sub(o.sent) >= loadsEvery || now.Sub(o.sent) >= heartbeat) {
+		s.sendUpdate(now)
+	}
+	if tick || s.stopping {
+		for _, h := range s.holders {
+			s.sendReport(now, h)
+		}
+	}
+}
+
+func (s *state) sendUpdate(now wick.Instant) {
+	o := &s.out
+	u := s.baseUpdate(now)
+	u.Records, u.Places, u.Loads, u.Kept = o.records, o.places, o.loads, o.kept
+	for i := range u.Places {
+		u.Places[i].ReadyIn = wick.Duration(max(o.readyAt[i].Sub(now), 0))
+	}
+	if o.instances {
+		u.Instances = s.instances()
+	}
+	for _, m := range s.members {
+		m.link.Post(wick.LinkMessage{Update: u})
+	}
+	s.out = outgoing{sent: now}
+}
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -15,6 +15,7 @@
 	"currantwick/coord"
 	"currantwick/direct"
 	"currantwick/facts"
+	"currantwick/fakes"
 	"currantwick/limit"
 	"currantwick/tally"
 )
@@ -99,19 +100,6 @@
 
 func (c clock) Now() wick.Instant { return wick.Instant(time.Since(c.start)) }
 
-// note implements wick.GatewayNote.
-type note struct{}
-
-func (note) Passed(wick.Kind, wick.Code, time.Duration, time.Duration) {}
-func (note) Waited(time.Duration)                                      {}
-func (note) Sent(bool)                                                 {}
-func (note) Ordered(wick.OrderKind, wick.OrderResult)                  {}
-func (note) Inspected(error)                                           {}
-func (note) Stored(string, error)                                      {}
-func (note) Opened()                                                   {}
-func (note) Site(uint64)                                               {}
-func (note) Holds(int)                                                 {}
-
 var (
 	model   = wick.Weights{Model: "m"}
 	adapter = wick.Weights{Model: "m", Adapter: "a"}
@@ -151,7 +139,7 @@
 		Domain:  "d",
 		Bounds:  wick.Bounds{Revision: wick.Duration(5 * time.Second), EntriesTTL: wick.Duration(5 * time.Second)},
 		Control: c, Sender: s, Clock: clock{time.Now()}, Retry: retry,
-		Log: slog.New(slog.DiscardHandler), Note: note{},
+		Log: slog.New(slog.DiscardHandler), Note: fakes.GatewayNote{},
 	})
 }
 
--- /dev/null
+++ b/fakes/note.go
@@ -0,0 +1,39 @@
+package fakes
+
+import (
+	"time"
+
+	"currantwick"
+)
+
+// GatewayNote implements wick.GatewayNote and counts nothing.
+type GatewayNote struct{}
+
+var _ wick.GatewayNote = GatewayNote{}
+
+// Passed implements wick.GatewayNote.
+func (GatewayNote) Passed(wick.Kind, wick.Code, time.Duration, time.Duration) {}
+
+// Waited implements wick.GatewayNote.
+func (GatewayNote) Waited(time.Duration) {}
+
+// Sent implements wick.GatewayNote.
+func (GatewayNote) Sent(bool) {}
+
+// Ordered implements wick.GatewayNote.
+func (GatewayNote) Ordered(wick.OrderKind, wick.OrderResult) {}
+
+// Inspected implements wick.GatewayNote.
+func (GatewayNote) Inspected(error) {}
+
+// Stored implements wick.GatewayNote.
+func (GatewayNote) Stored(string, error) {}
+
+// Opened implements wick.GatewayNote.
+func (GatewayNote) Opened() {}
+
+// Site implements wick.GatewayNote.
+func (GatewayNote) Site(uint64) {}
+
+// Holds implements wick.GatewayNote.
+func (GatewayNote) Holds(int) {}
