--- a/coord/topics.go
+++ b/coord/topics.go
@@ -55,8 +55,8 @@
 	loaded bool
 	busy   bool
 	due    wick.Instant
-	// ok is when the last successful read began, and heard as of when a holder
-	// read it; -1 for never.
+	// ok is as of when this daemon read the topic up to its end, and heard as of
+	// when a holder did; -1 for never.
 	ok, heard wick.Instant
 	failing   bool
 }
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -66,7 +66,8 @@
 	// replaced tells that the load replaces an older version, which keeps its
 	// slot until then.
 	replaced bool
-	cached   bool
+	// cached tells that the load was expected to be one of a copy at hand.
+	cached bool
 	// unsure tells that the order to load was lost.
 	unsure bool
 }
