--- a/facts/facts_test.go
+++ b/facts/facts_test.go
@@ -39,19 +39,23 @@
 		{"a new incarnation does", []step{{fact: runner(1, 5, true)}, {fact: runner(2, 6, false)}}, 0, true, false, 6},
 		{"lapsed in an outage", []step{{fact: runner(1, 5, false)}, {away: true}, {fact: gone(2)}}, ms(9000), true, false, 5},
 		{
-			"lapsed and not back", []step{{fact: runner(1, 5, false)}, {away: true}, {fact: gone(2)}, {at: ms(100), back: true}},
+			"lapsed and not back",
+			[]step{{fact: runner(1, 5, false)}, {away: true}, {fact: gone(2)}, {at: ms(100), back: true}},
 			ms(2500), false, false, 0,
 		},
 		{
-			"lapsed and still awaited", []step{{fact: runner(1, 5, false)}, {away: true}, {fact: gone(2)}, {at: ms(100), back: true}},
+			"lapsed and still awaited",
+			[]step{{fact: runner(1, 5, false)}, {away: true}, {fact: gone(2)}, {at: ms(100), back: true}},
 			ms(2000), true, false, 5,
 		},
 		{
-			"lapsed and back", []step{{fact: runner(1, 5, false)}, {away: true}, {fact: gone(2)}, {at: ms(100), back: true}, {at: ms(200), fact: runner(3, 5, false)}},
+			"lapsed and back",
+			[]step{{fact: runner(1, 5, false)}, {away: true}, {fact: gone(2)}, {at: ms(100), back: true}, {at: ms(200), fact: runner(3, 5, false)}},
 			ms(9000), true, false, 5,
 		},
 		{
-			"left by notice in an outage", []step{{fact: runner(1, 5, true)}, {away: true}, {fact: gone(2)}},
+			"left by notice in an outage",
+			[]step{{fact: runner(1, 5, true)}, {away: true}, {fact: gone(2)}},
 			0, false, false, 0,
 		},
 	}
@@ -106,7 +110,9 @@
 func TestRoutes(t *testing.T) {
 	s := facts.New()
 	s.Apply(0, wick.Fact{Offset: 1, Site: &wick.Site{Version: 1, Routes: []wick.SiteRoute{
-		{Name: "root", Host: "h", Prefix: "/"}, {Name: "deep", Host: "h", Prefix: "/a/b/"}, {Name: "shallow", Host: "h", Prefix: "/a/"},
+		{Name: "root", Host: "h", Prefix: "/"},
+		{Name: "deep", Host: "h", Prefix: "/a/b/"},
+		{Name: "shallow", Host: "h", Prefix: "/a/"},
 		{Name: "other", Host: "g", Prefix: "/a/"},
 	}}})
 	tests := []struct {
--- a/links/hub_test.go
+++ b/links/hub_test.go
@@ -27,6 +27,7 @@
 func (e events) LinkUp(l wick.Link, to wick.Instance, _ wick.Address) {
 	e <- event{kind: "up", link: l, from: to.Host}
 }
+
 func (e events) LinkMessage(l wick.Link, msg wick.LinkMessage) {
 	e <- event{kind: "message", link: l, msg: msg}
 }
--- a/terms/terms_test.go
+++ b/terms/terms_test.go
@@ -29,7 +29,8 @@
 		{"first holder", true, terms.Claim{}, nil, ms(10), true},
 		{"after another holder within the lease", true, terms.Claim{Shard: 1, Holder: "b", Incarnation: 7}, nil, ms(2000), false},
 		{
-			"after another holder and the lease", true, terms.Claim{Shard: 1, Holder: "b", Incarnation: 7},
+			"after another holder and the lease", true,
+			terms.Claim{Shard: 1, Holder: "b", Incarnation: 7},
 			func(t *terms.Table) { t.Confirm(ms(3000)) }, ms(3500), true,
 		},
 		{"after one that left, with fences", true, terms.Claim{Shard: 1, Holder: "b", Incarnation: 7, Left: true}, nil, ms(10), true},
@@ -41,12 +42,14 @@
 		{"while the store is away, without fences", false, terms.Claim{}, (*terms.Table).Unreachable, ms(1300), false},
 		{"after a pause", true, terms.Claim{}, (*terms.Table).Paused, ms(10), false},
 		{
-			"after a pause and a reading", true, terms.Claim{},
+			"after a pause and a reading", true,
+			terms.Claim{},
 			func(t *terms.Table) { t.Paused(); t.Confirm(ms(5)) }, ms(10), true,
 		},
 		{"after an order was refused for a later token", true, terms.Claim{}, func(t *terms.Table) { t.Fenced(1) }, ms(10), false},
 		{
-			"after another daemon's term", true, terms.Claim{},
+			"after another daemon's term", true,
+			terms.Claim{},
 			func(t *terms.Table) { t.Begin(ms(5), 9, terms.Claim{Shard: 1, Holder: "c", Incarnation: 2}) }, ms(10), false,
 		},
 	}
