Report a crash to all daemons before its requests may be retried

Cause: TestCrashingRequest saw three crashes where two stop a request. The owner answered the caller of the second crash while its report to the other daemons was under way; the retry through another entry reached an owner that had not received it, 3 to 25 ms later.

Change: the owner returns the error of a crash once all other members have answered the report, after 300 ms at most. The reports of one crash go out together and end with one event. A run whose crash is being reported is not retryable, as one whose claim is being released.

Measured: the new case of TestRuns fails without the wait.

--- a/control.go
+++ b/control.go
@@ -16,6 +16,6 @@
 	ReadReport(e Endpoint)
 	// RequestLoads requests load permits from the owner of a store's budget.
 	RequestLoads(to Member, g Grant)
-	// SendSuspects sends suspect requests to a daemon.
-	SendSuspects(to Member, list []Suspect)
+	// SendSuspects reports the suspects of a crash to other daemons.
+	SendSuspects(to []Member, crash Sequence, list []Suspect)
 }
--- a/ctrl/claims.go
+++ b/ctrl/claims.go
@@ -71,6 +71,7 @@
 func (s *state) claimReleased(a claim.Released) {
 	if r := s.releasing[a.Request]; r != nil {
 		delete(s.releasing, a.Request)
+		r.releasing = false
 		r.allowRetry()
 	}
 }
--- a/ctrl/event.go
+++ b/ctrl/event.go
@@ -123,6 +123,10 @@
 // SuspectsReceived are crash suspects received from another daemon.
 type SuspectsReceived struct{ List []wick.Suspect }
 
+// SuspectsSent reports that the daemons to which a crash was reported know its
+// suspects or did not answer.
+type SuspectsSent struct{ Crash wick.Sequence }
+
 // RunsRequested requests the runs of daemons on the given hosts that are
 // members of a view that is not closed.
 type RunsRequested struct {
--- a/ctrl/run.go
+++ b/ctrl/run.go
@@ -39,7 +39,8 @@
 	decided chan Decision
 	// cause is why the control thread stopped the run; nil if it did not.
 	cause atomic.Pointer[wick.Error]
-	// retryable closes when no claim of the run blocks a retry any more.
+	// retryable closes when nothing blocks a retry any more: neither a claim of
+	// the run nor the report of a crash with the run in flight.
 	retryable chan struct{}
 
 	// The fields below belong to the control thread.
@@ -61,8 +62,10 @@
 	// lastProgress is when progress or a stall of the run was last recorded; 0
 	// before its first token.
 	lastProgress wick.Instant
-	// crashCounted is set once a crash with the run in flight was recorded.
+	// crashCounted is set once a crash with the run in flight was recorded, and
+	// reporting while other daemons are told of it.
 	crashCounted bool
+	reporting    bool
 	// parked is when the run began to wait for the configuration.
 	parked wick.Instant
 }
@@ -76,12 +79,13 @@
 // Decided returns the channel on which the decision is delivered, exactly once.
 func (r *Run) Decided() <-chan Decision { return r.decided }
 
-// Retryable returns a channel that closes when no claim of the run blocks a retry
-// any more.
+// Retryable returns a channel that closes when neither a claim of the run nor the
+// report of a crash blocks a retry any more.
 func (r *Run) Retryable() <-chan struct{} { return r.retryable }
 
+// allowRetry closes retryable unless something still blocks a retry.
 func (r *Run) allowRetry() {
-	if !r.isRetryable {
+	if !r.isRetryable && !r.releasing && !r.reporting {
 		r.isRetryable = true
 		close(r.retryable)
 	}
@@ -106,7 +110,7 @@
 	}
 	r.isDecided = true
 	r.dispatched = d.Fail == nil
-	if !r.dispatched && !r.releasing {
+	if !r.dispatched {
 		r.allowRetry()
 	}
 	r.decided <- d
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -90,7 +90,12 @@
 	// may cause crashes.
 	ejector  wick.Ejector
 	suspects *crash.Registry
-	placers  map[wick.PoolName]wick.Placer
+	// crashes numbers the crashes that were reported to other daemons, and
+	// reportedCrashes holds the runs in flight at those whose reports have not
+	// been answered yet.
+	crashes         wick.Sequence
+	reportedCrashes map[wick.Sequence][]*Run
+	placers         map[wick.PoolName]wick.Placer
 	// lastPlan is when prefetches were last planned.
 	lastPlan wick.Instant
 	// loadQueued is set if a load was queued since the last tick.
@@ -136,25 +141,26 @@
 		return nil, fmt.Errorf("placement policy: %w", err)
 	}
 	return &state{
-		ejector:        ejector,
-		suspects:       crash.New(cfg.Crash),
-		placers:        make(map[wick.PoolName]wick.Placer),
-		cfg:            cfg,
-		gate:           g,
-		keeper:         lease.New(cfg.Lease),
-		conf:           config.New(),
-		trail:          audit.New(audit.Config{}),
-		tracker:        claim.New(cfg.Claim),
-		routes:         routes,
-		owned:          make(map[wick.EndpointName]*owned),
-		configured:     make(map[wick.EndpointName]wick.Endpoint),
-		claiming:       make(map[wick.RequestID]*Run),
-		releasing:      make(map[wick.RequestID]*Run),
-		verdictWaiters: make(map[wick.ChangeID]chan<- wick.Verdict),
-		leavingHosts:   make(map[wick.HostName]bool),
-		budgets:        newBudgets(),
-		peerOffsets:    make(map[wick.HostName]peerOffsets),
-		digests:        make(map[wick.EndpointName]wick.Digest),
+		ejector:         ejector,
+		suspects:        crash.New(cfg.Crash),
+		reportedCrashes: make(map[wick.Sequence][]*Run),
+		placers:         make(map[wick.PoolName]wick.Placer),
+		cfg:             cfg,
+		gate:            g,
+		keeper:          lease.New(cfg.Lease),
+		conf:            config.New(),
+		trail:           audit.New(audit.Config{}),
+		tracker:         claim.New(cfg.Claim),
+		routes:          routes,
+		owned:           make(map[wick.EndpointName]*owned),
+		configured:      make(map[wick.EndpointName]wick.Endpoint),
+		claiming:        make(map[wick.RequestID]*Run),
+		releasing:       make(map[wick.RequestID]*Run),
+		verdictWaiters:  make(map[wick.ChangeID]chan<- wick.Verdict),
+		leavingHosts:    make(map[wick.HostName]bool),
+		budgets:         newBudgets(),
+		peerOffsets:     make(map[wick.HostName]peerOffsets),
+		digests:         make(map[wick.EndpointName]wick.Digest),
 	}, nil
 }
 
--- a/ctrl/state_test.go
+++ b/ctrl/state_test.go
@@ -26,14 +26,16 @@
 func (o *recorder) Order(wick.Endpoint, wick.Order, wick.Instant) {}
 func (o *recorder) ReadReport(e wick.Endpoint)                    { o.reports = append(o.reports, e.Name) }
 func (o *recorder) RequestLoads(wick.Member, wick.Grant)          {}
-func (o *recorder) SendSuspects(_ wick.Member, l []wick.Suspect)  { o.suspects = append(o.suspects, l) }
-func (o *recorder) ViewAdopted(wick.View)                         {}
-func (o *recorder) ActingChanged(wick.EndpointName, bool)         {}
-func (o *recorder) EndpointCrashed(wick.EndpointName, int)        {}
-func (o *recorder) VerdictReached(wick.Verdict)                   {}
-func (o *recorder) InputRefused(string, error)                    {}
-func (o *recorder) LogReadFailed(wick.StreamName)                 {}
-func (o *recorder) AppendFinished(wick.StreamName, error)         {}
+func (o *recorder) SendSuspects(_ []wick.Member, _ wick.Sequence, l []wick.Suspect) {
+	o.suspects = append(o.suspects, l)
+}
+func (o *recorder) ViewAdopted(wick.View)                  {}
+func (o *recorder) ActingChanged(wick.EndpointName, bool)  {}
+func (o *recorder) EndpointCrashed(wick.EndpointName, int) {}
+func (o *recorder) VerdictReached(wick.Verdict)            {}
+func (o *recorder) InputRefused(string, error)             {}
+func (o *recorder) LogReadFailed(wick.StreamName)          {}
+func (o *recorder) AppendFinished(wick.StreamName, error)  {}
 
 func self() wick.Member {
 	return wick.Member{Host: "h1", Incarnation: 1, Domain: "d1", Peer: "127.0.0.1:1", Entry: "127.0.0.1:2"}
@@ -136,6 +138,16 @@
 	}
 }
 
+// retryable reports whether the caller of a failed run may try again.
+func retryable(r *Run) bool {
+	select {
+	case <-r.Retryable():
+		return true
+	default:
+		return false
+	}
+}
+
 // wantDecision checks that a run was decided on: sent for an empty code, else
 // refused with that code.
 func (r *harness) wantDecision(run *Run, code wick.Code) Decision {
@@ -211,6 +223,21 @@
 			}
 			r.wantDecision(r.submit("q3", 1), wick.CodeKilled)
 		}},
+		{"not retryable until others know of the crash", func(r *harness) {
+			r.startActing()
+			run := r.submit("q", 1)
+			r.wantDecision(run, "")
+			r.view(2, 1, self(), other)
+			fail := wick.Unknownf(wick.CodeCrashed, "crashed")
+			r.step(time.Millisecond, Finished{Run: run, Result: sched.Result{Err: fail}, Crashed: true})
+			if len(r.out.suspects) != 1 || retryable(run) {
+				r.t.Fatalf("%d reports sent, retryable %v before they are answered", len(r.out.suspects), retryable(run))
+			}
+			r.step(time.Millisecond, SuspectsSent{Crash: 1})
+			if !retryable(run) {
+				r.t.Error("not retryable after the reports were answered")
+			}
+		}},
 		{"moved away from an outlier", func(r *harness) {
 			r.startActing()
 			sent := []*Run{r.submit("q1", 1), r.submit("q2", 1)}
--- a/ctrl/submit.go
+++ b/ctrl/submit.go
@@ -100,16 +100,16 @@
 func (e Finished) apply(s *state, now wick.Instant) {
 	r := e.Run
 	s.finishClaim(now, r, e.Result)
-	if !r.releasing {
-		r.allowRetry()
-	}
 	o := s.owned[r.Sub.Endpoint]
-	if o == nil || o.runs[r.Sub.Request] != r {
+	known := o != nil && o.runs[r.Sub.Request] == r
+	if known && e.Crashed {
+		s.recordCrash(now, o, r)
+	}
+	r.allowRetry()
+	if !known {
 		return
 	}
-	if e.Crashed {
-		s.recordCrash(now, o, r)
-	} else if e.Result.Err == nil {
+	if !e.Crashed && e.Result.Err == nil {
 		s.suspects.Finished(now, r.Sub.Fingerprint)
 		s.recordReply(now, o, r, e.Result)
 	}
--- a/ctrl/suspect.go
+++ b/ctrl/suspect.go
@@ -26,18 +26,45 @@
 		return
 	}
 	var inFlight []wick.Fingerprint
+	var runs []*Run
 	for _, other := range o.runs {
 		if other.dispatched && !other.crashCounted {
 			other.crashCounted = true
 			inFlight = append(inFlight, other.Sub.Fingerprint)
+			runs = append(runs, other)
 		}
 	}
 	s.cfg.Observer.EndpointCrashed(o.endpoint.Name, len(inFlight))
-	list := s.suspects.Crashed(now, inFlight)
+	s.reportCrash(s.suspects.Crashed(now, inFlight), runs)
+	s.out.ReadReport(o.endpoint)
+}
+
+// reportCrash sends the suspects of a crash to all other members. Until those
+// have answered, the runs are not retryable: their callers would otherwise reach
+// daemons that do not know of the crash yet.
+func (s *state) reportCrash(list []wick.Suspect, runs []*Run) {
+	var others []wick.Member
 	for _, m := range s.keeper.View().Members {
 		if m.Host != s.cfg.Lease.Self.Host {
-			s.out.SendSuspects(m, list)
+			others = append(others, m)
 		}
 	}
-	s.out.ReadReport(o.endpoint)
+	if len(others) == 0 {
+		return
+	}
+	for _, r := range runs {
+		r.reporting = true
+	}
+	s.crashes++
+	s.reportedCrashes[s.crashes] = runs
+	s.out.SendSuspects(others, s.crashes, list)
+}
+
+// apply implements Event.
+func (e SuspectsSent) apply(s *state, _ wick.Instant) {
+	for _, r := range s.reportedCrashes[e.Crash] {
+		r.reporting = false
+		r.allowRetry()
+	}
+	delete(s.reportedCrashes, e.Crash)
 }
--- a/node/control_io.go
+++ b/node/control_io.go
@@ -114,10 +114,18 @@
 }
 
 // SendSuspects implements wick.ControlIO.
-func (o *controlIO) SendSuspects(to wick.Member, list []wick.Suspect) {
+func (o *controlIO) SendSuspects(to []wick.Member, crash wick.Sequence, list []wick.Suspect) {
 	o.start(callTimeout, func(ctx context.Context) {
-		// An error is ignored: a peer that misses the message receives the suspect
-		// at the next crash.
-		_, _ = o.n.client.Call(ctx, to.Peer, wick.PeerMessage{Suspects: list})
+		var calls errgroup.Group
+		for _, m := range to {
+			calls.Go(func() error {
+				// An error is ignored: a peer that misses the message receives the
+				// suspect at the next crash.
+				_, _ = o.n.client.Call(ctx, m.Peer, wick.PeerMessage{Suspects: list})
+				return nil
+			})
+		}
+		_ = calls.Wait()
+		o.n.thread.Post(ctrl.SuspectsSent{Crash: crash})
 	})
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -24,8 +24,10 @@
 	// reportRetryPause is the pause after a report request whose connection
 	// broke.
 	reportRetryPause = 20 * time.Millisecond
-	// releaseTimeout bounds the wait for the release of a claim.
-	releaseTimeout = time.Second
+	// releaseTimeout bounds the wait for the release of a claim, and
+	// suspectsTimeout that for the daemons that are told of a crash.
+	releaseTimeout  = time.Second
+	suspectsTimeout = 300 * time.Millisecond
 )
 
 // Config sets up a Server.
@@ -79,7 +81,7 @@
 		return err
 	}
 	if d.Fail != nil {
-		s.awaitRelease(ctx, run, d.Fail)
+		s.awaitRetryable(ctx, run, d.Fail)
 		return d.Fail
 	}
 	var res sched.Result
@@ -102,21 +104,29 @@
 	}
 	s.cfg.Thread.Post(ctrl.Finished{Run: run, Result: res, Crashed: crashed})
 	if res.Err != nil {
-		s.awaitRelease(ctx, run, res.Err)
+		s.awaitRetryable(ctx, run, res.Err)
 		return res.Err
 	}
 	return nil
 }
 
-// awaitRelease waits, before a NotRun error is returned for a call that is not
-// idempotent, until the claim's release is on the log. A retry then finds the
-// key free. An outage of the log delays the error by releaseTimeout at most.
-func (s *Server) awaitRelease(ctx context.Context, run *ctrl.Run, fail *wick.Error) {
+// awaitRetryable waits, before an error is returned after which the caller may
+// try again, until a retry finds the state that the failure left. For a NotRun
+// error of a call that is not idempotent, that is the claim's release on the
+// log, and the retry finds the key free. For a crash, it is the report to the
+// other daemons, and the retry is treated as a suspect or stopped everywhere.
+func (s *Server) awaitRetryable(ctx context.Context, run *ctrl.Run, fail *wick.Error) {
 	call := run.Sub.Call
-	if call == nil || !call.NonIdempotent || fail.Outcome != wick.NotRun {
+	var most time.Duration
+	switch {
+	case fail.Code == wick.CodeCrashed:
+		most = suspectsTimeout
+	case call != nil && call.NonIdempotent && fail.Outcome == wick.NotRun:
+		most = releaseTimeout
+	default:
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	select {
 	case <-run.Retryable():
