Resume links by offsets and end them by silence only

The read deadline covered a whole message, and a configuration of 1,400 routes takes a holder with 195 links longer than the second.

Change: a link ends when no byte arrives for a second, or one message takes 15 s. Messages over 1 KiB are compressed once. Daemons say up to which offset they know each topic; a holder sends what is missing when a link comes up and again to one that stays behind. A holder's age of a topic counts only for a daemon that knows all that the holder read, which closes a gap: records that only a killed holder had relayed were taken for known. Records that a daemon has are dropped before they are decoded. Redials back off and are spread.

In the same commit, for servers in trouble: the head of an answer, what is skipped before it, a fetched body and an event of a stream are bounded (an endless header line took 740 MB and more); the rest of a refused answer is awaited for 20 ms at most (a stalled one held the request to its deadline); an answer without id on a reused connection is an error; orders carry an id.

Tests: two expectations of coord changed with the protocol, as a daemon now reports first and is then sent the state.

--- a/codec/frame.go
+++ b/codec/frame.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -8,8 +9,12 @@
 	"currantwick"
 )
 
-// lengthBytes is the size of the length prefix of each value on a stream.
-const lengthBytes = 4
+const (
+	// lengthBytes is the size of the length prefix of each value on a stream.
+	lengthBytes = 4
+	// maxGrow bounds the buffer that is reserved before a value arrives.
+	maxGrow wick.Bytes = 64 << 10
+)
 
 // EncodeFrame returns v in CBOR with a length prefix.
 func EncodeFrame(v any) ([]byte, error) {
@@ -33,9 +38,11 @@
 	if size > limit {
 		return 0, fmt.Errorf("value of %d bytes is over the limit of %d", size, limit)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return 0, fmt.Errorf("read value: %w", err)
+	// The buffer grows with what arrives, so that a wrong length costs no memory.
+	var body bytes.Buffer
+	body.Grow(int(min(size, maxGrow)))
+	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
+		return 0, fmt.Errorf("read value of %d bytes: %w", size, err)
 	}
-	return lengthBytes + size, DecodeCBOR(body, v)
+	return lengthBytes + size, DecodeCBOR(body.Bytes(), v)
 }
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
+	"math"
 	"net"
 	"syscall"
 	"time"
@@ -15,10 +18,12 @@
 
 // conn is a pooled connection.
 type conn struct {
-	pool *Pool
-	addr wick.Address
-	net  net.Conn
-	raw  syscall.RawConn
+	pool  *Pool
+	addr  wick.Address
+	net   net.Conn
+	raw   syscall.RawConn
+	input limitedReader
+	// read buffers input.
 	read *bufio.Reader
 	// lastUsed is when the last exchange ended, and expiresAt when the connection
 	// may no longer be reused.
@@ -36,7 +41,34 @@
 	if err != nil {
 		return nil, fmt.Errorf("reach socket: %w", err)
 	}
-	return &conn{pool: p, addr: addr, net: nc, raw: raw, read: bufio.NewReaderSize(nc, readBuffer)}, nil
+	c := &conn{pool: p, addr: addr, net: nc, raw: raw, input: limitedReader{from: nc, left: unlimited}}
+	c.read = bufio.NewReaderSize(&c.input, readBuffer)
+	return c, nil
+}
+
+// unlimited is the limit of a limitedReader that has none.
+const unlimited = math.MaxInt64
+
+// errTooLong is the error of a limitedReader whose limit was reached.
+var errTooLong = errors.New("more bytes than an answer may have there")
+
+// limitedReader reads from a connection and fails, other than io.LimitedReader,
+// after a number of bytes.
+type limitedReader struct {
+	from io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := r.from.Read(p[:min(int64(len(p)), r.left)])
+	if r.left != unlimited {
+		r.left -= int64(n)
+	}
+	return n, err
 }
 
 // isIdle reports whether a connection is open and has no unread bytes.
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -23,8 +23,15 @@
 	// maxSkipped bounds the interim responses and the responses to earlier
 	// requests that are skipped.
 	maxSkipped = 2
-	// maxFetchBytes is the length at which Fetch truncates a body.
-	maxFetchBytes = 64 << 20
+	// maxHeader bounds the bytes up to the end of a response's header, those of
+	// the responses before it included.
+	maxHeader = 64 << 10
+	// defaultMaxBody bounds the body that Fetch reads.
+	defaultMaxBody = 1 << 20
+	// maxRest and restTimeout bound what Close reads of a body so that the
+	// connection can be reused.
+	maxRest     = 64 << 10
+	restTimeout = 20 * time.Millisecond
 )
 
 // Request is an HTTP request.
@@ -35,9 +42,13 @@
 	// Echo is a header field that the response echoes, which identifies late
 	// responses to earlier requests; empty if there is none.
 	Echo wick.HeaderField
+	// MayLackEcho is set if the remote end may leave the echoed field out.
+	MayLackEcho bool
 	// MaxIdle is the maximum time for which a reused connection may have been
 	// idle.
 	MaxIdle time.Duration
+	// MaxBody bounds the body that Fetch reads, in bytes; 1 MiB by default.
+	MaxBody int64
 }
 
 // Error is the error of a failed exchange.
@@ -95,13 +106,21 @@
 	return r, nil
 }
 
-// Fetch sends a request and reads the response, up to maxFetchBytes of its body.
+// Fetch sends a request and reads the response. A body that exceeds the request's
+// MaxBody is an error.
 func (p *Pool) Fetch(ctx context.Context, addr wick.Address, req *Request) (int, []byte, error) {
 	r, err := p.Do(ctx, addr, req)
 	if err != nil {
 		return 0, nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(r, maxFetchBytes))
+	most := req.MaxBody
+	if most <= 0 {
+		most = defaultMaxBody
+	}
+	body, err := io.ReadAll(io.LimitReader(r, most+1))
+	if err == nil && int64(len(body)) > most {
+		err = fmt.Errorf("over the limit of %d bytes", most)
+	}
 	if err != nil {
 		r.drop()
 		return 0, nil, &Error{Written: true, Err: fmt.Errorf("read body: %w", err)}
@@ -147,18 +166,24 @@
 }
 
 // readHeader reads the header of the response. It skips interim responses and
-// those to earlier requests.
+// those to earlier requests, and reads at most maxHeader bytes of all of them.
 func (r *Reply) readHeader(req *Request) error {
+	c := r.conn
+	c.input.left = maxHeader
 	for range maxSkipped + 1 {
-		resp, err := http.ReadResponse(r.conn.read, &http.Request{Method: req.Method})
+		resp, err := http.ReadResponse(c.read, &http.Request{Method: req.Method})
 		if err != nil {
 			return fmt.Errorf("read answer: %w", err)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		echo := resp.Header.Get(req.Echo.Name)
-		if req.Echo.Name == "" || echo == "" || echo == req.Echo.Value {
+		own, err := c.answers(resp, req)
+		if err != nil {
+			return err
+		}
+		if own {
+			c.input.left = unlimited
 			r.Status, r.Header, r.closing, r.body = resp.StatusCode, resp.Header, resp.Close, resp.Body
 			return nil
 		}
@@ -169,6 +194,23 @@
 	return errors.New("read answer: only answers to earlier requests")
 }
 
+// answers reports whether a response belongs to a request. One without the echoed
+// field can't be told from a late copy of an earlier response once the connection
+// has carried one.
+func (c *conn) answers(resp *http.Response, req *Request) (bool, error) {
+	if req.Echo.Name == "" {
+		return true, nil
+	}
+	echo := resp.Header.Get(req.Echo.Name)
+	switch {
+	case echo == req.Echo.Value || echo == "" && !c.reused:
+		return true, nil
+	case echo == "" && !req.MayLackEcho:
+		return false, fmt.Errorf("read answer: no %s on a reused connection", req.Echo.Name)
+	}
+	return echo == "", nil
+}
+
 // Read implements io.Reader. It returns io.EOF only after a complete body.
 func (r *Reply) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
@@ -189,7 +231,7 @@
 		return
 	}
 	r.done = true
-	if !r.stop() || r.closing || r.conn.read.Buffered() > 0 || !r.requestSent() {
+	if !r.stop() || r.closing || r.conn.read.Buffered() > 0 || !r.requestSent() || r.conn.net.SetReadDeadline(time.Time{}) != nil {
 		r.conn.close()
 		return
 	}
@@ -219,8 +261,18 @@
 	r.conn.close()
 }
 
-// Close closes the connection unless the body was read to its end.
+// Close ends the exchange. If the rest of the body is short and arrives at once,
+// it is discarded so that the connection can be reused; otherwise the connection
+// is closed.
 func (r *Reply) Close() error {
+	if r.done {
+		return nil
+	}
+	if err := r.conn.net.SetReadDeadline(time.Now().Add(restTimeout)); err == nil {
+		// Read returns the connection to the pool at the end of the body, and
+		// closes it on an error.
+		_, _ = io.Copy(io.Discard, io.LimitReader(r, maxRest))
+	}
 	r.drop()
 	return nil
 }
--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -238,6 +238,7 @@
 	w.read(ms(4), wick.TopicRunners, wick.KeyedRecord{Offset: 7, Key: string(name)})
 	late := &link{}
 	linkUp{late, instance("c", 3), ""}.apply(w.state, ms(5))
+	w.report(late, true, ms(5))
 
 	var records []wick.RelayedRecord
 	for _, msg := range early.sent {
@@ -401,6 +402,7 @@
 	w.start(t)
 	first := &link{}
 	linkUp{link: first, to: instance("b", 1)}.apply(w.state, ms(10))
+	w.report(first, true, ms(10))
 	w.step(ms(10))
 	received := func() (joined, left []wick.HostName) {
 		for _, m := range first.sent {
@@ -419,7 +421,7 @@
 		joined []wick.HostName
 		left   []wick.HostName
 	}{
-		{"the first", func(wick.Instant) {}, []wick.HostName{"a"}, nil},
+		{"the first", func(wick.Instant) {}, []wick.HostName{"a", "b"}, nil},
 		{"another links", func(at wick.Instant) { linkUp{link: other, to: instance("c", 1)}.apply(w.state, at) }, nil, nil},
 		{"it reports", func(at wick.Instant) { w.report(other, true, at) }, []wick.HostName{"c"}, nil},
 		{"the same again", func(at wick.Instant) { w.report(other, true, at) }, nil, nil},
--- a/coord/linked.go
+++ b/coord/linked.go
@@ -9,8 +9,12 @@
 	// reported is set once the daemon has sent a report; ready is the readiness
 	// in its last one.
 	reported, ready bool
-	loads           map[wick.EndpointName]wick.EndpointLoad
-	uses            map[wick.EndpointName]map[wick.Weights]int
+	// known are the offsets before which the daemon said that it knows every
+	// record, and resentAt when records that it lacked were last sent.
+	known    [wick.NumTopics]wick.Offset
+	resentAt wick.Instant
+	loads    map[wick.EndpointName]wick.EndpointLoad
+	uses     map[wick.EndpointName]map[wick.Weights]int
 }
 
 // dropOldLink closes an earlier link of a daemon that dials again.
@@ -43,6 +47,13 @@
 
 // applyReport applies the report of a linked daemon.
 func (s *state) applyReport(now wick.Instant, m *linkedDaemon, r *wick.InstanceReport) {
+	copy(m.known[:], r.Known)
+	if m.reported {
+		s.resend(now, m)
+	} else {
+		m.resentAt = now
+		m.link.Post(wick.LinkMessage{Update: s.fullUpdate(now, m)})
+	}
 	if !m.reported || m.ready != r.Ready {
 		m.reported, m.ready = true, r.Ready
 		s.out.instance(m.instance.Host)
--- a/coord/links.go
+++ b/coord/links.go
@@ -1,6 +1,7 @@
 package coord
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"currantwick"
@@ -13,8 +14,14 @@
 	heartbeat = 250 * time.Millisecond
 	// loadsInterval is how often changed loads are sent.
 	loadsInterval = 100 * time.Millisecond
-	// redialPause is the pause after a failed dial.
-	redialPause = 300 * time.Millisecond
+	// redialPause is the pause after a failed dial or the end of a link, and
+	// maxRedialPause the longest one after several in a row. Each pause is extended
+	// by up to half at random, since many daemons lose a holder at once.
+	redialPause    = 300 * time.Millisecond
+	maxRedialPause = 1200 * time.Millisecond
+	// stableLink is the age from which the end of a link no longer counts as one of
+	// several failures in a row.
+	stableLink = 5 * time.Second
 )
 
 // holder is a daemon that this one dialed because it holds terms, or because it
@@ -22,6 +29,9 @@
 type holder struct {
 	link     wick.Link
 	instance wick.Instance
+	// dialed is the address that was dialed, and upAt when the link came up.
+	dialed wick.Address
+	upAt   wick.Instant
 	// shards lists the shards whose endpoints currently take orders from this
 	// holder.
 	shards map[wick.Shard]bool
@@ -30,6 +40,8 @@
 	// loads and uses are the values that were last reported to the holder.
 	loads map[wick.EndpointName]wick.EndpointLoad
 	uses  map[wick.EndpointName]map[wick.Weights]int
+	// known are the offsets in the last report that had them.
+	known []wick.Offset
 	// sentAt is when the last report was sent, and comparedAt when the loads
 	// were last checked for changes.
 	sentAt, comparedAt wick.Instant
@@ -53,24 +65,27 @@
 			loads:    make(map[wick.EndpointName]wick.EndpointLoad),
 			uses:     make(map[wick.EndpointName]map[wick.Weights]int),
 		}
-		e.link.Post(wick.LinkMessage{Update: s.fullUpdate(now)})
 		return
 	}
-	delete(s.dialing, e.dialed)
 	if old := s.holders[e.to.Host]; old != nil {
 		delete(s.hostOf, old.link)
 		old.link.Close()
 	}
 	s.hostOf[e.link] = e.to.Host
-	s.holders[e.to.Host] = &holder{
+	h := &holder{
 		link:     e.link,
 		instance: e.to,
+		dialed:   e.dialed,
+		upAt:     now,
 		shards:   make(map[wick.Shard]bool),
 		// Its first update lists all daemons that are linked to it.
 		instances: make(map[wick.HostName]wick.InstanceState),
 		loads:     make(map[wick.EndpointName]wick.EndpointLoad),
 		uses:      make(map[wick.EndpointName]map[wick.Weights]int),
 	}
+	s.holders[e.to.Host] = h
+	// The holder answers with the state that this daemon lacks.
+	s.sendReport(now, h)
 	s.daemonsChanged()
 }
 
@@ -80,7 +95,7 @@
 	err  error
 }
 
-func (e linkDown) apply(s *state, _ wick.Instant) {
+func (e linkDown) apply(s *state, now wick.Instant) {
 	if m := s.linkedDaemons[e.link]; m != nil {
 		s.log.Info("link down", "daemon", instanceText(m.instance), "dialed", false, "err", errText(e.err))
 		s.removeLinked(m)
@@ -92,7 +107,12 @@
 	if !ok {
 		return
 	}
-	s.log.Warn("link down", "daemon", instanceText(s.holders[host].instance), "dialed", true, "err", errText(e.err))
+	h := s.holders[host]
+	s.log.Warn("link down", "daemon", instanceText(h.instance), "dialed", true, "err", errText(e.err))
+	if now.Sub(h.upAt) > stableLink {
+		delete(s.dialing, h.dialed)
+	}
+	s.redialLater(now, h.dialed)
 	delete(s.hostOf, e.link)
 	delete(s.holders, host)
 	s.daemonsChanged()
@@ -106,7 +126,15 @@
 
 func (e dialFailed) apply(s *state, now wick.Instant) {
 	s.log.Debug("dial failed", "to", e.to, "err", errText(e.err))
-	s.dialing[e.to] = now.Add(redialPause)
+	s.redialLater(now, e.to)
+}
+
+// redialLater sets the earliest time of the next dial of an address.
+func (s *state) redialLater(now wick.Instant, to wick.Address) {
+	d := s.dialing[to]
+	d.pause = min(max(2*d.pause, redialPause), maxRedialPause)
+	d.after = now.Add(d.pause + rand.N(d.pause/2))
+	s.dialing[to] = d
 }
 
 // dialHolders opens links to the holders of terms, and closes those to daemons
@@ -141,14 +169,23 @@
 }
 
 func (s *state) dial(now wick.Instant, to wick.Address) {
-	if at, dialing := s.dialing[to]; dialing && now < at {
+	d := s.dialing[to]
+	if now < d.after {
 		return
 	}
 	// A dial takes less than a second, so no address is dialed twice at once.
-	s.dialing[to] = now.Add(time.Second)
+	d.after = now.Add(time.Second)
+	s.dialing[to] = d
 	s.cfg.IO.Dial(to)
 }
 
+// dialState limits how often an address is dialed.
+type dialState struct {
+	// after is the earliest time of the next dial, and pause the last pause.
+	after wick.Instant
+	pause time.Duration
+}
+
 // linkMessage is a message from another daemon.
 type linkMessage struct {
 	link wick.Link
--- a/coord/records.go
+++ b/coord/records.go
@@ -31,8 +31,11 @@
 // applyRecord applies a record and, if it had an effect, retains it for daemons
 // that link later. Of the records that this daemon read itself, it queues for
 // the linked daemons those whose effect is facts.Change, and all removals of
-// endpoints.
-func (s *state) applyRecord(now wick.Instant, topic wick.Topic, rec wick.KeyedRecord, from source) {
+// endpoints. It reports whether another holder relayed the record before.
+func (s *state) applyRecord(now wick.Instant, topic wick.Topic, rec wick.KeyedRecord, from source) (relayedBefore bool) {
+	if old, ok := s.relayed[topic][rec.Key]; ok && from != fromHolderConfirmed && rec.Offset <= old.Offset {
+		return rec.Offset == old.Offset
+	}
 	effect := facts.Unchanged
 	if topic == wick.TopicDaemons {
 		effect = s.daemonRecord(now, rec)
@@ -47,6 +50,7 @@
 	if from == fromStore && (effect == facts.Change || removed) {
 		s.out.records = append(s.out.records, relayed)
 	}
+	return false
 }
 
 // relayRemoval queues the removal of an endpoint for the linked daemons.
--- a/coord/report.go
+++ b/coord/report.go
@@ -1,6 +1,8 @@
 package coord
 
 import (
+	"slices"
+
 	"currantwick"
 )
 
@@ -35,7 +37,10 @@
 		return
 	}
 	h.comparedAt = now
-	r := &wick.InstanceReport{Ready: s.ready()}
+	r := &wick.InstanceReport{Ready: s.ready(), Known: s.knownOffsets()}
+	if slices.Equal(r.Known, h.known) {
+		r.Known = nil
+	}
 	for _, e := range s.sortedEndpoints {
 		if s.terms.Holder(e.shard).Holder != h.instance.Host {
 			continue
@@ -55,6 +60,9 @@
 		return
 	}
 	h.sentAt, h.ready = now, r.Ready
+	if r.Known != nil {
+		h.known = r.Known
+	}
 	h.link.Post(wick.LinkMessage{Report: r})
 }
 
--- a/coord/state.go
+++ b/coord/state.go
@@ -38,8 +38,7 @@
 	// the daemons that this one dialed, by host.
 	linkedDaemons map[wick.Link]*linkedDaemon
 	holders       map[wick.HostName]*holder
-	// dialing holds the earliest time of the next dial of each address.
-	dialing map[wick.Address]wick.Instant
+	dialing       map[wick.Address]dialState
 	// hostOf is the host at the far end of each link that this daemon dialed.
 	hostOf map[wick.Link]wick.HostName
 
@@ -63,6 +62,8 @@
 	lastTick  wick.Instant
 	stopping  bool
 	wasReady  bool
+	// settledAt is when the offsets that linked daemons must know last advanced.
+	settledAt wick.Instant
 	// nextLoads is when loads are queued next.
 	nextLoads wick.Instant
 	dirty     bool
@@ -95,7 +96,7 @@
 		daemons:       make(map[wick.HostName]daemonRecord),
 		linkedDaemons: make(map[wick.Link]*linkedDaemon),
 		holders:       make(map[wick.HostName]*holder),
-		dialing:       make(map[wick.Address]wick.Instant),
+		dialing:       make(map[wick.Address]dialState),
 		hostOf:        make(map[wick.Link]wick.HostName),
 		lastModelLoad: now.Add(-time.Hour),
 		started:       now,
@@ -132,6 +133,7 @@
 	s.announce(now)
 	s.claimTerms(now)
 	s.dialHolders(now)
+	s.settle(now)
 	s.updateLoads(now)
 	s.flush(now, true)
 }
--- a/coord/topics.go
+++ b/coord/topics.go
@@ -43,6 +43,10 @@
 	id wick.Topic
 	// next is the first offset that was not read yet.
 	next wick.Offset
+	// known is the offset before which every record is known, from the store or
+	// from holders, and settled an earlier value of it: the one of the last
+	// settling but one. A linked daemon that knows less has missed updates.
+	known, settling, settled wick.Offset
 	// loaded is set when the newest record of each key was read.
 	loaded bool
 	busy   bool
@@ -72,6 +76,7 @@
 			s.cfg.IO.ReadNewest(t.id)
 			continue
 		}
+		t.next = max(t.next, t.known)
 		s.cfg.IO.Read(t.id, t.next, wick.Duration(wait))
 	}
 }
@@ -155,10 +160,21 @@
 		t.loaded = false
 		return
 	}
+	span := wick.Span{Topic: t.id, From: t.next, To: e.batch.Next}
+	if e.newest {
+		span.From = 0
+	}
+	whole := span.To > span.From
 	for _, rec := range e.batch.Records {
-		s.applyRecord(now, t.id, rec, fromStore)
+		if s.applyRecord(now, t.id, rec, fromStore) {
+			whole = false // A record that is not queued again is missing in the update.
+		}
+	}
+	if whole {
+		s.out.spans = append(s.out.spans, span)
 	}
 	t.next = e.batch.Next
+	t.known = max(t.known, t.next)
 	if e.newest {
 		s.finishNewest(now, t, e)
 	}
--- a/coord/update.go
+++ b/coord/update.go
@@ -15,6 +15,7 @@
 	readyAt      []wick.Instant
 	loads        []wick.NamedLoad
 	cachedPrefix []wick.CachedPrefix
+	spans        []wick.Span
 	// instances are the daemons whose link or readiness changed.
 	instances map[wick.HostName]bool
 	// sentAt is when the last update was sent, and agesSentAt when the last one
@@ -39,11 +40,6 @@
 // applyUpdate applies a holder's update.
 func (s *state) applyUpdate(now wick.Instant, h *holder, u *wick.HolderUpdate) {
 	s.updateShards(h, u.Shards)
-	for i, age := range u.TopicAges {
-		if age >= 0 && i < len(s.topics) {
-			s.topics[i].holderCurrent = max(s.topics[i].holderCurrent, now.Add(-age.Std()))
-		}
-	}
 	for _, r := range u.Records {
 		if r.Topic >= wick.NumTopics {
 			continue
@@ -54,6 +50,17 @@
 		}
 		s.applyRecord(now, r.Topic, wick.KeyedRecord{Offset: r.Offset, Key: r.Key, Value: r.Value}, from)
 	}
+	for _, sp := range u.Spans {
+		if sp.Topic < wick.NumTopics {
+			t := &s.topics[sp.Topic]
+			t.applySpan(sp)
+		}
+	}
+	for i, age := range u.TopicAges {
+		if age >= 0 && i < len(s.topics) && s.knowsAll(wick.Topic(i), u.Ends) {
+			s.topics[i].holderCurrent = max(s.topics[i].holderCurrent, now.Add(-age.Std()))
+		}
+	}
 	for _, name := range u.Reset {
 		if e := s.endpoints[name]; e != nil {
 			e.adapters = make(map[wick.Weights]Residence)
@@ -127,15 +134,12 @@
 	return 0
 }
 
-// fullUpdate returns the complete state for a daemon that has just linked.
-func (s *state) fullUpdate(now wick.Instant) *wick.HolderUpdate {
+// fullUpdate returns the state of the shards of this daemon, and the records that
+// a daemon that has just linked does not know.
+func (s *state) fullUpdate(now wick.Instant, m *linkedDaemon) *wick.HolderUpdate {
 	u := s.baseUpdate()
-	u.TopicAges = s.ages(now)
-	for topic := range s.relayed {
-		for _, r := range s.relayed[topic] {
-			u.Records = append(u.Records, r)
-		}
-	}
+	s.addMissing(u, m)
+	u.TopicAges, u.Ends = s.ages(now)
 	for _, e := range s.sortedEndpoints {
 		if !s.mayOrder(e.shard) || s.ledgers[e.info.Name] == nil {
 			continue
@@ -162,17 +166,18 @@
 	return u
 }
 
-// ages returns how long ago this daemon read each topic up to its end; -1 for
-// never.
-func (s *state) ages(now wick.Instant) []wick.Duration {
-	list := make([]wick.Duration, len(s.topics))
+// ages returns how long ago this daemon read each topic up to its end, -1 for
+// never, and the end that it found.
+func (s *state) ages(now wick.Instant) ([]wick.Duration, []wick.Offset) {
+	list, ends := make([]wick.Duration, len(s.topics)), make([]wick.Offset, len(s.topics))
 	for i := range s.topics {
-		list[i] = -1
-		if s.topics[i].current >= 0 {
-			list[i] = wick.Duration(now.Sub(s.topics[i].current))
+		t := &s.topics[i]
+		list[i], ends[i] = -1, t.next
+		if t.current >= 0 {
+			list[i] = wick.Duration(now.Sub(t.current))
 		}
 	}
-	return list
+	return list, ends
 }
 
 // instances lists this daemon and those that report to it.
@@ -221,6 +226,7 @@
 	o := &s.out
 	u := s.baseUpdate()
 	u.Records, u.Placements, u.Loads, u.CachedPrefixes = o.records, o.placements, o.loads, o.cachedPrefix
+	u.Spans = o.spans
 	for i := range u.Placements {
 		u.Placements[i].ReadyIn = wick.Duration(max(o.readyAt[i].Sub(now), 0))
 	}
@@ -229,7 +235,7 @@
 	}
 	if now.Sub(o.agesSentAt) >= heartbeat {
 		o.agesSentAt = now
-		u.TopicAges = s.ages(now)
+		u.TopicAges, u.Ends = s.ages(now)
 	}
 	for _, m := range s.linkedDaemons {
 		m.link.Post(wick.LinkMessage{Update: u})
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -20,9 +20,6 @@
 	// readSize is the size of one read from a stream, enough for several
 	// events.
 	readSize = 4 << 10
-	// maxDrained bounds how much of a discarded response is read so that its
-	// connection can be reused.
-	maxDrained = 64 << 10
 	// earlyWindow is the time after the expected end of a load during which a
 	// refusal is taken to mean that the load has not finished, and earlyPause is
 	// the pause before the next attempt.
@@ -79,7 +76,6 @@
 	}
 	t.ran++
 	if t.shouldRerun(rec) {
-		drain(rec.Body)
 		t.recordFailure(to)
 		return &retryableError{cause: wick.Unknownf(wick.CodeBroken, "%s answered with status %d", r.Name, rec.Status)}
 	}
@@ -122,7 +118,7 @@
 func (t *task) handleNotRun(ctx context.Context, to target, rec *wick.Response) error {
 	s, now := t.server, t.server.cfg.Clock.Now()
 	t.status = rec.Status
-	drain(rec.Body)
+	rec.Body.Close()
 	cause := wick.NotRunf(wick.CodeOverload, "%s refused with status %d", to.runner.Name, rec.Status)
 	want := wick.AdapterRequest{Endpoint: to.runner.Name, Weights: t.weights, Revision: to.revision}
 	early := t.weights.Adapter != "" && now.Sub(to.ready) < earlyWindow
@@ -150,11 +146,6 @@
 	return rec.Status >= http.StatusInternalServerError && t.route.Kind == wick.KindSafe && t.ran < t.route.Attempts
 }
 
-func drain(b wick.Body) {
-	// If the body can't be read, the connection is closed instead of reused.
-	_, _ = io.Copy(io.Discard, io.LimitReader(b, maxDrained))
-}
-
 // passBuffered buffers a response and then passes it on.
 func (t *task) passBuffered(ctx context.Context, to target, rec *wick.Response, sent wick.Instant) error {
 	var body bytes.Buffer
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -18,22 +19,34 @@
 	idLine   = []byte("\nid:")
 )
 
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 256 << 10
+
+// errEventTooLong ends a stream with an event of more than maxEvent bytes.
+var errEventTooLong = fmt.Errorf("event of more than %d bytes", maxEvent)
+
 // eventBuffer splits a stream into complete events.
 type eventBuffer struct {
 	buf []byte
 }
 
 // add appends bytes of the stream and returns the complete events buffered so far.
-// They are valid until the next call.
-func (e *eventBuffer) add(p []byte) []byte {
+// They are valid until the next call. It fails if an event is too long.
+func (e *eventBuffer) add(p []byte) ([]byte, error) {
+	// The end of an event may begin with the last byte that was added before.
+	from := max(len(e.buf)-len(eventEnd)+1, 0)
 	e.buf = append(e.buf, p...)
-	end := bytes.LastIndex(e.buf, eventEnd)
-	if end < 0 {
-		return nil
+	at := bytes.LastIndex(e.buf[from:], eventEnd)
+	if at < 0 {
+		if len(e.buf) > maxEvent {
+			return nil, errEventTooLong
+		}
+		return nil, nil
 	}
-	complete := e.buf[:end+len(eventEnd)]
-	e.buf = e.buf[end+len(eventEnd):]
-	return complete
+	end := from + at + len(eventEnd)
+	complete := e.buf[:end]
+	e.buf = e.buf[end:]
+	return complete, nil
 }
 
 // rest returns the incomplete event at the end of the stream.
@@ -59,7 +72,6 @@
 // after the last complete event.
 func (t *task) passStream(ctx context.Context, to target, rec *wick.Response, sent wick.Instant, prefilled func()) error {
 	if t.started && rec.Status != http.StatusOK {
-		drain(rec.Body)
 		t.recordFailure(to)
 		return &retryableError{cause: wick.Unknownf(wick.CodeBroken, "%s resumed with status %d", to.runner.Name, rec.Status)}
 	}
@@ -74,7 +86,11 @@
 				t.recordPrefill(to, t.server.cfg.Clock.Now().Sub(sent))
 			}
 			t.measureGap()
-			if serr := t.sendEvents(rec, &in, buf[:n]); serr != nil {
+			complete, lerr := in.add(buf[:n])
+			if lerr != nil {
+				return t.handleStreamError(ctx, to, lerr)
+			}
+			if serr := t.sendEvents(rec, complete); serr != nil {
 				return serr
 			}
 		}
@@ -99,8 +115,8 @@
 	t.lastRead = now
 }
 
-func (t *task) sendEvents(rec *wick.Response, in *eventBuffer, p []byte) error {
-	complete := in.add(p)
+// sendEvents passes complete events on.
+func (t *task) sendEvents(rec *wick.Response, complete []byte) error {
 	if complete == nil {
 		return nil
 	}
--- a/instance.go
+++ b/instance.go
@@ -112,6 +112,9 @@
 	AdapterRequests []AdapterRequest `cbor:"4,keyasint,omitempty"`
 	CachedPrefixes  []CachedPrefix   `cbor:"5,keyasint,omitempty"`
 	EndpointStats   []EndpointStats  `cbor:"6,keyasint,omitempty"`
+	// Known has, for each topic, the offset before which the daemon knows every
+	// record. The holder sends what is missing.
+	Known []Offset `cbor:"7,keyasint,omitempty"`
 }
 
 // AdapterPlacement reports that an endpoint has an adapter, or no longer has it.
@@ -137,6 +140,14 @@
 	Confirmed bool `cbor:"5,keyasint,omitempty"`
 }
 
+// Span is a range of a topic's records.
+type Span struct {
+	Topic Topic `cbor:"1,keyasint"`
+	// From is the first offset and To the one behind the last.
+	From Offset `cbor:"2,keyasint,omitempty"`
+	To   Offset `cbor:"3,keyasint"`
+}
+
 // HolderUpdate is the update that a holder sends to the daemons linked to it.
 // Fields other than Shards are omitted if they did not change.
 type HolderUpdate struct {
@@ -156,6 +167,11 @@
 	// itself, if their state changed; Departed lists those that no longer report.
 	Instances []InstanceState `cbor:"8,keyasint,omitempty"`
 	Departed  []HostName      `cbor:"9,keyasint,omitempty"`
+	// Spans are the ranges of which Records has everything that matters now. A
+	// daemon that knows all records before a span then knows those in it.
+	Spans []Span `cbor:"10,keyasint,omitempty"`
+	// Ends has, for each of TopicAges, the end of the topic at that time.
+	Ends []Offset `cbor:"11,keyasint,omitempty"`
 }
 
 // LinkMessage is a message between two linked daemons. Exactly one field is
@@ -164,11 +180,13 @@
 	Hello  *Instance       `cbor:"1,keyasint,omitempty"`
 	Report *InstanceReport `cbor:"2,keyasint,omitempty"`
 	Update *HolderUpdate   `cbor:"3,keyasint,omitempty"`
+	// Packed is a compressed message.
+	Packed []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // Check implements Checker.
 func (m LinkMessage) Check() error {
-	return oneOf("link message", checkedField(m.Hello), unionField{set: m.Report != nil}, unionField{set: m.Update != nil})
+	return oneOf("link message", checkedField(m.Hello), unionField{set: m.Report != nil}, unionField{set: m.Update != nil}, unionField{set: m.Packed != nil})
 }
 
 // Link is a connection to another daemon. Its methods never block.
--- a/links/frames.go
+++ b/links/frames.go
@@ -35,6 +35,10 @@
 }
 
 func encode(msg wick.LinkMessage) ([]byte, error) {
+	msg, err := pack(msg)
+	if err != nil {
+		return nil, err
+	}
 	frame, err := codec.EncodeFrame(msg)
 	if err != nil {
 		return nil, fmt.Errorf("link: %w", err)
--- a/links/link.go
+++ b/links/link.go
@@ -18,8 +18,11 @@
 	net     net.Conn
 	encoder *encoder
 	reader  *bufio.Reader
-	outbox  chan []byte
-	cancel  context.CancelFunc
+	// input has no timeout during the handshake, whose deadline covers both
+	// messages.
+	input  idleReader
+	outbox chan []byte
+	cancel context.CancelFunc
 	// failure is the error for which this end closed the link; nil if there was
 	// none.
 	failure atomic.Pointer[error]
@@ -102,10 +105,9 @@
 
 // readLoop passes received messages on until the link ends.
 func (l *link) readLoop(events wick.LinkHandler) error {
+	l.input.timeout = idleTimeout
 	for {
-		if err := l.net.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
-			return fmt.Errorf("set deadline: %w", err)
-		}
+		l.input.until = time.Now().Add(messageTimeout)
 		msg, err := l.readMessage()
 		if err != nil {
 			return err
@@ -119,5 +121,30 @@
 	if _, err := codec.DecodeFrame(l.reader, maxMessage, &msg); err != nil {
 		return wick.LinkMessage{}, fmt.Errorf("link: %w", err)
 	}
-	return msg, nil
+	return unpack(msg)
+}
+
+// idleReader reads from a connection and fails when no byte arrives within a
+// timeout. The deadline moves with the bytes and not with whole messages, so that
+// a large message on a slow network does not end the link.
+type idleReader struct {
+	net net.Conn
+	// timeout is 0 if the connection's own deadline applies.
+	timeout time.Duration
+	// until is the time after which no more bytes are read.
+	until time.Time
+}
+
+// Read implements io.Reader.
+func (r *idleReader) Read(p []byte) (int, error) {
+	if r.timeout > 0 {
+		deadline := time.Now().Add(r.timeout)
+		if r.until.Before(deadline) {
+			deadline = r.until
+		}
+		if err := r.net.SetReadDeadline(deadline); err != nil {
+			return 0, fmt.Errorf("set deadline: %w", err)
+		}
+	}
+	return r.net.Read(p)
 }
--- a/links/links.go
+++ b/links/links.go
@@ -18,16 +18,22 @@
 )
 
 const (
-	// idleTimeout closes a link on which nothing arrives: four heartbeats.
+	// idleTimeout closes a link on which no byte arrives: four heartbeats. A
+	// message may take longer.
 	idleTimeout = time.Second
 	// dialTimeout bounds connecting and, separately, the handshake.
 	dialTimeout = 500 * time.Millisecond
 	// outboxSize is the number of messages queued for a slow remote end, a few
 	// seconds' worth.
 	outboxSize = 128
-	// maxMessage bounds one message; the full state of a large deployment takes
-	// a few MiB.
+	// messageTimeout closes a link on which one message takes longer, even if its
+	// bytes keep arriving.
+	messageTimeout = 15 * time.Second
+	// maxMessage bounds one message, also once it is unpacked; the full state of a
+	// large deployment takes a few MiB.
 	maxMessage = 32 << 20
+	// minPacked is the size from which messages are sent compressed.
+	minPacked = 1 << 10
 )
 
 // Config sets up a Hub.
@@ -88,7 +94,9 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { nc.Close() })
 	defer stop()
-	l := &link{net: nc, encoder: &h.encoder, reader: bufio.NewReader(nc), outbox: make(chan []byte, outboxSize), cancel: cancel}
+	l := &link{net: nc, encoder: &h.encoder, outbox: make(chan []byte, outboxSize), cancel: cancel}
+	l.input = idleReader{net: nc}
+	l.reader = bufio.NewReader(&l.input)
 	remote, err := l.handshake(h.cfg.Self)
 	if err != nil {
 		nc.Close()
