Answer requests on idle connections during a stop, and move stalled streams

At SIGTERM http.Server.SetKeepAlivesEnabled(false) closes every idle connection at once, also one on which a request is arriving or half a head has been read. And a stream that sends bytes but completes no event was read until the deadline, though a resumable one could go on elsewhere.

Change: a stopping daemon leaves idle connections open for the lame duck time and answers with Connection: close.

--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"currantwick"
@@ -186,9 +187,26 @@
 type httpServer struct {
 	name    string
 	server  *http.Server
+	handler *stopHandler
 	callers bool
 }
 
+// stopHandler asks callers to close their connections once the daemon stops.
+// http.Server.SetKeepAlivesEnabled would close the idle ones at once, also those
+// on which a request is arriving.
+type stopHandler struct {
+	next     http.Handler
+	stopping atomic.Bool
+}
+
+// ServeHTTP implements http.Handler.
+func (h *stopHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	h.next.ServeHTTP(w, r)
+}
+
 // listen opens all addresses and starts serving them.
 func (g *Gateway) listen(ctx context.Context) ([]httpServer, error) {
 	d := g.cfg.Daemon
@@ -202,11 +220,12 @@
 		if err != nil {
 			return fmt.Errorf("listen for %s: %w", name, err)
 		}
+		handler := &stopHandler{next: h}
 		srv := &http.Server{
-			Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: slog.NewLogLogger(g.cfg.Log.Handler(), slog.LevelDebug),
 		}
-		list = append(list, httpServer{name, srv, name == "callers"})
+		list = append(list, httpServer{name, srv, handler, name == "callers"})
 		g.group.Go(func() error {
 			if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 				return fmt.Errorf("serve %s: %w", name, err)
@@ -268,7 +287,7 @@
 	g.thread.Stop()
 	for _, s := range servers {
 		if s.callers {
-			s.server.SetKeepAlivesEnabled(false)
+			s.handler.stopping.Store(true)
 		}
 	}
 	lameDuck := min(lameDuckTime, time.Duration(float64(grace)*lameDuckShare))
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -57,7 +57,9 @@
 	t.sends++
 	t.last = r.Name
 	sent := s.cfg.Clock.Now()
-	rec, err := s.cfg.Sender.Send(ctx, wick.Attempt{
+	sendCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	rec, err := s.cfg.Sender.Send(sendCtx, wick.Attempt{
 		Exchange:        t.exchange,
 		Endpoint:        r.Name,
 		Address:         r.Address,
@@ -82,7 +84,7 @@
 	if t.route.Kind != wick.KindStream {
 		return t.passBuffered(ctx, to, rec, sent)
 	}
-	return t.passStream(ctx, to, rec, sent, prefilled)
+	return t.passStream(ctx, &incoming{target: to, response: rec, sent: sent, prefilled: prefilled, cancel: cancel})
 }
 
 func (t *task) resumeAfter() wick.EventID {
--- a/direct/pick.go
+++ b/direct/pick.go
@@ -86,12 +86,16 @@
 	if t.route.Kind != wick.KindStream || t.started {
 		return 0
 	}
-	most := max(minFirstWait, objectiveFactor*t.route.Objective.Std(), gapFactor*t.route.GapTarget.Std())
 	begins := now.Sub(t.start)
 	if fresh {
 		begins += t.estimate
 	}
-	return begins - time.Duration(float64(most)*firstWaitPart)
+	return begins - time.Duration(float64(t.patience())*firstWaitPart)
+}
+
+// patience is how long the caller of a stream waits for its next event.
+func (t *task) patience() time.Duration {
+	return max(minFirstWait, objectiveFactor*t.route.Objective.Std(), gapFactor*t.route.GapTarget.Std())
 }
 
 // wait waits for d, for a newer view, or for the end of the request.
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"currantwick"
 )
@@ -67,29 +68,46 @@
 	return wick.EventID(bytes.TrimSpace(line)), true
 }
 
-// passStream passes a stream on, event by event. If the stream breaks off, it
-// returns a retryableError; the next attempt at a resumable request continues
-// after the last complete event.
-func (t *task) passStream(ctx context.Context, to target, rec *wick.Response, sent wick.Instant, prefilled func()) error {
+// incoming is a stream that arrives from an endpoint.
+type incoming struct {
+	target   target
+	response *wick.Response
+	// sent is when the request was sent, and prefilled is called at the first byte.
+	sent      wick.Instant
+	prefilled func()
+	// cancel breaks the stream off.
+	cancel context.CancelFunc
+}
+
+// passStream passes a stream on, event by event. If the stream breaks off or
+// stalls, it returns a retryableError; the next attempt at a resumable request
+// continues after the last complete event.
+func (t *task) passStream(ctx context.Context, from *incoming) error {
+	to, rec := from.target, from.response
 	if t.started && rec.Status != http.StatusOK {
 		t.recordFailure(to)
 		return &retryableError{cause: wick.Unknownf(wick.CodeBroken, "%s resumed with status %d", to.runner.Name, rec.Status)}
 	}
 	var in eventBuffer
 	buf := make([]byte, readSize)
+	stall := t.watchStall(from.cancel)
+	defer stall.stop()
 	for {
 		n, err := rec.Body.Read(buf)
 		if n > 0 {
-			prefilled()
+			from.prefilled()
 			if t.firstByte == 0 {
-				t.recordResponse(to, sent, rec)
-				t.recordPrefill(to, t.server.cfg.Clock.Now().Sub(sent))
+				t.recordResponse(to, from.sent, rec)
+				t.recordPrefill(to, t.server.cfg.Clock.Now().Sub(from.sent))
 			}
 			t.measureGap()
 			complete, lerr := in.add(buf[:n])
 			if lerr != nil {
 				return t.handleStreamError(ctx, to, lerr)
 			}
+			if complete != nil {
+				stall.reset()
+			}
 			if serr := t.sendEvents(rec, complete); serr != nil {
 				return serr
 			}
@@ -106,6 +124,35 @@
 	}
 }
 
+// stallWatch breaks a stream off when no complete event arrives for too long,
+// even if bytes do. The zero value does nothing.
+type stallWatch struct {
+	timer *time.Timer
+	after time.Duration
+}
+
+// watchStall returns a watch on a stream that may go on at another endpoint. It
+// breaks the stream off shortly before callers give up.
+func (t *task) watchStall(cancel context.CancelFunc) stallWatch {
+	if !t.route.Resumable || t.ran >= t.route.Attempts {
+		return stallWatch{}
+	}
+	after := time.Duration(float64(t.patience()) * firstWaitPart)
+	return stallWatch{timer: time.AfterFunc(after, cancel), after: after}
+}
+
+func (s stallWatch) reset() {
+	if s.timer != nil {
+		s.timer.Reset(s.after)
+	}
+}
+
+func (s stallWatch) stop() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
+
 // measureGap updates longestGap at a read from the stream.
 func (t *task) measureGap() {
 	now := t.server.cfg.Clock.Now()
