Keep a lease between the orders of two holders where tokens are unchecked

A holder may read the store just before another one's term begins and give orders for 1.2 s more, while the new one waits for the lease and 0.4 s from its claim.

Change: where endpoints check no tokens, the new holder waits 1.2 s longer unless the former one gave its term up.

--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -46,9 +46,11 @@
 			t.Error(err)
 		}
 	})
-	return wick.Address(l.Addr().String())
+	return addressOf(l)
 }
 
+func addressOf(l net.Listener) wick.Address { return wick.Address(l.Addr().String()) }
+
 // answer returns a script that reads a request for each response in list and
 // writes the response.
 func answer(list ...string) script {
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -126,6 +126,11 @@
 	mustWait := old.Fence > 0 && old.Holder != c.Holder && !(old.Left && t.cfg.RequireFencing)
 	if mustWait {
 		term.From = now.Add(t.cfg.Lease + takeoverMargin)
+		if !t.cfg.RequireFencing && !old.Left {
+			// The former holder may have read the store just before this term
+			// began and give orders until that read is too old.
+			term.From = term.From.Add(maxReadAgeUnfenced)
+		}
 	}
 	if old.Holder == c.Holder {
 		term.From = max(now, old.From)
