Ask a store that does not answer once a second at most

Cause: in an outage of the store for all, every daemon finds its knowledge old after 1.5 s and reads three topics every 250 ms.

Change: while the store does not answer, a daemon that holds no term has one read under way at a time and doubles the pause up to a second, with a random part; holders go on as before.

--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -509,3 +509,47 @@
 		}
 	}
 }
+
+// In an outage of the store, a daemon that holds no term asks it about once a
+// second, and notices within about that time that it is back.
+func TestReadsInAnOutage(t *testing.T) {
+	tests := []struct {
+		name  string
+		holds bool
+		// most are the reads of all topics in the outage of 10 s.
+		most int
+	}{
+		{"a daemon without a term", false, 16},
+		{"a holder", true, (10*4 + 1) * int(wick.NumTopics)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newHarness(t, true)
+			w.start(t)
+			if !test.holds {
+				shard := terms.ShardOf("e")
+				w.read(0, wick.TopicDaemons, record(t, 2, fmt.Sprintf("%s%d", keyTerm, shard), terms.Claim{Shard: shard, Holder: "b", Incarnation: 2}))
+			}
+			reads := 0
+			for at := 10; at < 10_000; at += 10 {
+				w.tick(ms(at))
+				w.step(ms(at))
+				sent := append(w.fakeIO.reads, w.fakeIO.newest...)
+				w.fakeIO.reads, w.fakeIO.newest = nil, nil
+				for _, topic := range sent {
+					reads++
+					topicRead{topic: topic, err: errors.New("reset")}.apply(w.state, ms(at))
+				}
+			}
+			if reads > test.most || reads < 5 {
+				t.Errorf("%d reads in an outage of 10 s, want 5 to %d", reads, test.most)
+			}
+			for at := 10_000; at < 12_000 && len(w.fakeIO.reads) == 0; at += 10 {
+				w.tick(ms(at))
+			}
+			if len(w.fakeIO.reads) == 0 {
+				t.Error("no read within 2 s after the outage")
+			}
+		})
+	}
+}
--- a/coord/links.go
+++ b/coord/links.go
@@ -161,7 +161,7 @@
 			s.daemonsChanged()
 		}
 	}
-	if len(wanted) == 0 && len(s.holders) == 0 && s.topics[wick.TopicDaemons].failing {
+	if len(wanted) == 0 && len(s.holders) == 0 && s.probe.failed > 0 {
 		for _, a := range s.cfg.Seeds {
 			s.dial(now, a)
 		}
--- a/coord/state.go
+++ b/coord/state.go
@@ -27,6 +27,7 @@
 	fences [terms.Shards]wick.Fence
 
 	topics [wick.NumTopics]topic
+	probe  storeProbe
 	// relayed is the newest record of each key that had an effect, for daemons
 	// that link later.
 	relayed [wick.NumTopics]map[string]wick.RelayedRecord
--- a/coord/topics.go
+++ b/coord/topics.go
@@ -1,6 +1,8 @@
 package coord
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"currantwick"
@@ -24,16 +26,20 @@
 	// staleAfter is the age of a topic above which the holder of rank 0 reads
 	// it itself instead of relying on updates: the read interval, a heartbeat
 	// and the network delays. Each further rank waits staleStep longer, so that
-	// one holder reads for all; other daemons wait maxStale, which is half a
-	// second below the shortest permitted delay of a change.
+	// one holder reads for all; other daemons wait minStale, or the longer
+	// staleShare of the permitted delay of a change.
 	staleAfter = 900 * time.Millisecond
 	staleStep  = 150 * time.Millisecond
-	maxStale   = 1500 * time.Millisecond
+	minStale   = 1500 * time.Millisecond
+	staleShare = 0.6
 	// emptyReadInterval is the pause after a read of the configuration or of
 	// the daemons' records that returned no records in less than this time.
 	emptyReadInterval = 400 * time.Millisecond
-	// failPause is the pause after a failed read or append.
-	failPause = 250 * time.Millisecond
+	// failPause is the pause after a failed read or append. Daemons that hold no
+	// term double it up to maxFailPause and extend it by up to half at random: in
+	// an outage all of them find their knowledge old at the same time.
+	failPause    = 250 * time.Millisecond
+	maxFailPause = time.Second
 	// configReaders is how many holders follow the configuration for all daemons.
 	configReaders = 2
 )
@@ -60,9 +66,36 @@
 // knownUpTo returns the instant up to which the topic is known completely.
 func (t *topic) knownUpTo() wick.Instant { return max(t.current, t.holderCurrent) }
 
+// storeProbe limits the reads of a daemon that holds no term while the store does
+// not answer: one at a time, at growing intervals.
+type storeProbe struct {
+	// failed counts the failed reads since the last successful one.
+	failed int
+	pause  time.Duration
+	after  wick.Instant
+}
+
+// allows reports whether another read may start.
+func (p *storeProbe) allows(now wick.Instant, topics []topic) bool {
+	if p.failed == 0 {
+		return true
+	}
+	return now >= p.after && !slices.ContainsFunc(topics, func(t topic) bool { return t.busy })
+}
+
+// fail records a failed read.
+func (p *storeProbe) fail(now wick.Instant) {
+	p.failed++
+	p.pause = min(max(2*p.pause, failPause), maxFailPause)
+	p.after = now.Add(p.pause + rand.N(p.pause/2))
+}
+
 // readTopics starts the reads that are due.
 func (s *state) readTopics(now wick.Instant) {
 	for i := range s.topics {
+		if !s.terms.HoldsAny() && !s.probe.allows(now, s.topics[:]) {
+			return
+		}
 		t := &s.topics[i]
 		if t.busy || now < t.due {
 			continue
@@ -86,7 +119,7 @@
 // receives no updates from them reads by itself.
 func (s *state) shouldRead(now wick.Instant, t *topic) (time.Duration, bool) {
 	rank := s.readerRank()
-	stale := min(staleAfter+time.Duration(rank)*staleStep, maxStale)
+	stale := min(staleAfter+time.Duration(rank)*staleStep, s.maxStale())
 	if t.id == wick.TopicDaemons && len(s.holders) > 0 {
 		// A holder learns that it has read this topic up to its end only when a
 		// wait ends. Records that arrive during the wait are relayed at once.
@@ -106,6 +139,11 @@
 	return 0, false
 }
 
+// maxStale returns the age of a topic above which a daemon reads it itself.
+func (s *state) maxStale() time.Duration {
+	return max(minStale, time.Duration(float64(s.cfg.Bounds.ChangeDeadline)*staleShare))
+}
+
 // daemonsWait returns how long a read of the daemons' records waits.
 func (s *state) daemonsWait() time.Duration {
 	if s.cfg.Bounds.RequireFencing {
@@ -154,6 +192,7 @@
 		t.failing = false
 		s.log.Info("store reachable again", "topic", t.id.String())
 	}
+	s.probe = storeProbe{}
 	s.facts.SetReachable(now, true)
 	if e.batch.Truncated {
 		s.log.Warn("records deleted before they were read", "topic", t.id.String(), "from", t.next)
@@ -215,6 +254,7 @@
 
 func (s *state) readFailed(now wick.Instant, t *topic, err error) {
 	t.due = now.Add(failPause)
+	s.probe.fail(now)
 	s.facts.SetReachable(now, false)
 	if t.id == wick.TopicDaemons {
 		s.terms.SetUnreachable()
--- a/daemon.go
+++ b/daemon.go
@@ -41,6 +41,9 @@
 	Grace Duration
 	// RevisionDeadline is the time within which a new adapter version must be in use.
 	RevisionDeadline Duration
+	// ChangeDeadline is the time within which a change at the store must be in use
+	// on every daemon.
+	ChangeDeadline Duration
 	// RetryRatio and RetrySlack limit the retries of all daemons together: in
 	// each window of time in which the platform counts them, they must not exceed
 	// RetryRatio times the requests plus RetrySlack.
@@ -95,6 +98,7 @@
 		{"Grace", b.Grace},
 		{"Revision", b.RevisionDeadline},
 		{"EntriesTTL", b.EntriesTTL},
+		{"ChangeDeadline", b.ChangeDeadline},
 	}
 	for _, t := range times {
 		if t.value <= 0 {
--- a/soak/gateway_test.go
+++ b/soak/gateway_test.go
@@ -54,7 +54,7 @@
 		Cores:        runtime.NumCPU(), Memory: 8 << 30, Capacity: 1,
 		Bounds: wick.Bounds{
 			Lease: wick.Duration(time.Second), RequireFencing: true, Grace: wick.Duration(4 * time.Second), RevisionDeadline: wick.Duration(5 * time.Second),
-			RetryRatio: 0.2, RetrySlack: 50, EntriesTTL: wick.Duration(5 * time.Second),
+			RetryRatio: 0.2, RetrySlack: 50, EntriesTTL: wick.Duration(5 * time.Second), ChangeDeadline: wick.Duration(2 * time.Second),
 		},
 	}}
 	g, err := boot.NewGateway(boot.GatewayConfig{Daemon: s.daemon, Log: slog.New(slog.DiscardHandler), Observer: fakes.GatewayObserver{}})
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -41,6 +41,7 @@
 	return wick.Bounds{
 		Lease: wick.Duration(1500 * time.Millisecond), RequireFencing: fenced, Grace: wick.Duration(4 * time.Second),
 		RevisionDeadline: wick.Duration(4 * time.Second), RetryRatio: 0.2, RetrySlack: 50, EntriesTTL: wick.Duration(2 * time.Second),
+		ChangeDeadline: wick.Duration(2 * time.Second),
 	}
 }
 
