--- a/conns/conn.go
+++ b/conns/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -50,10 +49,10 @@
 const unlimited = math.MaxInt64
 
 // errTooLong is the error of a limitedReader whose limit was reached.
-var errTooLong = errors.New("more bytes than an answer may have there")
+var errTooLong = fmt.Errorf("header of the answer, with what precedes it, exceeds %d bytes", maxHeader)
 
-// limitedReader reads from a connection and fails, other than io.LimitedReader,
-// after a number of bytes.
+// limitedReader reads from a connection. Unlike io.LimitedReader, it fails at its
+// limit, so that a cut answer does not look complete.
 type limitedReader struct {
 	from io.Reader
 	left int64
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -23,8 +23,8 @@
 	// maxSkipped bounds the interim responses and the responses to earlier
 	// requests that are skipped.
 	maxSkipped = 2
-	// maxHeader bounds the bytes up to the end of a response's header, those of
-	// the responses before it included.
+	// maxHeader bounds the bytes up to the end of a response's header, including
+	// skipped responses before it.
 	maxHeader = 64 << 10
 	// defaultMaxBody bounds the body that Fetch reads.
 	defaultMaxBody = 1 << 20
