--- a/coord/resend.go
+++ b/coord/resend.go
@@ -43,7 +43,7 @@
 	return int(topic) >= len(ends) || s.topics[topic].known >= ends[topic]
 }
 
-// settle advances the offsets that linked daemons are expected to know.
+// settle advances the offsets that linked daemons are expected to know by now.
 func (s *state) settle(now wick.Instant) {
 	if now.Sub(s.settledAt) < settleInterval {
 		return
--- a/coord/topics.go
+++ b/coord/topics.go
@@ -50,9 +50,12 @@
 	// next is the first offset that was not read yet.
 	next wick.Offset
 	// known is the offset before which every record is known, from the store or
-	// from holders, and settled an earlier value of it: the one of the last
-	// settling but one. A linked daemon that knows less has missed updates.
-	known, settling, settled wick.Offset
+	// from holders.
+	known wick.Offset
+	// settling and settled are earlier values of known: those of the last settle
+	// and of the one before. A linked daemon that knows less than settled has
+	// missed an update.
+	settling, settled wick.Offset
 	// loaded is set when the newest record of each key was read.
 	loaded bool
 	busy   bool
