Report to a holder at once after a start

Cause: the clock of a daemon starts at 0, and the last report of a new link counted as sent at 0. A link that came up in the first 250 ms of a process therefore got no report, and so no state, until the next heartbeat.

Change: a new link's first report is due.

Measured: TestFirstReportIsSentAtOnce fails at 0, 10 and 200 ms before.

--- a/coord/links.go
+++ b/coord/links.go
@@ -77,14 +77,17 @@
 		instance: e.to,
 		dialed:   e.dialed,
 		upAt:     now,
-		shards:   make(map[wick.Shard]bool),
+		// The first report is due at once: the holder answers it with the state
+		// that this daemon lacks.
+		sentAt:     now.Add(-heartbeat),
+		comparedAt: now.Add(-heartbeat),
+		shards:     make(map[wick.Shard]bool),
 		// Its first update lists all daemons that are linked to it.
 		instances: make(map[wick.HostName]wick.InstanceState),
 		loads:     make(map[wick.EndpointName]wick.EndpointLoad),
 		uses:      make(map[wick.EndpointName]map[wick.Weights]int),
 	}
 	s.holders[e.to.Host] = h
-	// The holder answers with the state that this daemon lacks.
 	s.sendReport(now, h)
 	s.daemonsChanged()
 }
--- a/coord/resend_test.go
+++ b/coord/resend_test.go
@@ -117,3 +117,16 @@
 		})
 	}
 }
+
+// A daemon reports as soon as a link is up, also right after its start, when its
+// clock is near 0.
+func TestFirstReportIsSentAtOnce(t *testing.T) {
+	for _, at := range []wick.Instant{0, ms(10), ms(200), ms(60_000)} {
+		w := newHarness(t, true)
+		l := &link{}
+		linkUp{l, instance("b", 2), "127.0.0.1:1"}.apply(w.state, at)
+		if len(l.sent) != 1 || l.sent[0].Report == nil || len(l.sent[0].Report.Known) != int(wick.NumTopics) {
+			t.Errorf("link up at %v: sent %+v, want a report with the known offsets", time.Duration(at), l.sent)
+		}
+	}
+}
