Encode a link message once and reuse compressors

Cause: each message was encoded to learn its size and encoded again for its frame, and each large one allocated a new compressor.

Measured: go test ./links -bench Encode, a small update 4.4 to 1.6 us and 5 to 3 allocations, 1,400 routes 1.85 to 0.89 ms and 1.45 to 0.26 MB.

--- a/codec/frame.go
+++ b/codec/frame.go
@@ -22,9 +22,14 @@
 	if err != nil {
 		return nil, err
 	}
+	return Frame(body), nil
+}
+
+// Frame returns an encoded value with a length prefix.
+func Frame(body []byte) []byte {
 	frame := make([]byte, 0, lengthBytes+len(body))
 	frame = binary.BigEndian.AppendUint32(frame, uint32(len(body)))
-	return append(frame, body...), nil
+	return append(frame, body...)
 }
 
 // DecodeFrame reads a value written by EncodeFrame, of at most limit bytes, and
--- a/links/frames.go
+++ b/links/frames.go
@@ -34,14 +34,14 @@
 	return frame, nil
 }
 
+// encode returns the frame of a message, compressed if it is large.
 func encode(msg wick.LinkMessage) ([]byte, error) {
-	msg, err := pack(msg)
-	if err != nil {
-		return nil, err
+	body, err := codec.EncodeCBOR(msg)
+	if err == nil && len(body) >= minPacked {
+		body, err = pack(body)
 	}
-	frame, err := codec.EncodeFrame(msg)
 	if err != nil {
 		return nil, fmt.Errorf("link: %w", err)
 	}
-	return frame, nil
+	return codec.Frame(body), nil
 }
--- a/links/links.go
+++ b/links/links.go
@@ -94,8 +94,7 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { nc.Close() })
 	defer stop()
-	l := &link{net: nc, encoder: &h.encoder, outbox: make(chan []byte, outboxSize), cancel: cancel}
-	l.input = idleReader{net: nc}
+	l := &link{net: nc, input: idleReader{net: nc}, encoder: &h.encoder, outbox: make(chan []byte, outboxSize), cancel: cancel}
 	l.reader = bufio.NewReader(&l.input)
 	remote, err := l.handshake(h.cfg.Self)
 	if err != nil {
--- a/links/pack.go
+++ b/links/pack.go
@@ -5,36 +5,43 @@
 	"compress/flate"
 	"fmt"
 	"io"
+	"sync"
 
 	"currantwick"
 	"currantwick/codec"
 )
 
-// pack returns a message that holds msg compressed, or msg itself if it is small.
-// Configurations and lists of endpoints shrink to about a tenth.
-func pack(msg wick.LinkMessage) (wick.LinkMessage, error) {
-	plain, err := codec.EncodeCBOR(msg)
+// packers keeps compressors for reuse: each takes several hundred KiB.
+var packers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
 	if err != nil {
-		return msg, fmt.Errorf("link: %w", err)
-	}
-	if len(plain) < minPacked {
-		return msg, nil
+		panic(err) // The level is valid.
 	}
+	return w
+}}
+
+// pack returns the encoding of a message that holds the encoded message plain
+// compressed. Configurations and lists of endpoints shrink to about a tenth.
+func pack(plain []byte) ([]byte, error) {
 	var packed bytes.Buffer
-	w, err := flate.NewWriter(&packed, flate.BestSpeed)
-	if err != nil {
-		return msg, fmt.Errorf("link: pack message: %w", err)
-	}
+	w := packers.Get().(*flate.Writer)
+	defer packers.Put(w)
+	w.Reset(&packed)
 	if _, err := w.Write(plain); err != nil {
-		return msg, fmt.Errorf("link: pack message: %w", err)
+		return nil, fmt.Errorf("pack message: %w", err)
 	}
 	if err := w.Close(); err != nil {
-		return msg, fmt.Errorf("link: pack message: %w", err)
+		return nil, fmt.Errorf("pack message: %w", err)
+	}
+	data, err := codec.EncodeCBOR(wick.LinkMessage{Packed: packed.Bytes()})
+	if err != nil {
+		return nil, fmt.Errorf("pack message: %w", err)
 	}
-	return wick.LinkMessage{Packed: packed.Bytes()}, nil
+	return data, nil
 }
 
-// unpack returns the message that pack was given.
+// unpack returns the message that a packed message holds, or msg itself if it is
+// not packed.
 func unpack(msg wick.LinkMessage) (wick.LinkMessage, error) {
 	if msg.Packed == nil {
 		return msg, nil
--- a/links/pack_test.go
+++ b/links/pack_test.go
@@ -54,10 +54,18 @@
 }
 
 func TestMalformedPackedMessages(t *testing.T) {
-	twice, err := pack(wick.LinkMessage{Packed: bytes.Repeat([]byte("0123456789"), 200)})
+	inner, err := pack([]byte("any"))
 	if err != nil {
 		t.Fatal(err)
 	}
+	outer, err := pack(inner)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var twice wick.LinkMessage
+	if err := codec.DecodeCBOR(outer, &twice); err != nil {
+		t.Fatal(err)
+	}
 	tests := []struct {
 		name string
 		msg  wick.LinkMessage
