Clear the read deadline of a connection only where it was set

Cause: every answer ended with a change of its connection's deadline, though only a close before the end of the body sets one.

Change: Close reads the rest itself and clears the deadline. TestReuseAfterClose holds that the next request on the connection does not inherit it.

--- a/boot/stop_test.go
+++ b/boot/stop_test.go
@@ -39,7 +39,7 @@
 			io.WriteString(c, first+rest)
 			answered(t, r)
 			io.WriteString(c, test.before)
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(20 * time.Millisecond) // The server is to read what was written so far.
 			h.stopping.Store(true)
 			io.WriteString(c, test.after)
 			if !answered(t, r) {
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -231,7 +231,7 @@
 		return
 	}
 	r.done = true
-	if !r.stop() || r.closing || r.conn.read.Buffered() > 0 || !r.requestSent() || r.conn.net.SetReadDeadline(time.Time{}) != nil {
+	if !r.stop() || r.closing || r.conn.read.Buffered() > 0 || !r.requestSent() {
 		r.conn.close()
 		return
 	}
@@ -268,12 +268,16 @@
 	if r.done {
 		return nil
 	}
-	if err := r.conn.net.SetReadDeadline(time.Now().Add(restTimeout)); err == nil {
-		// Read returns the connection to the pool at the end of the body, and
-		// closes it on an error.
-		_, _ = io.Copy(io.Discard, io.LimitReader(r, maxRest))
+	nc := r.conn.net
+	if err := nc.SetReadDeadline(time.Now().Add(restTimeout)); err != nil {
+		r.drop()
+		return nil
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(r.body, maxRest))
+	if err == nil && n < maxRest && nc.SetReadDeadline(time.Time{}) == nil {
+		r.finish()
 	}
-	r.drop()
+	r.drop() // Without effect after finish.
 	return nil
 }
 
--- a/conns/hostile_test.go
+++ b/conns/hostile_test.go
@@ -126,7 +126,7 @@
 				}
 				for _, part := range test.late {
 					io.WriteString(c, part)
-					time.Sleep(5 * time.Millisecond)
+					time.Sleep(5 * time.Millisecond) // So that the parts arrive in reads of their own.
 				}
 				io.WriteString(c, second)
 			})
@@ -172,3 +172,19 @@
 		})
 	}
 }
+
+// The connection of an answer that is closed unread is reused if the rest of the
+// answer was short, without the deadline of the close.
+func TestReuseAfterClose(t *testing.T) {
+	addr := serve(t, answer(ok, strings.Replace(ok, "Id: 1", "Id: 2", 1)))
+	p := conns.New(conns.Config{})
+	reply, err := p.Do(t.Context(), addr, request("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	reply.Close()
+	time.Sleep(50 * time.Millisecond) // Longer than a close may take.
+	if _, body, err := p.Fetch(t.Context(), addr, request("2")); err != nil || string(body) != "hi" {
+		t.Errorf("got %q, %v on the connection of a closed answer, want hi", body, err)
+	}
+}
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -120,7 +120,7 @@
 func (t *task) handleNotRun(ctx context.Context, to target, rec *wick.Response) error {
 	s, now := t.server, t.server.cfg.Clock.Now()
 	t.status = rec.Status
-	rec.Body.Close()
+	rec.Body.Close() // Frees the connection before the pause.
 	cause := wick.NotRunf(wick.CodeOverload, "%s refused with status %d", to.runner.Name, rec.Status)
 	want := wick.AdapterRequest{Endpoint: to.runner.Name, Weights: t.weights, Revision: to.revision}
 	early := t.weights.Adapter != "" && now.Sub(to.ready) < earlyWindow
