Share one backoff between dials, reads of the store and the log

Cause: the pauses after failed dials and after failed reads of the store, both new, repeated each other and the reader of the log in package node. The state of a probe kept a count of failures of which only zero or not mattered.

Change: pause.Backoff serves all three; the log's first pause is 100 to 150 ms instead of 50 to 150. Whether a daemon holds a term is looked up only while the store does not answer, not with each event.

--- a/coord/links.go
+++ b/coord/links.go
@@ -1,10 +1,10 @@
 package coord
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"currantwick"
+	"currantwick/pause"
 	"currantwick/terms"
 )
 
@@ -15,8 +15,7 @@
 	// loadsInterval is how often changed loads are sent.
 	loadsInterval = 100 * time.Millisecond
 	// redialPause is the pause after a failed dial or the end of a link, and
-	// maxRedialPause the longest one after several in a row. Each pause is extended
-	// by up to half at random, since many daemons lose a holder at once.
+	// maxRedialPause the longest one after several in a row.
 	redialPause    = 300 * time.Millisecond
 	maxRedialPause = 1200 * time.Millisecond
 	// stableLink is the age from which the end of a link no longer counts as one of
@@ -112,10 +111,7 @@
 	}
 	h := s.holders[host]
 	s.log.Warn("link down", "daemon", instanceText(h.instance), "dialed", true, "err", errText(e.err))
-	if now.Sub(h.upAt) > stableLink {
-		delete(s.dialing, h.dialed)
-	}
-	s.redialLater(now, h.dialed)
+	s.redialLater(now, h.dialed, now.Sub(h.upAt) > stableLink)
 	delete(s.hostOf, e.link)
 	delete(s.holders, host)
 	s.daemonsChanged()
@@ -129,15 +125,17 @@
 
 func (e dialFailed) apply(s *state, now wick.Instant) {
 	s.log.Debug("dial failed", "to", e.to, "err", errText(e.err))
-	s.redialLater(now, e.to)
+	s.redialLater(now, e.to, false)
 }
 
-// redialLater sets the earliest time of the next dial of an address.
-func (s *state) redialLater(now wick.Instant, to wick.Address) {
-	d := s.dialing[to]
-	d.pause = min(max(2*d.pause, redialPause), maxRedialPause)
-	d.after = now.Add(d.pause + rand.N(d.pause/2))
-	s.dialing[to] = d
+// redialLater sets the earliest time of the next dial of an address. wasStable is
+// set if the last link to it was up for long.
+func (s *state) redialLater(now wick.Instant, to wick.Address, wasStable bool) {
+	d := s.dialStateOf(to)
+	if wasStable {
+		d.backoff.Reset()
+	}
+	d.after = now.Add(d.backoff.Next())
 }
 
 // dialHolders opens links to the holders of terms, and closes those to daemons
@@ -164,7 +162,7 @@
 			s.daemonsChanged()
 		}
 	}
-	if len(wanted) == 0 && len(s.holders) == 0 && s.probe.failed > 0 {
+	if len(wanted) == 0 && len(s.holders) == 0 && s.probe.failing {
 		for _, a := range s.cfg.Seeds {
 			s.dial(now, a)
 		}
@@ -172,21 +170,29 @@
 }
 
 func (s *state) dial(now wick.Instant, to wick.Address) {
-	d := s.dialing[to]
+	d := s.dialStateOf(to)
 	if now < d.after {
 		return
 	}
 	// A dial takes less than a second, so no address is dialed twice at once.
 	d.after = now.Add(time.Second)
-	s.dialing[to] = d
 	s.cfg.IO.Dial(to)
 }
 
 // dialState limits how often an address is dialed.
 type dialState struct {
-	// after is the earliest time of the next dial, and pause the last pause.
-	after wick.Instant
-	pause time.Duration
+	// after is the earliest time of the next dial.
+	after   wick.Instant
+	backoff pause.Backoff
+}
+
+func (s *state) dialStateOf(to wick.Address) *dialState {
+	d := s.dialing[to]
+	if d == nil {
+		d = &dialState{backoff: pause.Backoff{Least: redialPause, Most: maxRedialPause}}
+		s.dialing[to] = d
+	}
+	return d
 }
 
 // linkMessage is a message from another daemon.
--- a/coord/state.go
+++ b/coord/state.go
@@ -6,6 +6,7 @@
 
 	"currantwick"
 	"currantwick/facts"
+	"currantwick/pause"
 	"currantwick/slots"
 	"currantwick/terms"
 )
@@ -39,7 +40,7 @@
 	// the daemons that this one dialed, by host.
 	linkedDaemons map[wick.Link]*linkedDaemon
 	holders       map[wick.HostName]*holder
-	dialing       map[wick.Address]dialState
+	dialing       map[wick.Address]*dialState
 	// hostOf is the host at the far end of each link that this daemon dialed.
 	hostOf map[wick.Link]wick.HostName
 
@@ -97,12 +98,13 @@
 		daemons:       make(map[wick.HostName]daemonRecord),
 		linkedDaemons: make(map[wick.Link]*linkedDaemon),
 		holders:       make(map[wick.HostName]*holder),
-		dialing:       make(map[wick.Address]dialState),
+		dialing:       make(map[wick.Address]*dialState),
 		hostOf:        make(map[wick.Link]wick.HostName),
 		lastModelLoad: now.Add(-time.Hour),
 		started:       now,
 		lastTick:      now,
 		roster:        roster{stale: true},
+		probe:         storeProbe{backoff: pause.Backoff{Least: failPause, Most: maxFailPause}},
 	}
 	for i := range s.relayed {
 		s.relayed[i] = make(map[string]wick.RelayedRecord)
--- a/coord/topics.go
+++ b/coord/topics.go
@@ -1,11 +1,11 @@
 package coord
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
 	"currantwick"
+	"currantwick/pause"
 	"currantwick/terms"
 )
 
@@ -35,9 +35,9 @@
 	// emptyReadInterval is the pause after a read of the configuration or of
 	// the daemons' records that returned no records in less than this time.
 	emptyReadInterval = 400 * time.Millisecond
-	// failPause is the pause after a failed read or append. Daemons that hold no
-	// term double it up to maxFailPause and extend it by up to half at random: in
-	// an outage all of them find their knowledge old at the same time.
+	// failPause is the pause after a failed read or append. For the reads of
+	// daemons that hold no term it grows up to maxFailPause: in an outage all of
+	// them find their knowledge old at the same time.
 	failPause    = 250 * time.Millisecond
 	maxFailPause = time.Second
 	// configReaders is how many holders follow the configuration for all daemons.
@@ -72,31 +72,34 @@
 // storeProbe limits the reads of a daemon that holds no term while the store does
 // not answer: one at a time, at growing intervals.
 type storeProbe struct {
-	// failed counts the failed reads since the last successful one.
-	failed int
-	pause  time.Duration
-	after  wick.Instant
+	// failing is set from a failed read to the next successful one.
+	failing bool
+	// after is the earliest time of the next read while failing is set.
+	after   wick.Instant
+	backoff pause.Backoff
 }
 
 // allows reports whether another read may start.
 func (p *storeProbe) allows(now wick.Instant, topics []topic) bool {
-	if p.failed == 0 {
-		return true
-	}
-	return now >= p.after && !slices.ContainsFunc(topics, func(t topic) bool { return t.busy })
+	busy := func(t topic) bool { return t.busy }
+	return !p.failing || now >= p.after && !slices.ContainsFunc(topics, busy)
 }
 
 // fail records a failed read.
 func (p *storeProbe) fail(now wick.Instant) {
-	p.failed++
-	p.pause = min(max(2*p.pause, failPause), maxFailPause)
-	p.after = now.Add(p.pause + rand.N(p.pause/2))
+	p.failing, p.after = true, now.Add(p.backoff.Next())
+}
+
+// succeed records a successful read.
+func (p *storeProbe) succeed() {
+	p.failing = false
+	p.backoff.Reset()
 }
 
 // readTopics starts the reads that are due.
 func (s *state) readTopics(now wick.Instant) {
 	for i := range s.topics {
-		if !s.terms.HoldsAny() && !s.probe.allows(now, s.topics[:]) {
+		if !s.probe.allows(now, s.topics[:]) && !s.terms.HoldsAny() {
 			return
 		}
 		t := &s.topics[i]
@@ -195,7 +198,7 @@
 		t.failing = false
 		s.log.Info("store reachable again", "topic", t.id.String())
 	}
-	s.probe = storeProbe{}
+	s.probe.succeed()
 	s.facts.SetReachable(now, true)
 	if e.batch.Truncated {
 		s.log.Warn("records deleted before they were read", "topic", t.id.String(), "from", t.next)
--- a/coord/update.go
+++ b/coord/update.go
@@ -52,8 +52,7 @@
 	}
 	for _, sp := range u.Spans {
 		if sp.Topic < wick.NumTopics {
-			t := &s.topics[sp.Topic]
-			t.applySpan(sp)
+			s.topics[sp.Topic].applySpan(sp)
 		}
 	}
 	for i, age := range u.TopicAges {
--- a/node/read.go
+++ b/node/read.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
-	mrand "math/rand/v2"
 	"time"
 
 	"currantwick"
@@ -26,17 +25,16 @@
 // followStream reads one stream of the platform's log until ctx ends.
 func (n *Node) followStream(ctx context.Context, stream wick.StreamName) error {
 	next := wick.Offset(1)
-	backoff := minBackoff
+	backoff := pause.Backoff{Least: minBackoff, Most: maxBackoff}
 	for ctx.Err() == nil {
 		sent := n.clock.Now()
 		list, err := n.readBatch(ctx, stream, next)
 		if err != nil {
 			n.thread.Post(ctrl.LogFailed{Stream: stream})
-			pause.For(ctx, backoff/2+mrand.N(backoff))
-			backoff = min(2*backoff, maxBackoff)
+			pause.For(ctx, backoff.Next())
 			continue
 		}
-		backoff = minBackoff
+		backoff.Reset()
 		if len(list) > 0 {
 			next = list[len(list)-1].Offset + 1
 		}
--- a/pause/pause.go
+++ b/pause/pause.go
@@ -1,4 +1,5 @@
-// Package pause waits for a time or for the end of a context.
+// Package pause waits for a time or for the end of a context, and yields growing
+// pauses between attempts.
 package pause
 
 import (
