--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -136,6 +136,9 @@
 	kind    kind
 	adapter int
 	timeout time.Duration
+	// body is "body of " and the id if it is empty; parts is the prompt's list of
+	// parts and may be empty.
+	body, parts string
 }
 
 // send sends the request and reads its answer.
@@ -143,7 +146,11 @@
 	res := result{id: q.id, kind: q.kind, at: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), q.timeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+q.to+q.kind.path, strings.NewReader("body of "+string(q.id)))
+	body := q.body
+	if body == "" {
+		body = "body of " + string(q.id)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+q.to+q.kind.path, strings.NewReader(body))
 	if err != nil {
 		return res
 	}
@@ -155,6 +162,9 @@
 		r.Header.Set("Currantwick-Model", fmt.Sprintf("%s/%s", model, weights(q.adapter).Adapter))
 		r.Header.Set("Currantwick-Token-Counts", "100,20")
 	}
+	if q.parts != "" {
+		r.Header.Set("Currantwick-Prompt-Prefix", q.parts)
+	}
 	resp, err := client.Do(r)
 	if err == nil {
 		defer resp.Body.Close()
--- /dev/null
+++ b/soak/crash_test.go
@@ -0,0 +1,130 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"currantwick"
+)
+
+// stabilityWindow is the platform's time for all daemons to learn of a crash.
+const stabilityWindow = 3 * time.Second
+
+// barrage is a stream of requests that crash runners.
+type barrage struct {
+	// request returns the adapter, body and prompt of the n-th request.
+	request func(n int) request
+	// crashes is the number of crashes after which, within stabilityWindow, the
+	// requests must stop. After that up to maxSends may reach a runner.
+	crashes int
+	// run is how long a request is sent every so often.
+	run, every time.Duration
+
+	mu sync.Mutex
+	// status counts the answers by status.
+	status map[int]int
+}
+
+// maxSends is the number of requests that may reach runners once a cause of crashes
+// must be known.
+const maxSends = 3
+
+// arrivals records the times at which deadly requests reached runners.
+type arrivals struct {
+	mu sync.Mutex
+	at []time.Time
+}
+
+func (a *arrivals) add() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.at = append(a.at, time.Now())
+}
+
+// after counts the arrivals after an instant.
+func (a *arrivals) after(t time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, at := range a.at {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// send sends deadly requests through the daemons in turn, each without waiting for
+// the answers of the others.
+func (b *barrage) send(s *system) {
+	b.status = make(map[int]int)
+	var group sync.WaitGroup
+	end := time.Now().Add(b.run)
+	for n := 0; time.Now().Before(end); n++ {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			q := b.request(n)
+			q.id, q.to = wick.RequestID(fmt.Sprintf("deadly-%d", n)), string(s.daemons[n%len(s.daemons)].settings.CallerAddress)
+			q.kind, q.timeout = kinds[0], timeout
+			res := q.send(http.DefaultClient)
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.status[res.status]++
+		}()
+		sleep(b.every)
+	}
+	group.Wait()
+}
+
+// check runs the barrage beside ordinary callers and checks that it stops crashing
+// runners and that other requests are served.
+func (b *barrage) check(t *testing.T, seed uint64, deadly func(h http.Header, body []byte) bool) {
+	t.Helper()
+	var reached arrivals
+	s := startSystemWith(t, seed, func(h http.Header, body []byte) bool {
+		if !deadly(h, body) {
+			return false
+		}
+		reached.add()
+		return true
+	})
+	s.waitReady(t, startTimeout)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	wait := s.startCallers(ctx, seed)
+	b.send(s)
+	s.waitRecovered(t, recoveryTimeout)
+	cancel()
+	wait()
+	s.checkResults(t)
+	s.mu.Lock()
+	crashes := slices.Clone(s.crashes)
+	s.mu.Unlock()
+	if len(crashes) < b.crashes {
+		t.Logf("%d crashes, answers by status %v", len(crashes), b.status)
+		return
+	}
+	sends := reached.after(crashes[b.crashes-1].Add(stabilityWindow))
+	t.Logf("%d crashes, %d sends later than %v after number %d; answers by status %v", len(crashes), sends, stabilityWindow, b.crashes, b.status)
+	if sends > maxSends {
+		t.Errorf("%d deadly requests reached runners later than %v after the crash number %d, want at most %d", sends, stabilityWindow, b.crashes, maxSends)
+	}
+}
+
+// TestRepeatedRequestThatCrashesRunners guards against a request that is sent to
+// one runner after the other and crashes each.
+func TestRepeatedRequestThatCrashesRunners(t *testing.T) {
+	const marker = "the request that crashes runners"
+	b := &barrage{
+		request: func(int) request { return request{body: marker} },
+		crashes: 3, run: 8 * time.Second, every: 60 * time.Millisecond,
+	}
+	b.check(t, 1, func(_ http.Header, body []byte) bool { return bytes.Equal(body, []byte(marker)) })
+}
--- a/soak/runner_test.go
+++ b/soak/runner_test.go
@@ -56,6 +56,10 @@
 	// Fenced is set if the runner rejects orders with an old fencing token.
 	Fenced bool
 	Ledger *ledger
+	// Deadly reports whether a request crashes the runner, which Crash does. It may
+	// be nil.
+	Deadly func(h http.Header, body []byte) bool
+	Crash  func()
 }
 
 // runner is a fake of one incarnation of a platform runner.
@@ -232,7 +236,8 @@
 
 func (r *runner) run(w http.ResponseWriter, req *http.Request) {
 	id := wick.RequestID(req.Header.Get("Currantwick-Attempt-Identifier"))
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	h := w.Header()
@@ -245,6 +250,11 @@
 		return
 	}
 	defer r.release(req.Header, p)
+	if r.cfg.Deadly != nil && r.cfg.Deadly(req.Header, body) {
+		r.work()
+		r.cfg.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	if r.currentMode() == runnerFails {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -68,12 +69,17 @@
 	// version is the newest published configuration, and revision the newest
 	// published adapter version.
 	version, revision uint64
+	// deadly reports whether a request crashes the runner that begins it; nil for
+	// none.
+	deadly func(h http.Header, body []byte) bool
 	// startTime is the start of the run, and history the log of injected faults.
 	startTime time.Time
 	history   []string
 
 	mu      sync.Mutex
 	results []result
+	// crashes are the times at which deadly requests crashed runners.
+	crashes []time.Time
 }
 
 func (s *system) logEvent(format string, args ...any) {
@@ -82,7 +88,13 @@
 
 func startSystem(t *testing.T, seed uint64) *system {
 	t.Helper()
-	s := &system{ledger: new(ledger), fenced: seed%2 == 0, version: 1, revision: 1, startTime: time.Now()}
+	return startSystemWith(t, seed, nil)
+}
+
+// startSystemWith starts a system in which some requests are deadly.
+func startSystemWith(t *testing.T, seed uint64, deadly func(h http.Header, body []byte) bool) *system {
+	t.Helper()
+	s := &system{deadly: deadly, ledger: new(ledger), fenced: seed%2 == 0, version: 1, revision: 1, startTime: time.Now()}
 	alias := make(map[wick.Address]wick.Address)
 	s.store = newStore(alias)
 	atStore := httptest.NewServer(s.store)
@@ -142,7 +154,10 @@
 func (s *system) startRunner(r *restartableRunner, loaded bool) {
 	r.incarnations++
 	r.name = wick.EndpointName(fmt.Sprintf("%s-%d", r.link[len("runner "):], r.incarnations))
-	r.runner = newRunner(runnerConfig{Name: r.name, Model: model, Adapters: slotsPerRunner, Fenced: s.fenced, Ledger: s.ledger}, loaded)
+	r.runner = newRunner(runnerConfig{
+		Name: r.name, Model: model, Adapters: slotsPerRunner, Fenced: s.fenced, Ledger: s.ledger,
+		Deadly: s.deadly, Crash: sync.OnceFunc(func() { s.crashRunner(r) }),
+	}, loaded)
 	r.server = httptest.NewServer(r.runner)
 }
 
@@ -165,6 +180,22 @@
 	return err
 }
 
+// crashRunner ends a runner and all that it runs, and starts a new incarnation
+// after crashDown.
+func (s *system) crashRunner(r *restartableRunner) {
+	const crashDown = 400 * time.Millisecond
+	s.mu.Lock()
+	s.crashes = append(s.crashes, time.Now())
+	s.mu.Unlock()
+	r.server.CloseClientConnections()
+	r.server.Listener.Close() // Requests still running end with their connections.
+	time.AfterFunc(crashDown, func() {
+		if err := s.restartRunner(r); err != nil {
+			s.ledger.violate("runner not restarted: %v", err)
+		}
+	})
+}
+
 func (s *system) waitReady(t *testing.T, within time.Duration) {
 	t.Helper()
 	s.poll(t, within, func() error {
