Stop requests that crash endpoints on the platform's path

Cause: package crash serves the daemon that owns an endpoint. A gateway has no owner of an endpoint's requests: several daemons send to one endpoint, and none of them remembered what was pending when it crashed. Class of fault: a promise proved on one of the two paths and taken for kept on both.

Change: daemons share reports of what was pending at a crash (crash.Suspects; reports may come in any order and twice). A suspect is sent only on trial, one attempt at a time for all daemons, granted by the holder of the lowest shard; the attempt goes where few streams run. An answer clears it for all. A second crash, on trial, stops it, unless something else that was pending there has as many crashes against it: callers get 400, after which they do not come back. A retry waits until it is known whether the endpoint crashed. The evidence goes to daemons that link later.

Why it works: a request is sent without a trial only by a daemon that does not know of its first crash, and all learn of it within milliseconds. TestSharedCrashesAreBounded has this as a model with random interleavings.

--- a/choose/choose.go
+++ b/choose/choose.go
@@ -66,6 +66,9 @@
 	// runningPenalty is the delay that each running request adds to the others
 	// in the batch.
 	runningPenalty = time.Millisecond
+	// trialPenalty is added per running request for a request that may crash the
+	// endpoint, and them with it.
+	trialPenalty = 50 * time.Millisecond
 	// failurePenalty is added for an endpoint whose recent requests all failed,
 	// and in proportion where some did.
 	failurePenalty = 3 * time.Second
@@ -122,6 +125,8 @@
 	LoadSlowdown float64
 	// Daemons counts the daemons that choose endpoints concurrently.
 	Daemons int
+	// Trial is set for a request that may crash its endpoint.
+	Trial bool
 	// Random varies the choice among plain services with similar estimates;
 	// PickEngine ignores it.
 	Random uint64
@@ -155,6 +160,9 @@
 		d += longPrefillPenalty
 	}
 	d += time.Duration(c.Running) * runningPenalty
+	if in.Trial {
+		d += time.Duration(c.Running) * trialPenalty
+	}
 	if over := c.Running + 1 - int(c.Slots); over > 0 {
 		d += time.Duration(over) * batchSlotWait
 	}
--- a/coord/crashes.go
+++ b/coord/crashes.go
@@ -24,8 +24,7 @@
 	// probing is set while the endpoint is asked for its report, and confirmed
 	// once it has not returned one.
 	probing, confirmed bool
-	begun              int
-	pending            []wick.PendingRequest
+	broken             []wick.BrokenAttempt
 }
 
 // attemptBroken is the event of a traffic goroutine whose attempt broke off.
@@ -37,28 +36,40 @@
 	id := e.broken.Endpoint
 	end := s.endpoints[id.Endpoint]
 	if end == nil || end.info.Draining || end.info.Started != id.Started {
-		return // An endpoint that leaves ends what it runs, and one that is gone was handled.
+		// An endpoint that leaves ends what it runs, and one that is gone was handled.
+		s.judge(e.broken)
+		return
 	}
 	c := s.crashes[id]
 	if c == nil {
 		c = &suspectedCrash{since: now}
 		s.crashes[id] = c
 	}
-	switch {
-	case e.broken.Begun:
-		c.begun++
-	case len(c.pending) < maxBroken:
-		c.pending = append(c.pending, e.broken.Request)
+	if len(c.broken) >= maxBroken {
+		s.judge(e.broken)
+		return
 	}
+	c.broken = append(c.broken, e.broken)
 	switch {
 	case c.confirmed:
-		s.logCrash(id, c)
+		s.accuse(now, id, c)
 	case !c.probing:
 		c.probing = true
 		s.cfg.IO.Probe(id, e.broken.Address)
 	}
 }
 
+// judge ends the trial of an attempt that broke off and tells its goroutine that
+// the crash is dealt with.
+func (s *state) judge(b wick.BrokenAttempt) {
+	if b.Trial != 0 {
+		s.endTrial(b.Trial)
+	}
+	if b.Judged != nil {
+		s.judged = append(s.judged, b.Judged)
+	}
+}
+
 // probeDone is the result of a probe; err is set if the endpoint did not answer as
 // the same incarnation.
 type probeDone struct {
@@ -73,22 +84,35 @@
 	}
 	c.probing = false
 	if e.err == nil {
-		s.log.Info("answers broke off at a running endpoint", "endpoint", e.id.Endpoint, "pending", len(c.pending), "begun", c.begun)
+		s.log.Info("answers broke off at a running endpoint", "endpoint", e.id.Endpoint, "requests", len(c.broken))
+		for _, b := range c.broken {
+			s.judge(b)
+		}
 		delete(s.crashes, e.id)
 		return
 	}
 	c.confirmed, c.since = true, now
 	s.cfg.Observer.EndpointCrashed()
-	s.log.Warn("endpoint crashed", "endpoint", e.id.Endpoint, "started", e.id.Started, "begun", c.begun, "err", e.err)
-	s.logCrash(e.id, c)
+	s.log.Warn("endpoint crashed", "endpoint", e.id.Endpoint, "started", e.id.Started, "requests", len(c.broken), "err", e.err)
+	s.accuse(now, e.id, c)
 }
 
-// logCrash logs the requests that were pending at a crash and forgets them.
-func (s *state) logCrash(id wick.CrashID, c *suspectedCrash) {
-	for _, p := range c.pending {
-		s.log.Info("request was pending at a crash", "endpoint", id.Endpoint, "fingerprint", p.Request.String())
+// accuse reports the requests that were pending at a crash.
+func (s *state) accuse(now wick.Instant, id wick.CrashID, c *suspectedCrash) {
+	report := wick.CrashReport{Crash: id, Age: wick.Duration(now.Sub(c.since))}
+	for _, b := range c.broken {
+		if !b.Begun {
+			s.log.Info("request was pending at a crash", "endpoint", id.Endpoint, "fingerprint", b.Request.Request.String(), "trial", b.Request.Trial)
+			report.Pending = append(report.Pending, b.Request)
+		}
+	}
+	if len(report.Pending) > 0 {
+		s.addEvidence(now, evidence{crashes: []wick.CrashReport{report}}, ownEvidence)
+	}
+	for _, b := range c.broken {
+		s.judge(b)
 	}
-	c.pending = nil
+	c.broken = nil
 }
 
 // forgetCrashes drops the crashes to which no further attempts belong.
--- a/coord/linked.go
+++ b/coord/linked.go
@@ -80,6 +80,13 @@
 			s.out.cachedPrefix = append(s.out.cachedPrefix, k)
 		}
 	}
+	s.addEvidence(now, evidence{r.Crashes, r.Answered, r.Stopped}, daemonEvidence)
+	if len(r.TrialRequests) > 0 {
+		s.grantTrials(now, m, r.TrialRequests)
+	}
+	for _, id := range r.EndedTrials {
+		s.trials.End(id)
+	}
 	for _, w := range r.AdapterRequests {
 		if e := s.endpoints[w.Endpoint]; e != nil {
 			s.request(now, e, w)
--- a/coord/links.go
+++ b/coord/links.go
@@ -45,6 +45,8 @@
 	// were last checked for changes.
 	sentAt, comparedAt wick.Instant
 	ready              bool
+	// told is set once the holder was sent the evidence about suspects.
+	told bool
 }
 
 // linkUp is a new link.
--- a/coord/report.go
+++ b/coord/report.go
@@ -38,6 +38,10 @@
 	}
 	h.comparedAt = now
 	r := &wick.InstanceReport{Ready: s.ready(), Known: s.knownOffsets()}
+	if !h.told {
+		h.told = true
+		r.Crashes, r.Stopped = s.suspects.Evidence(now)
+	}
 	if slices.Equal(r.Known, h.known) {
 		r.Known = nil
 	}
--- a/coord/state.go
+++ b/coord/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/crash"
 	"currantwick/facts"
 	"currantwick/pause"
 	"currantwick/slots"
@@ -21,6 +22,16 @@
 	endpoints map[wick.EndpointName]*endpoint
 	// crashes are the crashes and suspected crashes of the last seconds.
 	crashes map[wick.CrashID]*suspectedCrash
+	// suspects has the evidence of all daemons, and verdicts is what follows from
+	// it; verdicts is replaced and never modified.
+	suspects *crash.Suspects
+	verdicts map[wick.Fingerprint]crash.Verdict
+	// trials are those that this daemon granted as the arbiter, and granted those
+	// that were granted to it, with the time.
+	trials  crash.Trials
+	granted map[wick.TrialID]wick.Instant
+	// judged are closed once the next view is published.
+	judged []chan<- struct{}
 	// sortedEndpoints lists the endpoints sorted by name.
 	sortedEndpoints []*endpoint
 	// ledgers are those of the endpoints in this daemon's shards.
@@ -97,6 +108,8 @@
 		}),
 		endpoints:     make(map[wick.EndpointName]*endpoint),
 		crashes:       make(map[wick.CrashID]*suspectedCrash),
+		suspects:      crash.NewSuspects(crash.Config{}),
+		granted:       make(map[wick.TrialID]wick.Instant),
 		ledgers:       make(map[wick.EndpointName]*slots.Ledger),
 		daemons:       make(map[wick.HostName]daemonRecord),
 		linkedDaemons: make(map[wick.Link]*linkedDaemon),
@@ -141,6 +154,7 @@
 	s.dialHolders(now)
 	s.settle(now)
 	s.forgetCrashes(now)
+	s.expireSuspects(now)
 	s.updateLoads(now)
 	s.flush(now, true)
 }
--- a/coord/thread.go
+++ b/coord/thread.go
@@ -107,6 +107,10 @@
 			t.view.Store(s.buildView(now))
 			close(old.changed)
 		}
+		for _, c := range s.judged {
+			close(c)
+		}
+		s.judged = nil
 	}
 }
 
@@ -134,6 +138,15 @@
 // ReportBroken reports an attempt whose answer broke off.
 func (t *Thread) ReportBroken(b wick.BrokenAttempt) { t.post(attemptBroken{b}) }
 
+// ReportAnswered reports a suspect that an endpoint began to answer.
+func (t *Thread) ReportAnswered(f wick.Fingerprint) { t.post(suspectAnswered{f}) }
+
+// RequestTrial requests a trial of a suspect; a view lists it once it is granted.
+func (t *Thread) RequestTrial(r wick.TrialRequest) { t.post(trialRequested{r}) }
+
+// EndTrial gives up a trial.
+func (t *Thread) EndTrial(id wick.TrialID) { t.post(trialEnded{id}) }
+
 // Stop starts the shutdown: callers are sent to other daemons and this daemon's
 // terms are released.
 func (t *Thread) Stop() { t.post(stopping{}) }
--- a/coord/view.go
+++ b/coord/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"currantwick"
+	"currantwick/crash"
 	"currantwick/facts"
 	"currantwick/slots"
 	"currantwick/tally"
@@ -27,6 +28,10 @@
 	LoadSlowdown float64
 	// Stopping is set when callers should use another daemon.
 	Stopping bool
+	// Verdicts has the verdicts on requests that may crash endpoints, except Clear.
+	Verdicts map[wick.Fingerprint]crash.Verdict
+	// Trials are the trials that were granted to this daemon.
+	Trials map[wick.TrialID]bool
 	// ConfigCurrentAt is the latest instant at which ServingConfig was known to
 	// be the newest; -1 for never.
 	ConfigCurrentAt wick.Instant
@@ -99,8 +104,13 @@
 		Pools:         make(map[wick.PoolName][]*Runner),
 		Ready:         s.ready(),
 		Stopping:      s.stopping,
+		Verdicts:      s.verdicts,
+		Trials:        make(map[wick.TrialID]bool, len(s.granted)),
 		changed:       make(chan struct{}),
 	}
+	for id := range s.granted {
+		v.Trials[id] = true
+	}
 	for _, e := range s.sortedEndpoints {
 		if e.info.Draining || config == nil {
 			continue
--- /dev/null
+++ b/crash/suspects_test.go
@@ -0,0 +1,326 @@
+package crash
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"currantwick"
+)
+
+// crashOf returns the id of the n-th crash in a test.
+func crashOf(n int) wick.CrashID {
+	return wick.CrashID{Endpoint: "e", Started: wick.Started(n)}
+}
+
+// report returns a report of the n-th crash, at which requests were pending.
+func report(n int, pending ...wick.PendingRequest) wick.CrashReport {
+	return wick.CrashReport{Crash: crashOf(n), Pending: pending}
+}
+
+func pending(f wick.Fingerprint) wick.PendingRequest { return wick.PendingRequest{Request: f} }
+
+func onTrial(f wick.Fingerprint) wick.PendingRequest {
+	return wick.PendingRequest{Request: f, Trial: true}
+}
+
+func TestSuspects(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(s *Suspects)
+		at   wick.Instant
+		want Verdict
+		// forgotten is set if daemons that start later do not learn of it.
+		forgotten bool
+	}{
+		{"unknown", func(*Suspects) {}, 0, Clear, false},
+		{"pending at a crash", func(s *Suspects) { s.AddCrash(0, report(1, pending(1))) }, 0, RunAlone, false},
+		{"one crash seen by two daemons", func(s *Suspects) {
+			s.AddCrash(0, report(1, pending(1)))
+			s.AddCrash(0, report(1, onTrial(1)))
+		}, 0, RunAlone, false},
+		{"at two crashes, never on trial", func(s *Suspects) {
+			s.AddCrash(0, report(1, pending(1)))
+			s.AddCrash(0, report(2, pending(1)))
+		}, 0, RunAlone, false},
+		{"again, on trial", func(s *Suspects) {
+			s.AddCrash(0, report(1, pending(1)))
+			s.AddCrash(0, report(2, onTrial(1)))
+		}, 0, Stopped, false},
+		{"again, on trial beside a new request", func(s *Suspects) {
+			s.AddCrash(0, report(1, pending(1)))
+			s.AddCrash(0, report(2, onTrial(1), pending(2)))
+		}, 0, Stopped, false},
+		{"again, on trial beside another suspect", func(s *Suspects) {
+			s.AddCrash(0, report(1, pending(1), pending(2)))
+			s.AddCrash(0, report(2, onTrial(1), pending(2)))
+		}, 0, RunAlone, false},
+		{"the other suspect is reported later", func(s *Suspects) {
+			s.AddCrash(0, report(1, pending(1), pending(2)))
+			s.AddCrash(0, report(2, onTrial(1)))
+			s.AddCrash(0, report(2, pending(2)))
+		}, 0, RunAlone, false},
+		{"the other suspect has been answered", func(s *Suspects) {
+			s.AddCrash(0, report(1, pending(1), pending(2)))
+			s.Answered(2)
+			s.AddCrash(0, report(2, onTrial(1)))
+		}, 0, Stopped, false},
+		{"reports in reverse order", func(s *Suspects) {
+			s.AddCrash(0, report(2, onTrial(1)))
+			s.AddCrash(0, report(1, pending(1)))
+		}, 0, Stopped, false},
+		{"answered", func(s *Suspects) {
+			s.AddCrash(0, report(1, pending(1)))
+			s.Answered(1)
+		}, 0, Clear, false},
+		{"answered, and the report comes again", func(s *Suspects) {
+			s.AddCrash(0, report(1, pending(1)))
+			s.Answered(1)
+			s.AddCrash(0, report(1, pending(1)))
+		}, 0, Clear, false},
+		{"answered between two crashes", func(s *Suspects) {
+			s.AddCrash(0, report(1, pending(1)))
+			s.Answered(1)
+			s.AddCrash(0, report(2, onTrial(1)))
+		}, 0, RunAlone, false},
+		{"not cleared once stopped", func(s *Suspects) {
+			s.Stop(0, wick.StoppedRequest{Request: 1})
+			s.Answered(1)
+		}, 0, Stopped, false},
+		{"suspicion ends", func(s *Suspects) { s.AddCrash(0, report(1, pending(1))) }, 11 * minute, Clear, false},
+		{"a stop becomes a suspicion", func(s *Suspects) { s.Stop(0, wick.StoppedRequest{Request: 1}) }, 11 * minute, RunAlone, true},
+		{"an old report", func(s *Suspects) {
+			r := report(1, pending(1))
+			r.Age = wick.Duration(10 * time.Minute)
+			s.AddCrash(0, r)
+		}, 0, Clear, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := NewSuspects(Config{})
+			test.do(s)
+			s.Expire(test.at)
+			if got := s.Verdicts()[1]; got != test.want {
+				t.Errorf("got %d, want %d", got, test.want)
+			}
+			later := NewSuspects(Config{})
+			reports, stopped := s.Evidence(test.at)
+			for _, r := range reports {
+				later.AddCrash(test.at, r)
+			}
+			for _, r := range stopped {
+				later.Stop(test.at, r)
+			}
+			if got := later.Verdicts()[1]; got != test.want && !test.forgotten {
+				t.Errorf("a daemon that learned it later: got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+func TestSuspectsAreBounded(t *testing.T) {
+	s := NewSuspects(Config{Limit: 64})
+	s.AddCrash(0, report(1, pending(1)))
+	s.AddCrash(0, report(2, onTrial(1)))
+	for n := 3; n < 2000; n++ {
+		s.AddCrash(wick.Instant(n), report(n, pending(wick.Fingerprint(n)), pending(wick.Fingerprint(n+10_000))))
+	}
+	if len(s.entries) > 64 || len(s.crashes) > maxCrashes || len(s.order) != len(s.crashes) {
+		t.Errorf("%d requests and %d crashes, want at most 64 and %d", len(s.entries), len(s.crashes), maxCrashes)
+	}
+	if s.Verdicts()[1] != Stopped {
+		t.Error("a stopped request was evicted before suspects")
+	}
+}
+
+func TestTrials(t *testing.T) {
+	request := func(id wick.TrialID, f wick.Fingerprint) wick.TrialRequest {
+		return wick.TrialRequest{Trial: id, Request: f}
+	}
+	second := wick.Instant(time.Second)
+	tests := []struct {
+		name      string
+		endpoints int
+		do        func(tr *Trials)
+		at        wick.Instant
+		want      bool
+	}{
+		{"the first", 4, func(*Trials) {}, 0, true},
+		{"asked again", 4, func(tr *Trials) { tr.Grant(0, request(1, 1), 4) }, 0, true},
+		{"another attempt at the same request", 100, func(tr *Trials) { tr.Grant(0, request(2, 1), 100) }, 0, false},
+		{"another request", 4, func(tr *Trials) { tr.Grant(0, request(2, 2), 4) }, 0, false},
+		{"another request at many endpoints", 100, func(tr *Trials) { tr.Grant(0, request(2, 2), 100) }, 0, true},
+		{"after the other ended", 4, func(tr *Trials) {
+			tr.Grant(0, request(2, 1), 4)
+			tr.End(2)
+		}, 0, true},
+		{"after the other had no result", 4, func(tr *Trials) { tr.Grant(0, request(2, 1), 4) }, 3 * second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var tr Trials
+			test.do(&tr)
+			if got := tr.Grant(test.at, request(1, 1), test.endpoints); got != test.want {
+				t.Errorf("granted: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// daemon is a daemon of the model. All daemons share the endpoints, and the first
+// one grants trials.
+type daemon struct {
+	suspects *Suspects
+	// inbox holds the evidence in transit.
+	inbox []*wick.CrashReport
+	// pending are its requests at each endpoint, by endpoint.
+	pending map[int][]wick.PendingRequest
+	// known are the reports that it knows.
+	known map[*wick.CrashReport]bool
+}
+
+// fleet is a model of daemons that share endpoints.
+type fleet struct {
+	t       *rapid.T
+	daemons []*daemon
+	trials  Trials
+	starts  map[int]int
+	crashes int
+	reports int
+	// uninformed counts the sends by daemons that did not know all reports.
+	uninformed int
+	// shared counts the crashes at which a suspect was pending that had been sent
+	// before it became one.
+	shared int
+	trial  wick.TrialID
+}
+
+// endpoints is the number of endpoints of the model.
+const endpoints = 3
+
+// send sends a request to an endpoint if the verdict allows it; the killer crashes
+// the endpoint at once.
+func (f *fleet) send(d *daemon, at int, request wick.Fingerprint) {
+	p := pending(request)
+	switch d.suspects.Verdicts()[request] {
+	case Stopped:
+		if request != killer {
+			f.t.Fatalf("innocent %d is stopped", request)
+		}
+		return
+	case RunAlone:
+		f.trial++
+		if !f.trials.Grant(0, wick.TrialRequest{Trial: f.trial, Request: request}, endpoints) {
+			return
+		}
+		p.Trial = true
+	}
+	if len(d.known) < f.reports {
+		f.uninformed++
+	}
+	d.pending[at] = append(d.pending[at], p)
+	if request == killer {
+		f.crash(at)
+	} else if p.Trial {
+		f.trials = Trials{}
+		f.answer(d, at)
+	}
+}
+
+// crash ends an endpoint. Each daemon that had requests there reports them.
+func (f *fleet) crash(at int) {
+	f.crashes++
+	f.starts[at]++
+	if f.earlierSuspect(at) {
+		f.shared++
+	}
+	f.trials = Trials{}
+	id := wick.CrashID{Endpoint: wick.EndpointName(fmt.Sprint(at)), Started: wick.Started(f.starts[at])}
+	for _, d := range f.daemons {
+		if len(d.pending[at]) == 0 {
+			continue
+		}
+		r := &wick.CrashReport{Crash: id, Pending: d.pending[at]}
+		f.reports++
+		delete(d.pending, at)
+		d.apply(r)
+		for _, other := range f.daemons {
+			if other != d {
+				other.inbox = append(other.inbox, r)
+			}
+		}
+	}
+}
+
+// earlierSuspect reports whether a suspect that is not on trial is pending at an
+// endpoint.
+func (f *fleet) earlierSuspect(at int) bool {
+	for _, d := range f.daemons {
+		for _, p := range d.pending[at] {
+			for _, other := range f.daemons {
+				if !p.Trial && p.Request != killer && other.suspects.Verdicts()[p.Request] == RunAlone {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+func (d *daemon) apply(r *wick.CrashReport) {
+	d.suspects.AddCrash(0, *r)
+	d.known[r] = true
+}
+
+// answer answers a daemon's requests at an endpoint, which all daemons learn.
+func (f *fleet) answer(d *daemon, at int) {
+	for _, p := range d.pending[at] {
+		for _, other := range f.daemons {
+			other.suspects.Answered(p.Request)
+		}
+	}
+	delete(d.pending, at)
+}
+
+// deliver delivers all evidence to a daemon, in random order and some of it twice.
+func (f *fleet) deliver(d *daemon) {
+	for len(d.inbox) > 0 {
+		i := rapid.IntRange(0, len(d.inbox)-1).Draw(f.t, "report")
+		d.apply(d.inbox[i])
+		if rapid.IntRange(0, 3).Draw(f.t, "twice") > 0 {
+			d.inbox = append(d.inbox[:i], d.inbox[i+1:]...)
+		}
+	}
+}
+
+// A request that crashes every endpoint causes two crashes, plus at most one for
+// each request sent by a daemon that did not know all reports of earlier ones, and
+// for each crash that another suspect may have caused as well. No other
+// request is stopped.
+func TestSharedCrashesAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{t: t, starts: make(map[int]int)}
+		for range rapid.IntRange(1, 5).Draw(t, "daemons") {
+			f.daemons = append(f.daemons, &daemon{suspects: NewSuspects(Config{}), pending: make(map[int][]wick.PendingRequest), known: make(map[*wick.CrashReport]bool)})
+		}
+		anyDaemon := func(t *rapid.T) *daemon {
+			return f.daemons[rapid.IntRange(0, len(f.daemons)-1).Draw(t, "daemon")]
+		}
+		anyEndpoint := func(t *rapid.T) int { return rapid.IntRange(0, endpoints-1).Draw(t, "endpoint") }
+		t.Repeat(map[string]func(*rapid.T){
+			"innocent": func(t *rapid.T) {
+				f.send(anyDaemon(t), anyEndpoint(t), wick.Fingerprint(rapid.IntRange(2, 6).Draw(t, "request")))
+			},
+			"killer":  func(t *rapid.T) { f.send(anyDaemon(t), anyEndpoint(t), killer) },
+			"answer":  func(t *rapid.T) { f.answer(anyDaemon(t), anyEndpoint(t)) },
+			"deliver": func(t *rapid.T) { f.deliver(anyDaemon(t)) },
+			"": func(t *rapid.T) {
+				if f.crashes > crashesToStop+f.uninformed+f.shared {
+					t.Fatalf("%d crashes, but only %d sends by uninformed daemons and %d crashes shared with suspects", f.crashes, f.uninformed, f.shared)
+				}
+			},
+		})
+	})
+}
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -78,6 +78,7 @@
 	}
 	t.ran++
 	if t.shouldRerun(rec) {
+		t.answered()
 		t.recordFailure(to)
 		return &retryableError{cause: wick.Unknownf(wick.CodeBroken, "%s answered with status %d", r.Name, rec.Status)}
 	}
@@ -100,18 +101,6 @@
 	to.runner.Meter.Observe(t.server.cfg.Clock.Now(), 0, true)
 }
 
-// reportBroken reports that an endpoint's answer broke off; begun is set if a part
-// of it that callers can use had arrived.
-func (t *task) reportBroken(to target, begun bool) {
-	r := to.runner
-	t.server.cfg.Control.ReportBroken(wick.BrokenAttempt{
-		Endpoint: wick.CrashID{Endpoint: r.Name, Started: r.Started},
-		Address:  r.Address,
-		Request:  wick.PendingRequest{Request: t.fingerprint},
-		Begun:    begun,
-	})
-}
-
 // handleSendError decides what follows a send that got no response.
 func (t *task) handleSendError(ctx context.Context, to target, e *wick.Error) error {
 	if ctx.Err() != nil {
@@ -125,7 +114,7 @@
 		return &retryableError{cause: e, unsent: true}
 	}
 	t.ran++
-	t.reportBroken(to, false)
+	t.reportBroken(ctx, to, false)
 	return &retryableError{cause: e}
 }
 
@@ -170,10 +159,11 @@
 		if ctx.Err() != nil {
 			return t.contextError(ctx, err)
 		}
-		t.reportBroken(to, false)
+		t.reportBroken(ctx, to, false)
 		return &retryableError{cause: wick.Unknownf(wick.CodeBroken, "answer of %s broke off: %v", to.runner.Name, err)}
 	}
 	t.recordResponse(to, sent, rec)
+	t.answered()
 	if err := t.startAnswer(rec); err != nil {
 		return err
 	}
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -34,6 +34,11 @@
 	RequestAdapter(w wick.AdapterRequest)
 	ReportCachedPrefix(k wick.CachedPrefix)
 	ReportBroken(b wick.BrokenAttempt)
+	// ReportAnswered reports a suspect that an endpoint began to answer.
+	ReportAnswered(f wick.Fingerprint)
+	// RequestTrial requests a trial, and EndTrial gives it up.
+	RequestTrial(r wick.TrialRequest)
+	EndTrial(id wick.TrialID)
 }
 
 // Config sets up a Server.
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -85,9 +85,12 @@
 
 // control implements direct.Control with a fixed view.
 type control struct {
-	view   *coord.View
-	wants  []wick.AdapterRequest
-	broken []wick.BrokenAttempt
+	view     *coord.View
+	wants    []wick.AdapterRequest
+	broken   []wick.BrokenAttempt
+	answered []wick.Fingerprint
+	trials   []wick.TrialRequest
+	ended    []wick.TrialID
 }
 
 func (c *control) View() *coord.View { return c.view }
@@ -96,7 +99,16 @@
 
 func (c *control) ReportCachedPrefix(wick.CachedPrefix) {}
 
-func (c *control) ReportBroken(b wick.BrokenAttempt) { c.broken = append(c.broken, b) }
+func (c *control) ReportBroken(b wick.BrokenAttempt) {
+	c.broken = append(c.broken, b)
+	close(b.Judged)
+}
+
+func (c *control) ReportAnswered(f wick.Fingerprint) { c.answered = append(c.answered, f) }
+
+func (c *control) RequestTrial(r wick.TrialRequest) { c.trials = append(c.trials, r) }
+
+func (c *control) EndTrial(id wick.TrialID) { c.ended = append(c.ended, id) }
 
 // clock implements wick.Clock.
 type clock struct{ start time.Time }
--- a/direct/pick.go
+++ b/direct/pick.go
@@ -177,6 +177,7 @@
 		PrefillRate:  t.server.prefillRates.average(t.pool),
 		Daemons:      v.Daemons,
 		Random:       uint64(now),
+		Trial:        t.onTrial(),
 	}
 }
 
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -109,7 +109,10 @@
 				return t.handleStreamError(ctx, from, lerr)
 			}
 			if complete != nil {
-				from.begun = true
+				if !from.begun {
+					from.begun = true
+					t.answered()
+				}
 				stall.reset()
 			}
 			if serr := t.sendEvents(rec, complete); serr != nil {
@@ -117,6 +120,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			t.answered()
 			if serr := t.startAnswer(rec); serr != nil {
 				return serr
 			}
@@ -190,7 +194,7 @@
 	}
 	t.recordFailure(from.target)
 	if from.ctx.Err() == nil {
-		t.reportBroken(from.target, from.begun)
+		t.reportBroken(ctx, from.target, from.begun)
 	}
 	return &retryableError{cause: cause}
 }
--- a/direct/task.go
+++ b/direct/task.go
@@ -31,6 +31,8 @@
 	pool          wick.PoolName
 	weights       wick.Weights
 	fingerprint   wick.Fingerprint
+	// trial is the trial that the request has asked for as a suspect; 0 for none.
+	trial wick.TrialID
 	// sharedPrefixes are the prompt prefixes that other requests may share.
 	sharedPrefixes []wick.PromptPrefix
 	// avoid is the set of endpoints that later picks should avoid: they failed
@@ -81,11 +83,22 @@
 func (t *task) run(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, t.remaining())
 	defer cancel()
+	defer t.endTrial()
 	for {
+		if err := t.checkStopped(); err != nil {
+			return err
+		}
 		to, err := t.pick(ctx)
 		if err != nil {
 			return err
 		}
+		waited, err := t.awaitTrial(ctx)
+		if err != nil {
+			return err
+		}
+		if waited {
+			continue // The endpoint may have changed meanwhile.
+		}
 		err = t.attempt(ctx, to)
 		var more *retryableError
 		if !errors.As(err, &more) {
--- a/fakes/observer.go
+++ b/fakes/observer.go
@@ -44,5 +44,8 @@
 // EndpointCrashed implements wick.GatewayObserver.
 func (GatewayObserver) EndpointCrashed() {}
 
+// RequestStopped implements wick.GatewayObserver.
+func (GatewayObserver) RequestStopped() {}
+
 // ShardsHeld implements wick.GatewayObserver.
 func (GatewayObserver) ShardsHeld(int) {}
--- a/observer.go
+++ b/observer.go
@@ -73,6 +73,9 @@
 	// EndpointCrashed records that an endpoint crashed under requests of this
 	// daemon.
 	EndpointCrashed()
+	// RequestStopped records that a request was stopped because it crashed
+	// endpoints.
+	RequestStopped()
 	// ShardsHeld records how many shards this daemon holds.
 	ShardsHeld(n int)
 }
--- a/stats/gateway.go
+++ b/stats/gateway.go
@@ -22,6 +22,7 @@
 	termsStarted  *prometheus.CounterVec
 	connections   prometheus.Counter
 	crashes       prometheus.Counter
+	stopped       prometheus.Counter
 	configVersion prometheus.Gauge
 	heldShards    prometheus.Gauge
 }
@@ -44,13 +45,14 @@
 		termsStarted:  newCounterVec("terms_begun_total", "New terms of shards; own tells those of this daemon.", "own"),
 		connections:   newCounter("connections_opened_total", "New connections to endpoints for requests."),
 		crashes:       newCounter("endpoint_crashes_total", "Crashes of endpoints under requests of this daemon."),
+		stopped:       newCounter("requests_stopped_total", "Requests stopped because they crashed endpoints."),
 		configVersion: newGauge("configuration_version", "Version of the configuration in force."),
 		heldShards:    newGauge("held_shards", "Shards whose endpoints take orders from this daemon."),
 	}
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
-	registry.MustRegister(g.requests, g.firstPart, g.duration, g.adapterWait, g.attempts, g.orders, g.reports, g.store, g.retriesDenied, g.termsStarted, g.connections, g.crashes, g.configVersion, g.heldShards, lines)
+	registry.MustRegister(g.requests, g.firstPart, g.duration, g.adapterWait, g.attempts, g.orders, g.reports, g.store, g.retriesDenied, g.termsStarted, g.connections, g.crashes, g.stopped, g.configVersion, g.heldShards, lines)
 	return g
 }
 
@@ -114,6 +116,9 @@
 // EndpointCrashed implements wick.GatewayObserver.
 func (g *Gateway) EndpointCrashed() { g.crashes.Inc() }
 
+// RequestStopped implements wick.GatewayObserver.
+func (g *Gateway) RequestStopped() { g.stopped.Inc() }
+
 // ConfigApplied implements wick.GatewayObserver.
 func (g *Gateway) ConfigApplied(version uint64) { g.configVersion.Set(float64(version)) }
 
