--- a/coord/crashes.go
+++ b/coord/crashes.go
@@ -102,7 +102,8 @@
 	report := wick.CrashReport{Crash: id, Age: wick.Duration(now.Sub(c.since))}
 	for _, b := range c.broken {
 		if !b.Begun {
-			s.log.Info("request was pending at a crash", "endpoint", id.Endpoint, "fingerprint", b.Request.Request.String(), "trial", b.Request.Trial)
+			s.log.Info("request was pending at a crash", "endpoint", id.Endpoint, "fingerprint", b.Request.Request.String(),
+				"parts", texts(b.Request.Parts), "trial", b.Request.Trial)
 			report.Pending = append(report.Pending, b.Request)
 		}
 	}
@@ -115,6 +116,15 @@
 	c.broken = nil
 }
 
+// texts formats fingerprints for log lines.
+func texts(list []wick.Fingerprint) []string {
+	out := make([]string, len(list))
+	for i, f := range list {
+		out[i] = f.String()
+	}
+	return out
+}
+
 // forgetCrashes drops the crashes to which no further attempts belong.
 func (s *state) forgetCrashes(now wick.Instant) {
 	for id, c := range s.crashes {
--- a/crash.go
+++ b/crash.go
@@ -13,6 +13,9 @@
 // PendingRequest is a request whose answer an endpoint had not begun.
 type PendingRequest struct {
 	Request Fingerprint `cbor:"1,keyasint"`
+	// Parts are the fingerprints of the parts of its prompt that other requests may
+	// share.
+	Parts []Fingerprint `cbor:"3,keyasint,omitempty"`
 	// Trial is set if the request was sent on trial.
 	Trial bool `cbor:"2,keyasint,omitempty"`
 }
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -134,7 +134,7 @@
 	}
 	t.deadline = t.start.Add(min(within, route.Timeout.Std()))
 	t.weights = wick.Weights{Model: x.Model, Adapter: x.Adapter}
-	t.fingerprint = fingerprintOf(x)
+	t.fingerprint, t.parts = fingerprintOf(x), partFingerprints(x.Parts)
 	t.sharedPrefixes = sharedPrefixes(t.weights, x.Parts)
 	t.avoid = make(map[wick.EndpointName]bool)
 	s.cfg.Retry.Earn(v.Daemons)
--- a/direct/identity_test.go
+++ b/direct/identity_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"testing"
 
 	"currantwick"
@@ -30,3 +31,36 @@
 		})
 	}
 }
+
+func TestPartFingerprints(t *testing.T) {
+	part := func(ids ...wick.PartID) []wick.PromptPart {
+		var list []wick.PromptPart
+		for _, id := range ids {
+			list = append(list, wick.PromptPart{ID: id, Tokens: 10})
+		}
+		return list
+	}
+	var many []wick.PartID
+	for n := range 100 {
+		many = append(many, wick.PartID(fmt.Sprint(n)))
+	}
+	tests := []struct {
+		name  string
+		parts []wick.PromptPart
+		want  int
+	}{
+		{"no prompt", nil, 0},
+		{"only a part of its own", part("a"), 0},
+		{"a shared part and its own", part("a", "b"), 1},
+		{"a part twice", part("a", "a", "b"), 1},
+		{"a hostile prompt", part(many...), maxSharedParts},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := partFingerprints(test.parts)
+			if len(got) != test.want || test.want > 0 && got[0] != partFingerprint(test.parts[0].ID) {
+				t.Errorf("got %v, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/direct/task.go
+++ b/direct/task.go
@@ -31,6 +31,8 @@
 	pool          wick.PoolName
 	weights       wick.Weights
 	fingerprint   wick.Fingerprint
+	// parts are the fingerprints of the parts that other requests may share.
+	parts []wick.Fingerprint
 	// trial is the trial that the request has asked for as a suspect; 0 for none.
 	trial wick.TrialID
 	// sharedPrefixes are the prompt prefixes that other requests may share.
--- a/direct/trial.go
+++ b/direct/trial.go
@@ -106,7 +106,7 @@
 	t.server.cfg.Control.ReportBroken(wick.BrokenAttempt{
 		Endpoint: wick.CrashID{Endpoint: r.Name, Started: r.Started},
 		Address:  r.Address,
-		Request:  wick.PendingRequest{Request: t.fingerprint, Trial: t.onTrial()},
+		Request:  wick.PendingRequest{Request: t.fingerprint, Parts: t.parts, Trial: t.onTrial()},
 		Trial:    t.trial,
 		Begun:    begun,
 		Judged:   judged,
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -95,7 +95,10 @@
 		}
 		k := pick(c.rand, kinds)
 		c.sent++
-		q := request{id: wick.RequestID(fmt.Sprintf("%s-%d", c.name, c.sent)), to: pick(c.rand, c.entries), kind: k, adapter: c.rand.IntN(adapters), timeout: timeout}
+		q := request{
+			id: wick.RequestID(fmt.Sprintf("%s-%d", c.name, c.sent)), to: pick(c.rand, c.entries), kind: k,
+			adapter: c.rand.IntN(adapters), timeout: timeout, parts: soundParts(c.rand, c.name, c.sent),
+		}
 		if c.rand.Float64() < abortShare {
 			q.timeout = between(c.rand, time.Millisecond, 40*time.Millisecond)
 		}
@@ -106,6 +109,17 @@
 	}
 }
 
+// firstPart is the first part of all prompts, and rareParts are the second parts of
+// sound prompts.
+const firstPart = "a0:40"
+
+var rareParts = []string{"b1:20", "b2:20", "b3:20", "b4:20", "b5:20", "b6:20"}
+
+// soundParts returns the parts of a caller's n-th prompt.
+func soundParts(r *rand.Rand, caller string, n int) string {
+	return fmt.Sprintf("%s,%s,%s-%d:40", firstPart, pick(r, rareParts), caller, n)
+}
+
 // resolve fetches the entry addresses from a random daemon. Like real callers, it
 // keeps them for one to three times their TTL, and for as long as no new ones
 // can be fetched.
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -23,8 +24,8 @@
 	// crashes is the number of crashes after which, within stabilityWindow, the
 	// requests must stop. After that up to maxSends may reach a runner.
 	crashes int
-	// run is how long a request is sent every so often.
-	run, every time.Duration
+	// run is how long a request is sent every so often, after calm without any.
+	run, every, calm time.Duration
 
 	mu sync.Mutex
 	// status counts the answers by status.
@@ -99,7 +100,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	wait := s.startCallers(ctx, seed)
+	sleep(b.calm)
+	begin := time.Now()
 	b.send(s)
+	end := time.Now()
 	s.waitRecovered(t, recoveryTimeout)
 	cancel()
 	wait()
@@ -107,6 +111,12 @@
 	s.mu.Lock()
 	crashes := slices.Clone(s.crashes)
 	s.mu.Unlock()
+	if len(crashes) == 0 {
+		t.Fatal("no runner crashed")
+	}
+	if b.calm > 0 {
+		s.checkServed(t, begin, crashes[min(len(crashes), b.crashes)-1].Add(2*stabilityWindow), end)
+	}
 	if len(crashes) < b.crashes {
 		t.Logf("%d crashes, answers by status %v", len(crashes), b.status)
 		return
@@ -118,6 +128,39 @@
 	}
 }
 
+// checkServed checks that sound streams are served at least half as often between
+// from and to as they were before begin.
+func (s *system) checkServed(t *testing.T, begin, from, to time.Time) {
+	t.Helper()
+	var sent, served [2]int
+	for _, r := range s.results {
+		if r.kind.path != kinds[0].path {
+			continue
+		}
+		i := 0
+		switch {
+		case r.at.Before(begin):
+		case r.at.After(from) && r.at.Before(to):
+			i = 1
+		default:
+			continue
+		}
+		sent[i]++
+		if r.status == http.StatusOK {
+			served[i]++
+		}
+	}
+	t.Logf("sound streams served: %d of %d before, %d of %d from %v to the end of the deadly requests", served[0], sent[0], served[1], sent[1], from.Sub(begin).Round(time.Second/10))
+	const enough = 20
+	if sent[0] < enough || sent[1] < enough {
+		t.Errorf("%d and %d sound streams, want %d or more of each", sent[0], sent[1], enough)
+		return
+	}
+	if float64(served[1])/float64(sent[1]) < 0.5*float64(served[0])/float64(sent[0]) {
+		t.Error("sound streams are served less than half as often as before")
+	}
+}
+
 // TestRepeatedRequestThatCrashesRunners guards against a request that is sent to
 // one runner after the other and crashes each.
 func TestRepeatedRequestThatCrashesRunners(t *testing.T) {
@@ -128,3 +171,22 @@
 	}
 	b.check(t, 1, func(_ http.Header, body []byte) bool { return bytes.Equal(body, []byte(marker)) })
 }
+
+// TestPartOfPromptsThatCrashesRunners guards against requests that have one part of
+// their prompts in common, which crashes each runner, and against refusing sound
+// requests with their other parts.
+func TestPartOfPromptsThatCrashesRunners(t *testing.T) {
+	const part = "dead"
+	b := &barrage{
+		request: func(n int) request {
+			return request{
+				adapter: n % adapters, body: fmt.Sprintf("deadly %d", n),
+				parts: fmt.Sprintf("%s,%s,%s:30,%d:10", firstPart, rareParts[0], part, n),
+			}
+		},
+		crashes: 5, run: 12 * time.Second, every: 60 * time.Millisecond, calm: 2 * time.Second,
+	}
+	b.check(t, 2, func(h http.Header, _ []byte) bool {
+		return strings.Contains(h.Get("Currantwick-Prompt-Prefix"), part)
+	})
+}
