Stop requests with a part in their prompts that crashes endpoints

Cause: evidence about crashes was kept by whole request, and no two of these are alike. Class of fault: the evidence is keyed by less than what can cause the crash.

Evidence: the deadly part was pending at 43 of 46 crashes and never answered; the common first part was pending at all 46, and a part beside the deadly one at as many as the deadly one, but both are answered in sound requests.

Change: a crash accuses the shared parts of the pending prompts as well, and an answer that begins clears all parts in it for all daemons. A part that no daemon ever saw answered is a suspect after one crash; one that was (daemons vouch for it, tally.Parts) after four without an answer in between. A third crash, on trial, stops the part, unless a part of other requests that were pending there has as many crashes; parts that can't be told apart yet are stopped only together. Crashes of one repeated request count once against its parts.

Why it works: a sound part is cleared by the next answer, a deadly one never is, and only one attempt at a time may run until one of the two is known.

--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -109,6 +109,7 @@
 		Clock:   bootClock,
 		Group:   g.group,
 	})
+	parts := new(tally.Parts)
 	g.thread = coord.New(coord.Config{
 		Self:     self,
 		Seeds:    cfg.Daemon.Seeds,
@@ -118,6 +119,8 @@
 		Decoder:  platform.Decoder{},
 		Log:      cfg.Log,
 		Observer: cfg.Observer,
+
+		AnsweredParts: parts,
 	})
 	g.hub = links.New(links.Config{Self: self, Events: g.thread, Group: g.group})
 	bounds := cfg.Daemon.Bounds
@@ -135,6 +138,8 @@
 		Retry:    tally.NewLockedSharedBudget(retry),
 		Log:      cfg.Log,
 		Observer: cfg.Observer,
+
+		AnsweredParts: parts,
 	})
 	return g, nil
 }
--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -11,6 +11,7 @@
 
 	"currantwick"
 	"currantwick/fakes"
+	"currantwick/tally"
 	"currantwick/terms"
 )
 
@@ -86,6 +87,7 @@
 		Self:   instance("a", 1),
 		Bounds: wick.Bounds{Lease: wick.Duration(3 * time.Second), RequireFencing: fenced, RevisionDeadline: wick.Duration(5 * time.Second)},
 		Clock:  fixedClock{}, IO: st, Decoder: decoder{}, Log: slog.New(slog.DiscardHandler), Observer: fakes.GatewayObserver{},
+		AnsweredParts: new(tally.Parts),
 	})}
 }
 
--- a/coord/crashes.go
+++ b/coord/crashes.go
@@ -108,7 +108,7 @@
 		}
 	}
 	if len(report.Pending) > 0 {
-		s.addEvidence(now, evidence{crashes: []wick.CrashReport{report}}, ownEvidence)
+		s.addEvidence(now, wick.Evidence{Crashes: []wick.CrashReport{report}}, ownEvidence)
 	}
 	for _, b := range c.broken {
 		s.judge(b)
--- a/coord/linked.go
+++ b/coord/linked.go
@@ -80,7 +80,7 @@
 			s.out.cachedPrefix = append(s.out.cachedPrefix, k)
 		}
 	}
-	s.addEvidence(now, evidence{r.Crashes, r.Answered, r.Stopped}, daemonEvidence)
+	s.addEvidence(now, r.Evidence, daemonEvidence)
 	if len(r.TrialRequests) > 0 {
 		s.grantTrials(now, m, r.TrialRequests)
 	}
--- a/coord/report.go
+++ b/coord/report.go
@@ -40,7 +40,7 @@
 	r := &wick.InstanceReport{Ready: s.ready(), Known: s.knownOffsets()}
 	if !h.told {
 		h.told = true
-		r.Crashes, r.Stopped = s.suspects.Evidence(now)
+		r.Evidence = s.suspects.Evidence(now)
 	}
 	if slices.Equal(r.Known, h.known) {
 		r.Known = nil
--- a/coord/state.go
+++ b/coord/state.go
@@ -23,9 +23,9 @@
 	// crashes are the crashes and suspected crashes of the last seconds.
 	crashes map[wick.CrashID]*suspectedCrash
 	// suspects has the evidence of all daemons, and verdicts is what follows from
-	// it; verdicts is replaced and never modified.
+	// it.
 	suspects *crash.Suspects
-	verdicts map[wick.Fingerprint]crash.Verdict
+	verdicts crash.Verdicts
 	// trials are those that this daemon granted as the arbiter, and granted those
 	// that were granted to it, with the time.
 	trials  crash.Trials
--- a/coord/suspects.go
+++ b/coord/suspects.go
@@ -1,15 +1,15 @@
 package coord
 
 import (
+	"slices"
 	"time"
 
 	"currantwick"
-	"currantwick/crash"
 	"currantwick/terms"
 )
 
-// Daemons share the evidence against requests that may crash endpoints: a daemon
-// tells holders, and a holder tells all daemons linked to it. Who may try a suspect
+// Daemons share the evidence about requests and parts of prompts that may crash
+// endpoints: a daemon tells holders, and a holder tells all daemons linked to it. Who may try a suspect
 // is decided by one of the holders, the arbiter.
 
 const (
@@ -21,17 +21,6 @@
 	maxGrantAge = 10 * time.Second
 )
 
-// evidence is what daemons tell each other about suspects.
-type evidence struct {
-	crashes  []wick.CrashReport
-	answered []wick.Fingerprint
-	stopped  []wick.StoppedRequest
-}
-
-func (e *evidence) empty() bool {
-	return len(e.crashes) == 0 && len(e.answered) == 0 && len(e.stopped) == 0
-}
-
 // evidenceSource is where evidence comes from.
 type evidenceSource uint8
 
@@ -43,52 +32,99 @@
 )
 
 // addEvidence adds evidence and tells other daemons what was new.
-func (s *state) addEvidence(now wick.Instant, ev evidence, from evidenceSource) {
-	var fresh evidence
-	for _, r := range ev.crashes {
+func (s *state) addEvidence(now wick.Instant, ev wick.Evidence, from evidenceSource) {
+	if ev.Empty() {
+		return
+	}
+	told := s.freshEvidence(now, ev)
+	vouched := s.vouchFor(now, told.Crashes)
+	if told.Empty() && len(vouched) == 0 {
+		return
+	}
+	s.updateVerdicts()
+	if s.terms.HoldsAny() {
+		told.Vouched = append(told.Vouched, vouched...)
+		s.out.evidence.Append(told)
+		return
+	}
+	own := wick.Evidence{Vouched: vouched}
+	if from == ownEvidence {
+		own.Append(told)
+	}
+	if own.Empty() {
+		return
+	}
+	for _, h := range s.linkedHolders(evidenceHolders) {
+		h.link.Post(wick.LinkMessage{Report: &wick.InstanceReport{Ready: s.ready(), Evidence: own}})
+	}
+}
+
+// freshEvidence adds evidence and returns what was not known.
+func (s *state) freshEvidence(now wick.Instant, ev wick.Evidence) wick.Evidence {
+	var fresh wick.Evidence
+	for _, r := range ev.Crashes {
 		if f := s.suspects.AddCrash(now, r); f != nil {
-			fresh.crashes = append(fresh.crashes, *f)
+			fresh.Crashes = append(fresh.Crashes, *f)
 		}
 	}
-	for _, f := range ev.answered {
-		if s.suspects.Answered(f) {
+	for _, f := range ev.Answered {
+		if s.suspects.Answered(now, f) {
 			s.log.Info("suspect answered", "fingerprint", f.String())
-			fresh.answered = append(fresh.answered, f)
+			fresh.Answered = append(fresh.Answered, f)
 		}
 	}
-	for _, r := range ev.stopped {
-		if s.suspects.Stop(now, r) {
-			fresh.stopped = append(fresh.stopped, r)
+	for _, f := range ev.Vouched {
+		if s.suspects.Vouch(now, f) {
+			fresh.Vouched = append(fresh.Vouched, f)
 		}
 	}
-	if fresh.empty() {
-		return
+	for _, r := range ev.Stopped {
+		if s.suspects.Stop(now, r) {
+			fresh.Stopped = append(fresh.Stopped, r)
+		}
 	}
-	s.updateVerdicts()
-	switch {
-	case s.terms.HoldsAny():
-		s.out.evidence.crashes = append(s.out.evidence.crashes, fresh.crashes...)
-		s.out.evidence.answered = append(s.out.evidence.answered, fresh.answered...)
-		s.out.evidence.stopped = append(s.out.evidence.stopped, fresh.stopped...)
-	case from == ownEvidence:
-		r := &wick.InstanceReport{Ready: s.ready(), Crashes: fresh.crashes, Answered: fresh.answered}
-		for _, h := range s.linkedHolders(evidenceHolders) {
-			h.link.Post(wick.LinkMessage{Report: r})
+	return fresh
+}
+
+// vouchFor returns the parts in reports of crashes that this daemon saw answered and
+// for which no daemon has vouched yet.
+func (s *state) vouchFor(now wick.Instant, reports []wick.CrashReport) []wick.Fingerprint {
+	var list []wick.Fingerprint
+	for _, r := range reports {
+		for _, p := range r.Pending {
+			for _, f := range p.Parts {
+				if s.cfg.AnsweredParts.Has(f) && s.suspects.Vouch(now, f) {
+					list = append(list, f)
+				}
+			}
 		}
 	}
+	return list
 }
 
-// updateVerdicts publishes the verdicts and logs requests that were stopped.
+// updateVerdicts publishes the verdicts and logs the causes whose verdict changed.
 func (s *state) updateVerdicts() {
-	old := s.verdicts
+	old := s.verdicts.Stopped()
 	s.verdicts = s.suspects.Verdicts()
 	s.dirty = true
-	for f, v := range s.verdicts {
-		if v == crash.Stopped && old[f] != crash.Stopped {
-			s.log.Warn("request stopped", "fingerprint", f.String(), "cause", "it crashed endpoints, the last one on trial")
-			s.cfg.Observer.RequestStopped()
+	for _, keys := range missing(s.verdicts.Stopped(), old) {
+		s.log.Warn("requests stopped", "keys", texts(keys), "cause", "they crashed endpoints, the last one on trial")
+		s.cfg.Observer.RequestStopped()
+	}
+	for _, keys := range missing(old, s.verdicts.Stopped()) {
+		s.log.Info("requests no longer stopped", "keys", texts(keys), "cause", "evidence changed or is too old")
+	}
+}
+
+// missing returns the lists that are in a and not in b.
+func missing(a, b [][]wick.Fingerprint) [][]wick.Fingerprint {
+	var list [][]wick.Fingerprint
+	for _, keys := range a {
+		if !slices.ContainsFunc(b, func(k []wick.Fingerprint) bool { return slices.Equal(k, keys) }) {
+			list = append(list, keys)
 		}
 	}
+	return list
 }
 
 // expireSuspects drops old evidence and unused trials.
@@ -133,13 +169,14 @@
 	return nil, false
 }
 
-// suspectAnswered is the event of a traffic goroutine whose suspect was answered.
+// suspectAnswered is the event of a traffic goroutine whose request was answered,
+// although it or parts of it were accused.
 type suspectAnswered struct {
-	request wick.Fingerprint
+	accused []wick.Fingerprint
 }
 
 func (e suspectAnswered) apply(s *state, now wick.Instant) {
-	s.addEvidence(now, evidence{answered: []wick.Fingerprint{e.request}}, ownEvidence)
+	s.addEvidence(now, wick.Evidence{Answered: e.accused}, ownEvidence)
 }
 
 // trialRequested is the event of a traffic goroutine that holds a suspect.
--- a/coord/thread.go
+++ b/coord/thread.go
@@ -43,6 +43,8 @@
 	Decoder  wick.RecordDecoder
 	Log      *slog.Logger
 	Observer wick.GatewayObserver
+	// AnsweredParts are the parts of prompts that this daemon saw answered.
+	AnsweredParts wick.AnsweredParts
 }
 
 // event is a change of the control state that the control thread applies.
@@ -138,8 +140,9 @@
 // ReportBroken reports an attempt whose answer broke off.
 func (t *Thread) ReportBroken(b wick.BrokenAttempt) { t.post(attemptBroken{b}) }
 
-// ReportAnswered reports a suspect that an endpoint began to answer.
-func (t *Thread) ReportAnswered(f wick.Fingerprint) { t.post(suspectAnswered{f}) }
+// ReportAnswered reports an accused request, or accused parts of one, whose answer an
+// endpoint began.
+func (t *Thread) ReportAnswered(accused []wick.Fingerprint) { t.post(suspectAnswered{accused}) }
 
 // RequestTrial requests a trial of a suspect; a view lists it once it is granted.
 func (t *Thread) RequestTrial(r wick.TrialRequest) { t.post(trialRequested{r}) }
--- a/coord/view.go
+++ b/coord/view.go
@@ -28,8 +28,8 @@
 	LoadSlowdown float64
 	// Stopping is set when callers should use another daemon.
 	Stopping bool
-	// Verdicts has the verdicts on requests that may crash endpoints, except Clear.
-	Verdicts map[wick.Fingerprint]crash.Verdict
+	// Verdicts are those on requests that may crash endpoints.
+	Verdicts crash.Verdicts
 	// Trials are the trials that were granted to this daemon.
 	Trials map[wick.TrialID]bool
 	// ConfigCurrentAt is the latest instant at which ServingConfig was known to
--- a/crash.go
+++ b/crash.go
@@ -13,11 +13,11 @@
 // PendingRequest is a request whose answer an endpoint had not begun.
 type PendingRequest struct {
 	Request Fingerprint `cbor:"1,keyasint"`
+	// Trial is set if the request was sent on trial.
+	Trial bool `cbor:"2,keyasint,omitempty"`
 	// Parts are the fingerprints of the parts of its prompt that other requests may
 	// share.
 	Parts []Fingerprint `cbor:"3,keyasint,omitempty"`
-	// Trial is set if the request was sent on trial.
-	Trial bool `cbor:"2,keyasint,omitempty"`
 }
 
 // BrokenAttempt is an attempt whose answer broke off although this daemon did not
@@ -44,15 +44,56 @@
 	Age Duration `cbor:"3,keyasint,omitempty"`
 }
 
-// StoppedRequest is a request that is not sent to endpoints any more.
-type StoppedRequest struct {
-	Request Fingerprint `cbor:"1,keyasint"`
-	// Age is the time since the request was stopped.
-	Age Duration `cbor:"2,keyasint,omitempty"`
+// StoppedCause is a cause of crashes: requests that have all of Keys are not sent to
+// endpoints any more.
+type StoppedCause struct {
+	// Crash and Request identify the trial that proved the cause.
+	Crash   CrashID     `cbor:"1,keyasint"`
+	Request Fingerprint `cbor:"2,keyasint"`
+	// Keys is the fingerprint of a request, or those of parts of prompts.
+	Keys []Fingerprint `cbor:"3,keyasint"`
+	// Age is the time since the crash.
+	Age Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// Evidence is what daemons tell one another about requests and parts of prompts
+// that may crash endpoints.
+type Evidence struct {
+	Crashes []CrashReport `cbor:"20,keyasint,omitempty"`
+	// Answered are accused requests and parts that an endpoint began to answer.
+	Answered []Fingerprint `cbor:"21,keyasint,omitempty"`
+	// Vouched are accused parts that were answered before.
+	Vouched []Fingerprint `cbor:"22,keyasint,omitempty"`
+	// Stopped is sent when a link comes up: other daemons prove the causes themselves
+	// from the crashes.
+	Stopped []StoppedCause `cbor:"23,keyasint,omitempty"`
+}
+
+// Empty reports whether there is no evidence.
+func (e *Evidence) Empty() bool {
+	return len(e.Crashes) == 0 && len(e.Answered) == 0 && len(e.Vouched) == 0 && len(e.Stopped) == 0
+}
+
+// Append appends other evidence.
+func (e *Evidence) Append(other Evidence) {
+	e.Crashes = append(e.Crashes, other.Crashes...)
+	e.Answered = append(e.Answered, other.Answered...)
+	e.Vouched = append(e.Vouched, other.Vouched...)
+	e.Stopped = append(e.Stopped, other.Stopped...)
 }
 
-// TrialRequest asks for a trial of a suspect.
+// TrialRequest asks for a trial of the suspects in a request: the request itself or
+// parts of its prompt.
 type TrialRequest struct {
-	Trial   TrialID     `cbor:"1,keyasint"`
-	Request Fingerprint `cbor:"2,keyasint"`
+	Trial    TrialID       `cbor:"1,keyasint"`
+	Suspects []Fingerprint `cbor:"2,keyasint"`
+}
+
+// AnsweredParts remembers parts of prompts that endpoints have answered.
+// Implementations are safe for concurrent use.
+type AnsweredParts interface {
+	// Add records parts whose answer an endpoint began.
+	Add(parts []Fingerprint)
+	// Has reports whether a part was answered, as far as it is remembered.
+	Has(part Fingerprint) bool
 }
--- a/crash/suspects.go
+++ b/crash/suspects.go
@@ -4,24 +4,48 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"currantwick"
 )
 
-// Suspects is the evidence against requests that several daemons share, where
+// Suspects is the evidence about crashes that several daemons share, where
 // Registry is that of the one daemon that owns an endpoint. Each daemon that sees
 // a crash reports what it had pending there, in any order and repeatedly.
 //
-// Invariants: A request is accused once per crash, however many daemons report
-// it. It is stopped only if it was pending at two crashes or more since it was last
-// answered, on trial at one of them, and if nothing else that was pending there has
-// as many crashes against it.
+// A crash accuses the requests that were pending and the parts of their prompts
+// that other requests may share. The beginning of an answer clears a request and
+// all its parts. A request is a suspect once accused, and so is a part that was
+// never seen answered; a part that was (a vouched one) takes vouchedCrashes.
+//
+// Invariants: A crash counts once against a request or a part, however many
+// daemons report it, and the crashes of one repeated request count once against
+// its parts. A cause is stopped only if it was pending on trial at a crash, with
+// crashesToStop crashes against a request or partCrashesToStop against a part, and
+// if nothing else that was pending there has as many.
 type Suspects struct {
 	cfg     Config
 	entries map[wick.Fingerprint]*suspect
 	// crashes are the known crashes, order lists the oldest first.
 	crashes map[wick.CrashID]*crashRecord
 	order   []wick.CrashID
+	// causes are the causes that were proved, by the request that was on trial.
+	causes map[trialCrash]*cause
+}
+
+// trialCrash identifies a crash under a request on trial.
+type trialCrash struct {
+	crash   wick.CrashID
+	request wick.Fingerprint
+}
+
+// cause is a proved cause of crashes: a request or parts of prompts, as in
+// wick.StoppedCause.
+type cause struct {
+	keys []wick.Fingerprint
+	at   wick.Instant
+	// received is set if another daemon proved the cause.
+	received bool
 }
 
 // crashRecord is what is known of one crash.
@@ -30,38 +54,54 @@
 	pending map[wick.Fingerprint]wick.PendingRequest
 }
 
-// suspect is the evidence against one request.
+// suspect is the evidence about one request or one part.
 type suspect struct {
-	// crashes are the crashes since the request was last answered.
-	crashes map[wick.CrashID]bool
-	// stopped is set since stoppedAt; provedBy is the crash that proved the cause.
-	stopped   bool
-	stoppedAt wick.Instant
-	provedBy  wick.CrashID
-	// lastEvent is the time of the last crash or of the stop.
+	part bool
+	// vouched is set if a part was answered before.
+	vouched bool
+	// crashes are the crashes since it was last answered, each with a request that
+	// was pending.
+	crashes map[wick.CrashID]wick.Fingerprint
+	// lastEvent is the time of the last evidence.
 	lastEvent wick.Instant
 }
 
 const (
+	// partCrashesToStop is crashesToStop for a part. Sound parts are pending at many
+	// crashes that others cause.
+	partCrashesToStop = 3
+	// vouchedCrashes is the number of crashes without an answer in between after
+	// which a part is a suspect although it was answered before.
+	vouchedCrashes = 4
 	// maxCrashes bounds the crashes that are remembered, and maxPending the requests
 	// of one of them.
 	maxCrashes = 256
 	maxPending = 256
+	// maxCauses bounds the stopped causes; the oldest give way.
+	maxCauses = 128
+	// sharedStoppedTTL is the default StoppedTTL of a Suspects. A cause is then a
+	// suspect again until its evidence is sharedSuspectTTL old.
+	sharedStoppedTTL = 10 * time.Minute
+	sharedSuspectTTL = 20 * time.Minute
 )
 
-// NewSuspects returns a Suspects without evidence. A stopped request becomes a
-// suspect again after the StoppedTTL of cfg, whose default is then 10 minutes.
+// NewSuspects returns a Suspects without evidence.
 func NewSuspects(cfg Config) *Suspects {
 	if cfg.SuspectTTL <= 0 {
-		cfg.SuspectTTL = defaultSuspectTTL
+		cfg.SuspectTTL = sharedSuspectTTL
 	}
 	if cfg.StoppedTTL <= 0 {
-		cfg.StoppedTTL = defaultSuspectTTL
+		cfg.StoppedTTL = sharedStoppedTTL
 	}
 	if cfg.Limit <= 0 {
 		cfg.Limit = defaultLimit
 	}
-	return &Suspects{cfg: cfg, entries: make(map[wick.Fingerprint]*suspect), crashes: make(map[wick.CrashID]*crashRecord)}
+	return &Suspects{
+		cfg:     cfg,
+		entries: make(map[wick.Fingerprint]*suspect),
+		crashes: make(map[wick.CrashID]*crashRecord),
+		causes:  make(map[trialCrash]*cause),
+	}
 }
 
 // AddCrash adds a report of a crash and returns the part that was not known, nil
@@ -80,96 +120,177 @@
 		}
 		c.pending[p.Request] = p
 		fresh.Pending = append(fresh.Pending, p)
-		s.accuse(at, r.Crash, p)
+		s.accuse(at, r.Crash, p.Request, p.Request, false)
+		for _, f := range p.Parts {
+			s.accuse(at, r.Crash, f, p.Request, true)
+		}
 	}
 	if len(fresh.Pending) == 0 {
 		return nil
 	}
-	// Any crash at which a request was pending may be judged anew now that there is
-	// more evidence against it.
-	for _, p := range fresh.Pending {
-		for id := range s.entries[p.Request].crashes {
-			s.judge(id)
-		}
-	}
+	s.judgeAnew(fresh.Pending)
 	return &fresh
 }
 
-// accuse adds a crash to the evidence against a request.
-func (s *Suspects) accuse(at wick.Instant, id wick.CrashID, p wick.PendingRequest) {
-	e := s.entry(p.Request)
-	e.crashes[id] = true
+// accuse adds a crash to the evidence about a request or a part of it.
+func (s *Suspects) accuse(at wick.Instant, id wick.CrashID, f, request wick.Fingerprint, part bool) {
+	e := s.entry(f, part)
+	if _, known := e.crashes[id]; !known {
+		e.crashes[id] = request
+	}
 	e.lastEvent = max(e.lastEvent, at)
 }
 
-// judge stops the requests that a crash proves to have caused it. It takes that
-// back if later evidence shows another possible cause of the same crash.
-func (s *Suspects) judge(id wick.CrashID) {
-	c := s.crashes[id]
-	if c == nil {
-		return
+// judgeAnew judges the crashes at which requests or parts were pending about which
+// there is new evidence.
+func (s *Suspects) judgeAnew(list []wick.PendingRequest) {
+	ids := make(map[wick.CrashID]bool)
+	for _, p := range list {
+		for _, f := range append([]wick.Fingerprint{p.Request}, p.Parts...) {
+			if e := s.entries[f]; e != nil {
+				for id := range e.crashes {
+					ids[id] = true
+				}
+			}
+		}
 	}
+	for id := range ids {
+		if c := s.crashes[id]; c != nil {
+			s.judge(id, c)
+		}
+	}
+}
+
+// judge stops the causes that a crash proves. It takes that back if there is new
+// evidence for another cause of the same crash.
+func (s *Suspects) judge(id wick.CrashID, c *crashRecord) {
 	for f, p := range c.pending {
-		e := s.entries[f]
-		if !p.Trial || e == nil || !e.crashes[id] {
+		if !p.Trial {
 			continue
 		}
-		proved := len(e.crashes) >= crashesToStop && !s.otherCause(c, f, len(e.crashes))
-		switch {
-		case proved && !e.stopped:
-			e.stopped, e.stoppedAt, e.provedBy = true, c.at, id
-		case !proved && e.stopped && e.provedBy == id:
-			e.stopped = false
+		key := trialCrash{id, f}
+		keys := s.provedCause(id, c, p)
+		switch old := s.causes[key]; {
+		case old != nil && old.received:
+		case len(keys) > 0:
+			s.addCause(key, &cause{keys: keys, at: c.at})
+		default:
+			delete(s.causes, key)
 		}
 	}
 }
 
-// otherCause reports whether another request that was pending at a crash has at
+// provedCause returns what caused a crash under a request on trial: the request
+// itself, or those of its parts with the most crashes against them, which can't be
+// told apart yet. It returns nil if that is not proved.
+func (s *Suspects) provedCause(id wick.CrashID, c *crashRecord, p wick.PendingRequest) []wick.Fingerprint {
+	if n := s.crashesOf(id, p.Request); n >= crashesToStop && !s.otherRequest(id, c, p, n) {
+		return []wick.Fingerprint{p.Request}
+	}
+	most := 0
+	for _, f := range p.Parts {
+		most = max(most, s.crashesOf(id, f))
+	}
+	if most < partCrashesToStop || s.otherPart(id, c, p, most) {
+		return nil
+	}
+	var keys []wick.Fingerprint
+	for _, f := range p.Parts {
+		if s.crashesOf(id, f) == most {
+			keys = append(keys, f)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// crashesOf returns the number of crashes against a suspect that was pending at a
+// crash, or 0 if it is none or was answered since.
+func (s *Suspects) crashesOf(id wick.CrashID, f wick.Fingerprint) int {
+	e := s.entries[f]
+	if e == nil || !e.suspected() {
+		return 0
+	}
+	if _, pending := e.crashes[id]; !pending {
+		return 0
+	}
+	return e.count()
+}
+
+// otherRequest reports whether another request that was pending at a crash has at
 // least n crashes against it.
-func (s *Suspects) otherCause(c *crashRecord, f wick.Fingerprint, n int) bool {
-	for other := range c.pending {
-		if e := s.entries[other]; other != f && e != nil && len(e.crashes) >= n {
+func (s *Suspects) otherRequest(id wick.CrashID, c *crashRecord, p wick.PendingRequest, n int) bool {
+	for f := range c.pending {
+		if f != p.Request && s.crashesOf(id, f) >= n {
 			return true
 		}
 	}
 	return false
 }
 
-// Answered clears a request that an endpoint began to answer, and reports whether
-// it was a suspect.
-func (s *Suspects) Answered(f wick.Fingerprint) bool {
+// otherPart reports whether a part that only other requests have had at a crash has
+// at least n crashes against it.
+func (s *Suspects) otherPart(id wick.CrashID, c *crashRecord, p wick.PendingRequest, n int) bool {
+	for _, other := range c.pending {
+		for _, f := range other.Parts {
+			if !slices.Contains(p.Parts, f) && s.crashesOf(id, f) >= n {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Answered clears a request or a part whose answer an endpoint began, and reports
+// whether it was accused.
+func (s *Suspects) Answered(now wick.Instant, f wick.Fingerprint) bool {
 	e := s.entries[f]
-	if e == nil || e.stopped {
+	if e == nil || len(e.crashes) == 0 {
 		return false
 	}
-	delete(s.entries, f)
+	if !e.part {
+		delete(s.entries, f)
+		return true
+	}
+	e.crashes, e.vouched, e.lastEvent = make(map[wick.CrashID]wick.Fingerprint), true, now
 	return true
 }
 
-// Stop adds a request that another daemon knows to be stopped, and reports whether
-// it was not known.
-func (s *Suspects) Stop(now wick.Instant, r wick.StoppedRequest) bool {
-	at := now.Add(-max(r.Age, 0).Std())
-	if now.Sub(at) >= s.cfg.StoppedTTL {
+// Vouch records that a part was answered before it was accused, and reports whether
+// that was not known.
+func (s *Suspects) Vouch(now wick.Instant, f wick.Fingerprint) bool {
+	e := s.entry(f, true)
+	if e.vouched {
 		return false
 	}
-	e := s.entry(r.Request)
-	if e.stopped {
+	e.vouched, e.lastEvent = true, max(e.lastEvent, now)
+	return true
+}
+
+// Stop adds a cause that another daemon knows to be stopped, and reports whether
+// it was not known.
+func (s *Suspects) Stop(now wick.Instant, r wick.StoppedCause) bool {
+	at := now.Add(-max(r.Age, 0).Std())
+	key := trialCrash{r.Crash, r.Request}
+	if len(r.Keys) == 0 || now.Sub(at) >= s.cfg.StoppedTTL || s.causes[key] != nil {
 		return false
 	}
-	e.stopped, e.stoppedAt, e.lastEvent = true, at, max(e.lastEvent, at)
+	s.addCause(key, &cause{keys: slices.Clone(r.Keys), at: at, received: true})
 	return true
 }
 
-// Expire drops evidence that is too old, and reports whether a verdict changed.
+// Expire drops evidence that is too old, and reports whether a verdict may have
+// changed.
 func (s *Suspects) Expire(now wick.Instant) bool {
 	changed := false
+	for key, c := range s.causes {
+		if now.Sub(c.at) >= s.cfg.StoppedTTL {
+			delete(s.causes, key)
+			changed = true
+		}
+	}
 	for f, e := range s.entries {
-		switch {
-		case e.stopped && now.Sub(e.stoppedAt) >= s.cfg.StoppedTTL:
-			e.stopped, changed = false, true
-			e.lastEvent = now
-		case !e.stopped && now.Sub(e.lastEvent) >= s.cfg.SuspectTTL:
+		if now.Sub(e.lastEvent) >= s.cfg.SuspectTTL {
 			delete(s.entries, f)
 			changed = true
 		}
@@ -180,44 +301,62 @@
 	return changed
 }
 
-// Verdicts returns the verdicts other than Clear.
-func (s *Suspects) Verdicts() map[wick.Fingerprint]Verdict {
-	if len(s.entries) == 0 {
-		return nil
-	}
-	m := make(map[wick.Fingerprint]Verdict, len(s.entries))
-	for f, e := range s.entries {
-		m[f] = RunAlone
-		if e.stopped {
-			m[f] = Stopped
-		}
-	}
-	return m
-}
-
 // Evidence returns what a daemon that knows nothing needs to reach the same
 // verdicts.
-func (s *Suspects) Evidence(now wick.Instant) ([]wick.CrashReport, []wick.StoppedRequest) {
-	var reports []wick.CrashReport
+func (s *Suspects) Evidence(now wick.Instant) wick.Evidence {
+	var ev wick.Evidence
+	age := func(at wick.Instant) wick.Duration { return wick.Duration(max(now.Sub(at), 0)) }
 	for _, id := range s.order {
 		c := s.crashes[id]
-		r := wick.CrashReport{Crash: id, Age: wick.Duration(max(now.Sub(c.at), 0))}
+		r := wick.CrashReport{Crash: id, Age: age(c.at)}
+		accused := func(f wick.Fingerprint) bool {
+			e := s.entries[f]
+			if e == nil {
+				return false
+			}
+			_, ok := e.crashes[id]
+			return ok
+		}
 		for f, p := range c.pending {
-			if e := s.entries[f]; e != nil && e.crashes[id] {
+			p.Parts = slices.DeleteFunc(slices.Clone(p.Parts), func(f wick.Fingerprint) bool { return !accused(f) })
+			if accused(f) || len(p.Parts) > 0 {
 				r.Pending = append(r.Pending, p)
 			}
 		}
 		if len(r.Pending) > 0 {
-			reports = append(reports, r)
+			ev.Crashes = append(ev.Crashes, r)
 		}
 	}
-	var stopped []wick.StoppedRequest
 	for f, e := range s.entries {
-		if e.stopped {
-			stopped = append(stopped, wick.StoppedRequest{Request: f, Age: wick.Duration(max(now.Sub(e.stoppedAt), 0))})
+		if e.vouched && len(e.crashes) > 0 {
+			ev.Vouched = append(ev.Vouched, f)
 		}
 	}
-	return reports, stopped
+	for key, c := range s.causes {
+		ev.Stopped = append(ev.Stopped, wick.StoppedCause{Crash: key.crash, Request: key.request, Keys: c.keys, Age: age(c.at)})
+	}
+	return ev
+}
+
+// count returns the number of crashes that count against a suspect: those of one
+// repeated request count once against a part.
+func (e *suspect) count() int {
+	if !e.part {
+		return len(e.crashes)
+	}
+	requests := make(map[wick.Fingerprint]bool, len(e.crashes))
+	for _, f := range e.crashes {
+		requests[f] = true
+	}
+	return len(requests)
+}
+
+// suspected reports whether a request or part is a suspect.
+func (e *suspect) suspected() bool {
+	if e.vouched {
+		return e.count() >= vouchedCrashes
+	}
+	return len(e.crashes) > 0
 }
 
 // crashRecord returns the record of a crash, adding it if needed.
@@ -239,30 +378,35 @@
 	s.order = s.order[1:]
 }
 
-// entry returns the evidence against a request, adding it if needed.
-func (s *Suspects) entry(f wick.Fingerprint) *suspect {
+// addCause adds a cause, dropping the oldest one if there are too many.
+func (s *Suspects) addCause(key trialCrash, c *cause) {
+	if len(s.causes) >= maxCauses && s.causes[key] == nil {
+		delete(s.causes, slices.MinFunc(slices.Collect(maps.Keys(s.causes)), func(a, b trialCrash) int {
+			return cmp.Compare(s.causes[a].at, s.causes[b].at)
+		}))
+	}
+	s.causes[key] = c
+}
+
+// entry returns the evidence about a request or a part, adding it if needed.
+func (s *Suspects) entry(f wick.Fingerprint, part bool) *suspect {
 	e := s.entries[f]
 	if e == nil {
 		if len(s.entries) >= s.cfg.Limit {
 			s.evict()
 		}
-		e = &suspect{crashes: make(map[wick.CrashID]bool)}
+		e = &suspect{part: part, crashes: make(map[wick.CrashID]wick.Fingerprint)}
 		s.entries[f] = e
 	}
 	return e
 }
 
-// evict drops the least important entries until an eighth of the capacity is free.
+// evict drops the entries with the least evidence until an eighth of the capacity
+// is free.
 func (s *Suspects) evict() {
 	all := slices.SortedFunc(maps.Keys(s.entries), func(a, b wick.Fingerprint) int {
 		x, y := s.entries[a], s.entries[b]
-		if x.stopped != y.stopped {
-			if x.stopped {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), cmp.Compare(y.lastEvent, x.lastEvent), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(y.count(), x.count()), cmp.Compare(y.lastEvent, x.lastEvent), cmp.Compare(a, b))
 	})
 	for _, f := range all[s.cfg.Limit-max(1, s.cfg.Limit/8):] {
 		delete(s.entries, f)
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -34,8 +34,9 @@
 	RequestAdapter(w wick.AdapterRequest)
 	ReportCachedPrefix(k wick.CachedPrefix)
 	ReportBroken(b wick.BrokenAttempt)
-	// ReportAnswered reports a suspect that an endpoint began to answer.
-	ReportAnswered(f wick.Fingerprint)
+	// ReportAnswered reports an accused request, or accused parts of one, whose answer
+	// an endpoint began.
+	ReportAnswered(accused []wick.Fingerprint)
 	// RequestTrial requests a trial, and EndTrial gives it up.
 	RequestTrial(r wick.TrialRequest)
 	EndTrial(id wick.TrialID)
@@ -53,6 +54,8 @@
 	Retry    wick.SharedBudget
 	Log      *slog.Logger
 	Observer wick.GatewayObserver
+	// AnsweredParts records the parts of prompts that were answered.
+	AnsweredParts wick.AnsweredParts
 }
 
 // Server implements wick.Gateway.
--- a/instance.go
+++ b/instance.go
@@ -115,15 +115,10 @@
 	// Known has, for each topic, the offset before which the daemon knows every
 	// record. The holder sends what is missing.
 	Known []Offset `cbor:"7,keyasint,omitempty"`
-	// Crashes and Answered are evidence about requests that may crash endpoints.
-	Crashes  []CrashReport `cbor:"8,keyasint,omitempty"`
-	Answered []Fingerprint `cbor:"9,keyasint,omitempty"`
-	// Stopped are requests that the daemon knows to be stopped. It is sent when a
-	// link comes up.
-	Stopped []StoppedRequest `cbor:"10,keyasint,omitempty"`
+	Evidence
 	// TrialRequests ask for trials, and EndedTrials lists those that have ended.
-	TrialRequests []TrialRequest `cbor:"11,keyasint,omitempty"`
-	EndedTrials   []TrialID      `cbor:"12,keyasint,omitempty"`
+	TrialRequests []TrialRequest `cbor:"8,keyasint,omitempty"`
+	EndedTrials   []TrialID      `cbor:"9,keyasint,omitempty"`
 }
 
 // AdapterPlacement reports that an endpoint has an adapter, or no longer has it.
@@ -181,12 +176,9 @@
 	Spans []Span `cbor:"10,keyasint,omitempty"`
 	// Ends has, for each of TopicAges, the end of the topic at that time.
 	Ends []Offset `cbor:"11,keyasint,omitempty"`
-	// Crashes, Answered and Stopped are as in InstanceReport.
-	Crashes  []CrashReport    `cbor:"12,keyasint,omitempty"`
-	Answered []Fingerprint    `cbor:"13,keyasint,omitempty"`
-	Stopped  []StoppedRequest `cbor:"14,keyasint,omitempty"`
+	Evidence
 	// Trials are the trials that the holder grants to the receiver.
-	Trials []TrialID `cbor:"15,keyasint,omitempty"`
+	Trials []TrialID `cbor:"12,keyasint,omitempty"`
 }
 
 // LinkMessage is a message between two linked daemons. Exactly one field is
