Only connect to a plain service to see whether it crashed

Cause: after an answer broke off, the daemon asked the endpoint for its report. Only engines have one; a plain service takes the question for a request.

Change: Probe of wick.RunnerClient asks engines for their report and opens a connection to plain services.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -154,6 +154,16 @@
 	}
 }
 
+// Check opens a new connection and closes it, to see whether anything accepts
+// connections at an address.
+func (p *Pool) Check(ctx context.Context, addr wick.Address) error {
+	nc, err := p.dialer.DialContext(ctx, "tcp", string(addr))
+	if err != nil {
+		return fmt.Errorf("connect: %w", err)
+	}
+	return nc.Close()
+}
+
 // dial opens a new connection.
 func (p *Pool) dial(ctx context.Context, addr wick.Address) (*conn, error) {
 	nc, err := p.dialer.DialContext(ctx, "tcp", string(addr))
--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -35,7 +35,7 @@
 
 func (s *fakeIO) Inspect(e wick.EndpointName, _ wick.Address) { s.inspected = append(s.inspected, e) }
 
-func (s *fakeIO) Probe(id wick.CrashID, _ wick.Address) { s.probed = append(s.probed, id) }
+func (s *fakeIO) Probe(id wick.CrashID, _ wick.Address, _ bool) { s.probed = append(s.probed, id) }
 
 func (s *fakeIO) Dial(to wick.Address) { s.dialed = append(s.dialed, to) }
 
--- a/coord/crashes.go
+++ b/coord/crashes.go
@@ -6,9 +6,8 @@
 	"currantwick"
 )
 
-// When an answer breaks off, the endpoint is asked for its report. If it does not
-// return one, it has crashed, and so may have any request whose answer it had not
-// begun.
+// When an answer breaks off, the endpoint is probed. If it does not respond, it has
+// crashed, and so may have any request whose answer it had not begun.
 
 const (
 	// maxBroken bounds the attempts that are remembered while an endpoint is probed.
@@ -21,8 +20,8 @@
 // suspectedCrash collects the attempts that broke off at one start of an endpoint.
 type suspectedCrash struct {
 	since wick.Instant
-	// probing is set while the endpoint is asked for its report, and confirmed
-	// once it has not returned one.
+	// probing is set while the endpoint is probed, and confirmed once it has not
+	// responded.
 	probing, confirmed bool
 	broken             []wick.BrokenAttempt
 }
@@ -55,10 +54,16 @@
 		s.accuse(now, id, c)
 	case !c.probing:
 		c.probing = true
-		s.cfg.IO.Probe(id, e.broken.Address)
+		s.cfg.IO.Probe(id, e.broken.Address, s.isEngine(end))
 	}
 }
 
+// isEngine reports whether an endpoint is a model engine.
+func (s *state) isEngine(e *endpoint) bool {
+	config := s.facts.ServingConfig()
+	return config != nil && config.Pools[e.info.Pool].Engine != nil
+}
+
 // judge ends the trial of an attempt that broke off and tells its goroutine that
 // the crash is dealt with.
 func (s *state) judge(b wick.BrokenAttempt) {
--- a/fleet.go
+++ b/fleet.go
@@ -204,6 +204,10 @@
 type RunnerClient interface {
 	Order(ctx Context, to Address, order RunnerOrder) (OrderResult, error)
 	Inspect(ctx Context, endpoint EndpointName, at Address) (RunnerReport, error)
+	// Probe returns an error if an endpoint does not run any more since its last
+	// start. A plain service, which has no report, is only connected to: any request
+	// would be work for it.
+	Probe(ctx Context, id CrashID, at Address, engine bool) error
 }
 
 // Topic identifies a topic of the platform's record store.
--- a/gateio/gateio.go
+++ b/gateio/gateio.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"currantwick"
@@ -100,14 +99,8 @@
 }
 
 // Probe implements wick.GatewayIO.
-func (s *IO) Probe(id wick.CrashID, at wick.Address) {
-	s.start(func() {
-		r, err := s.cfg.Runners.Inspect(s.ctx, id.Endpoint, at)
-		if err == nil && r.Started != 0 && r.Started != id.Started {
-			err = fmt.Errorf("probe of %s: it started again at %d", id.Endpoint, r.Started)
-		}
-		s.thread.ProbeDone(id, err)
-	})
+func (s *IO) Probe(id wick.CrashID, at wick.Address, engine bool) {
+	s.start(func() { s.thread.ProbeDone(id, s.cfg.Runners.Probe(s.ctx, id, at, engine)) })
 }
 
 // Dial implements wick.GatewayIO.
--- a/instance.go
+++ b/instance.go
@@ -228,8 +228,9 @@
 	// Order sends an order to an endpoint, Inspect requests its report.
 	Order(to Address, order RunnerOrder)
 	Inspect(endpoint EndpointName, at Address)
-	// Probe checks whether an endpoint still runs since its last start.
-	Probe(id CrashID, at Address)
+	// Probe checks whether an endpoint still runs since its last start; engine is set
+	// for a model engine, as opposed to a plain service.
+	Probe(id CrashID, at Address, engine bool)
 	// Dial opens a link.
 	Dial(to Address)
 }
