--- a/coord/view.go
+++ b/coord/view.go
@@ -105,11 +105,13 @@
 		Ready:         s.ready(),
 		Stopping:      s.stopping,
 		Verdicts:      s.verdicts,
-		Trials:        make(map[wick.TrialID]bool, len(s.granted)),
 		changed:       make(chan struct{}),
 	}
-	for id := range s.granted {
-		v.Trials[id] = true
+	if len(s.granted) > 0 {
+		v.Trials = make(map[wick.TrialID]bool, len(s.granted))
+		for id := range s.granted {
+			v.Trials[id] = true
+		}
 	}
 	for _, e := range s.sortedEndpoints {
 		if e.info.Draining || config == nil {
