Keep sound parts of prompts usable while a deadly one is found

Callers saw: with 30 in 100 requests deadly, 65 requests refused for want of a trial, 44 of them without the deadly part.

Cause: each crash accused every part that was pending, also once its cause was proved, and parts with one crash waited for a trial beside one with eight.

Change: a crash with a proved cause is no evidence against what else was pending there. A part with less than half of the crashes of the most accused one is not tried yet. Daemons clear accused parts that they saw answered since the last crash by themselves, every 50 ms. A part that was answered before comes into question only if no other part of the request does, and after two crashes on trial. Vouching for a part judges its crashes anew.

Ruled out: the first two changes alone.

--- a/coord/state.go
+++ b/coord/state.go
@@ -154,6 +154,7 @@
 	s.dialHolders(now)
 	s.settle(now)
 	s.forgetCrashes(now)
+	s.clearAnswered(now)
 	s.expireSuspects(now)
 	s.updateLoads(now)
 	s.flush(now, true)
--- a/coord/suspects.go
+++ b/coord/suspects.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/crash"
 	"currantwick/terms"
 )
 
@@ -69,7 +70,9 @@
 	}
 	for _, f := range ev.Answered {
 		if s.suspects.Answered(now, f) {
-			s.log.Info("suspect answered", "fingerprint", f.String())
+			if v, _ := s.verdicts.Of(f, nil); v == crash.RunAlone {
+				s.log.Info("suspect answered", "fingerprint", f.String())
+			}
 			fresh.Answered = append(fresh.Answered, f)
 		}
 	}
@@ -93,7 +96,7 @@
 	for _, r := range reports {
 		for _, p := range r.Pending {
 			for _, f := range p.Parts {
-				if s.cfg.AnsweredParts.Has(f) && s.suspects.Vouch(now, f) {
+				if _, ok := s.cfg.AnsweredParts.Last(f); ok && s.suspects.Vouch(now, f) {
 					list = append(list, f)
 				}
 			}
@@ -102,6 +105,18 @@
 	return list
 }
 
+// clearAnswered clears the accused parts that this daemon saw answered since their
+// last crash.
+func (s *state) clearAnswered(now wick.Instant) {
+	var ev wick.Evidence
+	for f, crashed := range s.suspects.AccusedParts() {
+		if at, ok := s.cfg.AnsweredParts.Last(f); ok && at > crashed {
+			ev.Answered = append(ev.Answered, f)
+		}
+	}
+	s.addEvidence(now, ev, ownEvidence)
+}
+
 // updateVerdicts publishes the verdicts and logs the causes whose verdict changed.
 func (s *state) updateVerdicts() {
 	old := s.verdicts.Stopped()
@@ -169,14 +184,14 @@
 	return nil, false
 }
 
-// suspectAnswered is the event of a traffic goroutine whose request was answered,
-// although it or parts of it were accused.
-type suspectAnswered struct {
-	accused []wick.Fingerprint
+// suspectsAnswered is the event of a traffic goroutine whose request was answered
+// although it has suspects.
+type suspectsAnswered struct {
+	suspects []wick.Fingerprint
 }
 
-func (e suspectAnswered) apply(s *state, now wick.Instant) {
-	s.addEvidence(now, wick.Evidence{Answered: e.accused}, ownEvidence)
+func (e suspectsAnswered) apply(s *state, now wick.Instant) {
+	s.addEvidence(now, wick.Evidence{Answered: e.suspects}, ownEvidence)
 }
 
 // trialRequested is the event of a traffic goroutine that holds a suspect.
--- a/coord/thread.go
+++ b/coord/thread.go
@@ -140,9 +140,8 @@
 // ReportBroken reports an attempt whose answer broke off.
 func (t *Thread) ReportBroken(b wick.BrokenAttempt) { t.post(attemptBroken{b}) }
 
-// ReportAnswered reports an accused request, or accused parts of one, whose answer an
-// endpoint began.
-func (t *Thread) ReportAnswered(accused []wick.Fingerprint) { t.post(suspectAnswered{accused}) }
+// ReportAnswered reports suspects in a request whose answer an endpoint began.
+func (t *Thread) ReportAnswered(suspects []wick.Fingerprint) { t.post(suspectsAnswered{suspects}) }
 
 // RequestTrial requests a trial of a suspect; a view lists it once it is granted.
 func (t *Thread) RequestTrial(r wick.TrialRequest) { t.post(trialRequested{r}) }
--- a/crash.go
+++ b/crash.go
@@ -93,7 +93,8 @@
 // Implementations are safe for concurrent use.
 type AnsweredParts interface {
 	// Add records parts whose answer an endpoint began.
-	Add(parts []Fingerprint)
-	// Has reports whether a part was answered, as far as it is remembered.
-	Has(part Fingerprint) bool
+	Add(now Instant, parts []Fingerprint)
+	// Last returns when the last answer of a part began, and false if none is
+	// remembered.
+	Last(part Fingerprint) (Instant, bool)
 }
--- a/crash/suspects.go
+++ b/crash/suspects.go
@@ -22,7 +22,8 @@
 // daemons report it, and the crashes of one repeated request count once against
 // its parts. A cause is stopped only if it was pending on trial at a crash, with
 // crashesToStop crashes against a request or partCrashesToStop against a part, and
-// if nothing else that was pending there has as many.
+// if nothing else that was pending there has as many. A part that was answered before
+// must have been on trial at vouchedTrials of them.
 type Suspects struct {
 	cfg     Config
 	entries map[wick.Fingerprint]*suspect
@@ -59,13 +60,21 @@
 	part bool
 	// vouched is set if a part was answered before.
 	vouched bool
-	// crashes are the crashes since it was last answered, each with a request that
-	// was pending.
-	crashes map[wick.CrashID]wick.Fingerprint
+	// crashes are the crashes since it was last answered, and lastCrash is the time of
+	// the latest.
+	crashes   map[wick.CrashID]accusation
+	lastCrash wick.Instant
 	// lastEvent is the time of the last evidence.
 	lastEvent wick.Instant
 }
 
+// accusation is a crash at which a request or a part was pending.
+type accusation struct {
+	// request is a request that was pending, the one on trial if trial is set.
+	request wick.Fingerprint
+	trial   bool
+}
+
 const (
 	// partCrashesToStop is crashesToStop for a part. Sound parts are pending at many
 	// crashes that others cause.
@@ -73,6 +82,9 @@
 	// vouchedCrashes is the number of crashes without an answer in between after
 	// which a part is a suspect although it was answered before.
 	vouchedCrashes = 4
+	// vouchedTrials is the number of crashes on trial that it takes to stop a part that
+	// was answered before: most requests may have it.
+	vouchedTrials = 2
 	// maxCrashes bounds the crashes that are remembered, and maxPending the requests
 	// of one of them.
 	maxCrashes = 256
@@ -120,9 +132,9 @@
 		}
 		c.pending[p.Request] = p
 		fresh.Pending = append(fresh.Pending, p)
-		s.accuse(at, r.Crash, p.Request, p.Request, false)
+		s.accuse(at, r.Crash, p, p.Request, false)
 		for _, f := range p.Parts {
-			s.accuse(at, r.Crash, f, p.Request, true)
+			s.accuse(at, r.Crash, p, f, true)
 		}
 	}
 	if len(fresh.Pending) == 0 {
@@ -132,12 +144,13 @@
 	return &fresh
 }
 
-// accuse adds a crash to the evidence about a request or a part of it.
-func (s *Suspects) accuse(at wick.Instant, id wick.CrashID, f, request wick.Fingerprint, part bool) {
+// accuse adds a crash to the evidence about a pending request or a part of it.
+func (s *Suspects) accuse(at wick.Instant, id wick.CrashID, p wick.PendingRequest, f wick.Fingerprint, part bool) {
 	e := s.entry(f, part)
-	if _, known := e.crashes[id]; !known {
-		e.crashes[id] = request
+	if _, known := e.crashes[id]; !known || p.Trial {
+		e.crashes[id] = accusation{request: p.Request, trial: p.Trial}
 	}
+	e.lastCrash = max(e.lastCrash, at)
 	e.lastEvent = max(e.lastEvent, at)
 }
 
@@ -182,26 +195,43 @@
 
 // provedCause returns what caused a crash under a request on trial: the request
 // itself, or those of its parts with the most crashes against them, which can't be
-// told apart yet. It returns nil if that is not proved.
+// told apart yet. Vouched parts come into question only if no other part does. It
+// returns nil if the cause is not proved.
 func (s *Suspects) provedCause(id wick.CrashID, c *crashRecord, p wick.PendingRequest) []wick.Fingerprint {
 	if n := s.crashesOf(id, p.Request); n >= crashesToStop && !s.otherRequest(id, c, p, n) {
 		return []wick.Fingerprint{p.Request}
 	}
+	parts := s.partsInQuestion(id, p)
 	most := 0
-	for _, f := range p.Parts {
+	for _, f := range parts {
 		most = max(most, s.crashesOf(id, f))
 	}
 	if most < partCrashesToStop || s.otherPart(id, c, p, most) {
 		return nil
 	}
-	var keys []wick.Fingerprint
+	keys := slices.DeleteFunc(parts, func(f wick.Fingerprint) bool { return s.crashesOf(id, f) < most })
+	slices.Sort(keys)
+	return keys
+}
+
+// partsInQuestion returns the parts of a request on trial that may have caused a
+// crash: those never seen answered, or else the vouched ones that were pending on
+// trial at vouchedTrials crashes.
+func (s *Suspects) partsInQuestion(id wick.CrashID, p wick.PendingRequest) []wick.Fingerprint {
+	var plain, vouched []wick.Fingerprint
 	for _, f := range p.Parts {
-		if s.crashesOf(id, f) == most {
-			keys = append(keys, f)
+		switch e := s.entries[f]; {
+		case s.crashesOf(id, f) == 0:
+		case !e.vouched:
+			plain = append(plain, f)
+		case e.trials() >= vouchedTrials:
+			vouched = append(vouched, f)
 		}
 	}
-	slices.Sort(keys)
-	return keys
+	if len(plain) > 0 {
+		return plain
+	}
+	return vouched
 }
 
 // crashesOf returns the number of crashes against a suspect that was pending at a
@@ -252,10 +282,24 @@
 		delete(s.entries, f)
 		return true
 	}
-	e.crashes, e.vouched, e.lastEvent = make(map[wick.CrashID]wick.Fingerprint), true, now
+	e.crashes, e.vouched, e.lastEvent = make(map[wick.CrashID]accusation), true, now
 	return true
 }
 
+// AccusedParts returns the parts that are accused, with the time of the last crash.
+func (s *Suspects) AccusedParts() map[wick.Fingerprint]wick.Instant {
+	var m map[wick.Fingerprint]wick.Instant
+	for f, e := range s.entries {
+		if e.part && len(e.crashes) > 0 {
+			if m == nil {
+				m = make(map[wick.Fingerprint]wick.Instant)
+			}
+			m[f] = e.lastCrash
+		}
+	}
+	return m
+}
+
 // Vouch records that a part was answered before it was accused, and reports whether
 // that was not known.
 func (s *Suspects) Vouch(now wick.Instant, f wick.Fingerprint) bool {
@@ -264,6 +308,7 @@
 		return false
 	}
 	e.vouched, e.lastEvent = true, max(e.lastEvent, now)
+	s.judgeAnew([]wick.PendingRequest{{Parts: []wick.Fingerprint{f}}})
 	return true
 }
 
@@ -340,15 +385,30 @@
 
 // count returns the number of crashes that count against a suspect: those of one
 // repeated request count once against a part.
-func (e *suspect) count() int {
-	if !e.part {
-		return len(e.crashes)
+func (e *suspect) count() int { return e.countWithout(func(wick.CrashID) bool { return false }) }
+
+// countWithout is count without the crashes that are to be left out.
+func (e *suspect) countWithout(leaveOut func(wick.CrashID) bool) int {
+	n := 0
+	requests := make(map[wick.Fingerprint]bool)
+	for id, a := range e.crashes {
+		if !leaveOut(id) && !(e.part && requests[a.request]) {
+			requests[a.request] = true
+			n++
+		}
 	}
-	requests := make(map[wick.Fingerprint]bool, len(e.crashes))
-	for _, f := range e.crashes {
-		requests[f] = true
+	return n
+}
+
+// trials returns the number of crashes on trial.
+func (e *suspect) trials() int {
+	n := 0
+	for _, a := range e.crashes {
+		if a.trial {
+			n++
+		}
 	}
-	return len(requests)
+	return n
 }
 
 // suspected reports whether a request or part is a suspect.
@@ -395,7 +455,7 @@
 		if len(s.entries) >= s.cfg.Limit {
 			s.evict()
 		}
-		e = &suspect{part: part, crashes: make(map[wick.CrashID]wick.Fingerprint)}
+		e = &suspect{part: part, crashes: make(map[wick.CrashID]accusation)}
 		s.entries[f] = e
 	}
 	return e
--- a/crash/verdicts.go
+++ b/crash/verdicts.go
@@ -9,28 +9,40 @@
 // Verdicts is a snapshot of what follows from the evidence of a Suspects. It never
 // changes. The zero value clears every request.
 type Verdicts struct {
-	// accused are the requests and parts of which an answer is to be reported;
-	// the value is set for suspects.
-	accused map[wick.Fingerprint]bool
+	// suspects are the requests and parts that may be sent on trial only.
+	suspects map[wick.Fingerprint]bool
 	// stopped are the causes that are stopped: a request that has all keys of one of
 	// them is not sent.
 	stopped [][]wick.Fingerprint
 }
 
-// Verdicts returns the verdicts that follow from the evidence.
+// Verdicts returns the verdicts that follow from the evidence. A crash with a proved
+// cause is no evidence about what else was pending there, and parts with less than
+// half of the crashes of the most accused part are no suspects yet.
 func (s *Suspects) Verdicts() Verdicts {
 	var v Verdicts
+	explained := s.explainedCrashes()
+	counts := make(map[wick.Fingerprint]int, len(s.entries))
+	most := 0
 	for f, e := range s.entries {
-		suspected := e.suspected()
-		// Parts that most requests share are pending at each crash. The next answer
-		// is news only if they are about to become suspects.
-		if !suspected && e.count() < vouchedCrashes-1 {
+		n := e.countWithout(func(id wick.CrashID) bool {
+			keys, ok := explained[id]
+			return ok && !slices.Contains(keys, f)
+		})
+		counts[f] = n
+		if e.part {
+			most = max(most, n)
+		}
+	}
+	for f, n := range counts {
+		e := s.entries[f]
+		if n == 0 || e.part && n < most/2 || e.vouched && n < vouchedCrashes {
 			continue
 		}
-		if v.accused == nil {
-			v.accused = make(map[wick.Fingerprint]bool)
+		if v.suspects == nil {
+			v.suspects = make(map[wick.Fingerprint]bool)
 		}
-		v.accused[f] = suspected
+		v.suspects[f] = true
 	}
 	for _, c := range s.causes {
 		v.stopped = append(v.stopped, c.keys)
@@ -38,41 +50,54 @@
 	return v
 }
 
+// explainedCrashes returns the crashes at which a request with a proved cause was
+// pending, with the keys of the cause.
+func (s *Suspects) explainedCrashes() map[wick.CrashID][]wick.Fingerprint {
+	if len(s.causes) == 0 {
+		return nil
+	}
+	m := make(map[wick.CrashID][]wick.Fingerprint)
+	for id, c := range s.crashes {
+		for _, p := range c.pending {
+			for _, proved := range s.causes {
+				if hasAll(proved.keys, p.Request, p.Parts) {
+					m[id] = append(m[id], proved.keys...)
+				}
+			}
+		}
+	}
+	return m
+}
+
+// hasAll reports whether a request has all keys of a cause.
+func hasAll(keys []wick.Fingerprint, request wick.Fingerprint, parts []wick.Fingerprint) bool {
+	return !slices.ContainsFunc(keys, func(f wick.Fingerprint) bool { return f != request && !slices.Contains(parts, f) })
+}
+
 // Of returns the verdict on a request and, for one that may run alone, its
 // suspects: itself or parts of its prompt.
 func (v Verdicts) Of(request wick.Fingerprint, parts []wick.Fingerprint) (Verdict, []wick.Fingerprint) {
 	for _, keys := range v.stopped {
-		if !slices.ContainsFunc(keys, func(f wick.Fingerprint) bool { return f != request && !slices.Contains(parts, f) }) {
+		if hasAll(keys, request, parts) {
 			return Stopped, keys
 		}
 	}
-	suspects := v.filter(request, parts, func(suspected bool) bool { return suspected })
-	if len(suspects) > 0 {
-		return RunAlone, suspects
+	if len(v.suspects) == 0 {
+		return Clear, nil
 	}
-	return Clear, nil
-}
-
-// Accused returns those of a request and its parts of which an answer is to be
-// reported.
-func (v Verdicts) Accused(request wick.Fingerprint, parts []wick.Fingerprint) []wick.Fingerprint {
-	return v.filter(request, parts, func(bool) bool { return true })
-}
-
-func (v Verdicts) filter(request wick.Fingerprint, parts []wick.Fingerprint, want func(suspected bool) bool) []wick.Fingerprint {
-	if len(v.accused) == 0 {
-		return nil
-	}
-	var list []wick.Fingerprint
-	if suspected, ok := v.accused[request]; ok && want(suspected) {
-		list = append(list, request)
+	var suspects []wick.Fingerprint
+	if v.suspects[request] {
+		suspects = append(suspects, request)
 	}
 	for _, f := range parts {
-		if suspected, ok := v.accused[f]; ok && want(suspected) {
-			list = append(list, f)
+		if v.suspects[f] {
+			suspects = append(suspects, f)
 		}
 	}
-	return list
+	if len(suspects) > 0 {
+		return RunAlone, suspects
+	}
+	return Clear, nil
 }
 
 // Stopped returns the causes that are stopped.
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -34,9 +34,8 @@
 	RequestAdapter(w wick.AdapterRequest)
 	ReportCachedPrefix(k wick.CachedPrefix)
 	ReportBroken(b wick.BrokenAttempt)
-	// ReportAnswered reports an accused request, or accused parts of one, whose answer
-	// an endpoint began.
-	ReportAnswered(accused []wick.Fingerprint)
+	// ReportAnswered reports suspects in a request whose answer an endpoint began.
+	ReportAnswered(suspects []wick.Fingerprint)
 	// RequestTrial requests a trial, and EndTrial gives it up.
 	RequestTrial(r wick.TrialRequest)
 	EndTrial(id wick.TrialID)
--- a/tally/parts.go
+++ b/tally/parts.go
@@ -16,30 +16,30 @@
 	mu sync.Mutex
 	// recent are the parts answered since the last change of generation, earlier
 	// those of the generation before.
-	recent, earlier map[wick.Fingerprint]struct{}
+	recent, earlier map[wick.Fingerprint]wick.Instant
 }
 
 var _ wick.AnsweredParts = (*Parts)(nil)
 
 // Add implements wick.AnsweredParts.
-func (p *Parts) Add(parts []wick.Fingerprint) {
+func (p *Parts) Add(now wick.Instant, parts []wick.Fingerprint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, f := range parts {
 		if p.recent == nil || len(p.recent) >= maxRecentParts {
-			p.recent, p.earlier = make(map[wick.Fingerprint]struct{}), p.recent
+			p.recent, p.earlier = make(map[wick.Fingerprint]wick.Instant), p.recent
 		}
-		p.recent[f] = struct{}{}
+		p.recent[f] = now
 	}
 }
 
-// Has implements wick.AnsweredParts.
-func (p *Parts) Has(f wick.Fingerprint) bool {
+// Last implements wick.AnsweredParts.
+func (p *Parts) Last(f wick.Fingerprint) (wick.Instant, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, ok := p.recent[f]; ok {
-		return true
+	if at, ok := p.recent[f]; ok {
+		return at, true
 	}
-	_, ok := p.earlier[f]
-	return ok
+	at, ok := p.earlier[f]
+	return at, ok
 }
