Soak the daemons beside requests that crash runners

Cause: the soak's faults never met requests that crash runners.

Change: TestSoakBesideCrashes injects the same faults while requests with a deadly part come every 100 ms; a sound request that gets 400 is a violation. The runners of the soak guard their incarnation with a lock, since a crash may meet an injected restart.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -218,6 +218,8 @@
 		return fmt.Errorf("ran %d times, want at most %d", len(runs), r.kind.runs)
 	case notRun[r.status] && len(runs) > 0:
 		return fmt.Errorf("status %d means not run, but it ran on %s", r.status, runs[0].Runner)
+	case r.status == http.StatusBadRequest:
+		return errors.New("status 400, for requests that crash runners, but it is sound")
 	case r.status == http.StatusNotFound:
 		return errors.New("status 404 on a route that is in every configuration")
 	case r.status != http.StatusOK:
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -176,17 +176,25 @@
 // their prompts in common, which crashes each runner, and against refusing sound
 // requests with their other parts.
 func TestPartOfPromptsThatCrashesRunners(t *testing.T) {
-	const part = "dead"
 	b := &barrage{
-		request: func(n int) request {
-			return request{
-				adapter: n % adapters, body: fmt.Sprintf("deadly %d", n),
-				parts: fmt.Sprintf("%s,%s,%s:30,%d:10", firstPart, rareParts[0], part, n),
-			}
-		},
+		request: requestWithDeadlyPart,
 		crashes: 5, run: 12 * time.Second, every: 60 * time.Millisecond, calm: 2 * time.Second,
 	}
-	b.check(t, 2, func(h http.Header, _ []byte) bool {
-		return strings.Contains(h.Get("Currantwick-Prompt-Prefix"), part)
-	})
+	b.check(t, 2, func(h http.Header, _ []byte) bool { return hasDeadlyPart(h) })
+}
+
+// deadlyPart is the part of prompts that crashes runners.
+const deadlyPart = "dead"
+
+// requestWithDeadlyPart returns the n-th of a series of unlike requests that have
+// deadlyPart in common, and their other parts with sound ones.
+func requestWithDeadlyPart(n int) request {
+	return request{
+		adapter: n % adapters, body: fmt.Sprintf("deadly %d", n),
+		parts: fmt.Sprintf("%s,%s,%s:30,%d:10", firstPart, rareParts[0], deadlyPart, n),
+	}
+}
+
+func hasDeadlyPart(h http.Header) bool {
+	return strings.Contains(h.Get("Currantwick-Prompt-Prefix"), deadlyPart)
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -78,17 +78,16 @@
 		return nil
 	}},
 	{"change the mode of a runner", 4, func(_ *testing.T, s *system, r *rand.Rand) func() {
-		run, mode := pick(r, s.runners), pick(r, []runnerMode{
+		run, mode := pick(r, s.runners).current(), pick(r, []runnerMode{
 			runnerSlow, runnerFails, runnerFull, runnerBreaks, runnerDropsAnswers, runnerLags,
 		})
-		s.logEvent("%s %s", run.name, mode)
-		target := run.runner
-		target.setMode(mode)
-		return func() { target.setMode(runnerServes) }
+		s.logEvent("%s %s", run.cfg.Name, mode)
+		run.setMode(mode)
+		return func() { run.setMode(runnerServes) }
 	}},
 	{"restart a runner", 2, func(t *testing.T, s *system, r *rand.Rand) func() {
 		run := pick(r, s.runners)
-		s.logEvent("%s", run.name)
+		s.logEvent("%s", run.current().cfg.Name)
 		if err := s.restartRunner(run); err != nil {
 			t.Error(err)
 		}
@@ -96,13 +95,13 @@
 	}},
 	{"drop a runner's entry", 2, func(_ *testing.T, s *system, r *rand.Rand) func() {
 		run := pick(r, s.runners)
-		s.logEvent("%s", run.name)
-		s.store.putRunner(run.name, "")
+		s.logEvent("%s", run.current().cfg.Name)
+		s.store.putRunner(run.current().cfg.Name, "")
 		return func() { s.publishRunner(run, "ready") }
 	}},
 	{"drain a runner", 2, func(_ *testing.T, s *system, r *rand.Rand) func() {
 		run := pick(r, s.runners)
-		s.logEvent("%s", run.name)
+		s.logEvent("%s", run.current().cfg.Name)
 		s.publishRunner(run, "draining")
 		return func() { s.publishRunner(run, "ready") }
 	}},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,9 +5,12 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -76,6 +79,33 @@
 	}
 }
 
+// crashCases are the seeds of TestSoakBesideCrashes, as cases are those of TestSoak.
+var crashCases = []struct {
+	name string
+	seed uint64
+}{
+	{"runners ignore fencing tokens", 11},
+	{"runners check fencing tokens", 12},
+}
+
+// TestSoakBesideCrashes is TestSoak beside requests with a part in their prompts that
+// crashes runners.
+func TestSoakBesideCrashes(t *testing.T) {
+	switch {
+	case *seedFlag != 0:
+		runCrashSeed(t, *seedFlag)
+	case *seedsFlag > 0:
+		for range *seedsFlag {
+			seed := rand.Uint64N(maxSeed)
+			t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runCrashSeed(t, seed) })
+		}
+	default:
+		for _, test := range crashCases {
+			t.Run(fmt.Sprintf("%s, seed %d", test.name, test.seed), func(t *testing.T) { runCrashSeed(t, test.seed) })
+		}
+	}
+}
+
 // Times of a run.
 const (
 	// startTimeout is how long daemons may take to become ready.
@@ -88,19 +118,35 @@
 
 // runSeed runs one seed.
 func runSeed(t *testing.T, seed uint64) {
-	s := startSystem(t, seed)
+	runSystem(t, startSystem(t, seed), seed, func() {})
+}
+
+// runCrashSeed runs one seed beside requests that crash runners.
+func runCrashSeed(t *testing.T, seed uint64) {
+	s := startSystemWith(t, seed, func(h http.Header, _ []byte) bool { return hasDeadlyPart(h) })
+	b := &barrage{request: requestWithDeadlyPart, run: *forFlag, every: 100 * time.Millisecond}
+	runSystem(t, s, seed, func() { b.send(s) })
+	t.Logf("%d crashes, answers to deadly requests by status %v", len(s.crashes), b.status)
+}
+
+// runSystem injects faults while callers send requests and beside runs.
+func runSystem(t *testing.T, s *system, seed uint64, beside func()) {
+	t.Helper()
 	s.waitReady(t, startTimeout)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	wait := s.startCallers(ctx, seed)
+	var group sync.WaitGroup
+	group.Go(beside)
 	s.injectFaults(t, seed, *forFlag)
+	group.Wait()
 	s.publishNewest(t)
 	s.waitRecovered(t, recoveryTimeout)
 	cancel()
 	wait()
 	s.checkResults(t)
 	if t.Failed() {
-		t.Logf("reproduce with: go test ./soak -run TestSoak -seed %d -for %v", seed, *forFlag)
+		t.Logf("reproduce with: go test ./soak -run %s -seed %d -for %v", strings.Split(t.Name(), "/")[0], seed, *forFlag)
 		for _, line := range s.history {
 			t.Log(line)
 		}
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -49,14 +49,31 @@
 // restartableRunner is a runner that can be restarted as a new incarnation behind
 // the same proxy link.
 type restartableRunner struct {
-	link         fault.LinkName
-	domain       wick.Domain
+	link   fault.LinkName
+	domain wick.Domain
+
+	// mu guards the fields below; a crash may meet an injected restart.
+	mu           sync.Mutex
 	server       *httptest.Server
 	runner       *runner
-	name         wick.EndpointName
 	incarnations int
 }
 
+// current returns the present incarnation.
+func (r *restartableRunner) current() *runner {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runner
+}
+
+// stop ends the present incarnation and all that it runs.
+func (r *restartableRunner) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.server.CloseClientConnections()
+	r.server.Listener.Close() // Requests still running end with their connections.
+}
+
 // system is the system under test in one run: daemons, fake runners, a fake store
 // and the proxy between them.
 type system struct {
@@ -152,44 +169,58 @@
 
 // startRunner starts a new incarnation of a runner.
 func (s *system) startRunner(r *restartableRunner, loaded bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.incarnations++
-	r.name = wick.EndpointName(fmt.Sprintf("%s-%d", r.link[len("runner "):], r.incarnations))
+	number := r.incarnations
 	r.runner = newRunner(runnerConfig{
-		Name: r.name, Model: model, Adapters: slotsPerRunner, Fenced: s.fenced, Ledger: s.ledger,
-		Deadly: s.deadly, Crash: sync.OnceFunc(func() { s.crashRunner(r) }),
+		Name:  wick.EndpointName(fmt.Sprintf("%s-%d", r.link[len("runner "):], number)),
+		Model: model, Adapters: slotsPerRunner, Fenced: s.fenced, Ledger: s.ledger,
+		Deadly: s.deadly, Crash: sync.OnceFunc(func() { s.crashRunner(r, number) }),
 	}, loaded)
 	r.server = httptest.NewServer(r.runner)
 }
 
 // publishRunner writes a runner's record to the store.
 func (s *system) publishRunner(r *restartableRunner, state string) {
-	s.store.putRunner(r.name, r.runner.storeRecord(pool, s.proxy.Address(r.link), r.domain, 8, state))
+	run := r.current()
+	s.store.putRunner(run.cfg.Name, run.storeRecord(pool, s.proxy.Address(r.link), r.domain, 8, state))
 }
 
 // restartRunner replaces a runner by a new incarnation at the same address, with
 // neither model nor adapters loaded.
 func (s *system) restartRunner(r *restartableRunner) error {
-	r.server.CloseClientConnections()
-	r.server.Listener.Close() // Requests still running end with their connections.
-	s.store.putRunner(r.name, "")
+	r.stop()
+	s.store.putRunner(r.current().cfg.Name, "")
 	s.startRunner(r, false)
-	err := s.proxy.Set(fault.Control{
-		Links: []fault.LinkName{r.link}, Reset: true, Target: wick.Address(r.server.Listener.Addr().String()),
-	})
+	r.mu.Lock()
+	target := wick.Address(r.server.Listener.Addr().String())
+	r.mu.Unlock()
+	err := s.proxy.Set(fault.Control{Links: []fault.LinkName{r.link}, Reset: true, Target: target})
 	s.publishRunner(r, "ready")
 	return err
 }
 
-// crashRunner ends a runner and all that it runs, and starts a new incarnation
-// after crashDown.
-func (s *system) crashRunner(r *restartableRunner) {
+// crashRunner ends an incarnation of a runner, if it is still the present one, and
+// starts a new one after crashDown unless another fault has done so.
+func (s *system) crashRunner(r *restartableRunner, number int) {
 	const crashDown = 400 * time.Millisecond
+	present := func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.incarnations == number
+	}
+	if !present() {
+		return
+	}
 	s.mu.Lock()
 	s.crashes = append(s.crashes, time.Now())
 	s.mu.Unlock()
-	r.server.CloseClientConnections()
-	r.server.Listener.Close() // Requests still running end with their connections.
+	r.stop()
 	time.AfterFunc(crashDown, func() {
+		if !present() {
+			return
+		}
 		if err := s.restartRunner(r); err != nil {
 			s.ledger.violate("runner not restarted: %v", err)
 		}
