Honour endpoints that leave or ask for a pause in their answers

Callers would see: requests sent on to an endpoint that has said that it leaves, and load on an endpoint that has asked for a pause.

Change: package platform decodes both from every answer into wick.EndpointSignal. An endpoint that leaves is out of use for all daemons, bound to one start and not undone by records. A pause binds one daemon and one start (package admit): no requests, orders, reports or probes, then a growing share of the load. If all endpoints are paused for longer than a request bears, it is refused at once with a spread time to come back. CrashID is now EndpointStart, as it identifies a start.

--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -109,7 +109,7 @@
 		Clock:   bootClock,
 		Group:   g.group,
 	})
-	parts := new(tally.Parts)
+	parts, pauses := new(tally.Parts), new(tally.Pauses)
 	g.thread = coord.New(coord.Config{
 		Self:     self,
 		Seeds:    cfg.Daemon.Seeds,
@@ -120,6 +120,7 @@
 		Log:      cfg.Log,
 		Observer: cfg.Observer,
 
+		Pauses:        pauses,
 		AnsweredParts: parts,
 	})
 	g.hub = links.New(links.Config{Self: self, Events: g.thread, Group: g.group})
@@ -139,6 +140,7 @@
 		Log:      cfg.Log,
 		Observer: cfg.Observer,
 
+		Pauses:        pauses,
 		AnsweredParts: parts,
 	})
 	return g, nil
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -154,6 +154,16 @@
 	}
 }
 
+// CloseIdle closes the idle connections to an address.
+func (p *Pool) CloseIdle(addr wick.Address) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[addr] {
+		c.close()
+	}
+	delete(p.idle, addr)
+}
+
 // Check opens a new connection and closes it, to see whether anything accepts
 // connections at an address.
 func (p *Pool) Check(ctx context.Context, addr wick.Address) error {
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -49,6 +49,8 @@
 	MaxIdle time.Duration
 	// MaxBody bounds the body that Fetch reads, in bytes; 1 MiB by default.
 	MaxBody int64
+	// OnHeader, if set, is called with the header of the response to Fetch.
+	OnHeader func(http.Header)
 }
 
 // Error is the error of a failed exchange.
@@ -113,6 +115,9 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	if req.OnHeader != nil {
+		req.OnHeader(r.Header)
+	}
 	most := req.MaxBody
 	if most <= 0 {
 		most = defaultMaxBody
--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -24,8 +24,9 @@
 	puts      []string
 	orders    []wick.RunnerOrder
 	inspected []wick.EndpointName
-	probed    []wick.CrashID
+	probed    []wick.EndpointStart
 	dialed    []wick.Address
+	closed    []wick.Address
 }
 
 func (s *fakeIO) Read(t wick.Topic, _ wick.Offset, _ wick.Duration) { s.reads = append(s.reads, t) }
@@ -35,7 +36,11 @@
 
 func (s *fakeIO) Inspect(e wick.EndpointName, _ wick.Address) { s.inspected = append(s.inspected, e) }
 
-func (s *fakeIO) Probe(id wick.CrashID, _ wick.Address, _ bool) { s.probed = append(s.probed, id) }
+func (s *fakeIO) Probe(id wick.EndpointStart, _ wick.Address, _ bool) {
+	s.probed = append(s.probed, id)
+}
+
+func (s *fakeIO) CloseIdle(at wick.Address) { s.closed = append(s.closed, at) }
 
 func (s *fakeIO) Dial(to wick.Address) { s.dialed = append(s.dialed, to) }
 
@@ -87,7 +92,7 @@
 		Self:   instance("a", 1),
 		Bounds: wick.Bounds{Lease: wick.Duration(3 * time.Second), RequireFencing: fenced, RevisionDeadline: wick.Duration(5 * time.Second)},
 		Clock:  fixedClock{}, IO: st, Decoder: decoder{}, Log: slog.New(slog.DiscardHandler), Observer: fakes.GatewayObserver{},
-		AnsweredParts: new(tally.Parts),
+		Pauses: new(tally.Pauses), AnsweredParts: new(tally.Parts),
 	})}
 }
 
--- a/coord/crashes.go
+++ b/coord/crashes.go
@@ -34,8 +34,9 @@
 func (e attemptBroken) apply(s *state, now wick.Instant) {
 	id := e.broken.Endpoint
 	end := s.endpoints[id.Endpoint]
-	if end == nil || end.info.Draining || end.info.Started != id.Started {
-		// An endpoint that leaves ends what it runs, and one that is gone was handled.
+	if end == nil || !end.takesRequests() || end.info.Started != id.Started || s.cfg.Pauses.Until(now, id) > 0 {
+		// An endpoint that leaves ends what it runs, one that is gone was handled, and
+		// one that asked for a pause wants no probe.
 		s.judge(e.broken)
 		return
 	}
@@ -78,7 +79,7 @@
 // probeDone is the result of a probe; err is set if the endpoint did not answer as
 // the same incarnation.
 type probeDone struct {
-	id  wick.CrashID
+	id  wick.EndpointStart
 	err error
 }
 
@@ -103,7 +104,7 @@
 }
 
 // accuse reports the requests that were pending at a crash.
-func (s *state) accuse(now wick.Instant, id wick.CrashID, c *suspectedCrash) {
+func (s *state) accuse(now wick.Instant, id wick.EndpointStart, c *suspectedCrash) {
 	report := wick.CrashReport{Crash: id, Age: wick.Duration(now.Sub(c.since))}
 	for _, b := range c.broken {
 		if !b.Begun {
--- a/coord/orders.go
+++ b/coord/orders.go
@@ -34,7 +34,7 @@
 		}
 	}
 	for _, e := range s.sortedEndpoints {
-		if s.mayOrder(e.shard) {
+		if s.mayOrder(e.shard) && s.cfg.Pauses.Until(now, e.start()) == 0 {
 			s.stepLedger(now, e)
 		}
 	}
@@ -114,7 +114,7 @@
 		if order.Weights.Adapter == "" {
 			s.lastModelLoad = now
 		}
-		order.Endpoint = e.info.Name
+		order.Endpoint, order.Started = e.info.Name, e.info.Started
 		order.Holder = s.cfg.Self.Host
 		order.Fence = s.fences[e.shard]
 		s.cfg.IO.Order(e.info.Address, order)
@@ -123,26 +123,27 @@
 
 // orderDone is the result of an order.
 type orderDone struct {
-	order  wick.RunnerOrder
-	result wick.OrderResult
-	err    error
+	order wick.RunnerOrder
+	reply wick.OrderReply
+	err   error
 }
 
 func (e orderDone) apply(s *state, now wick.Instant) {
-	o := e.order
-	s.cfg.Observer.OrderFinished(o.Kind, e.result)
+	o, result := e.order, e.reply.Result
+	s.cfg.Observer.OrderFinished(o.Kind, result)
+	s.applySignal(now, wick.EndpointStart{Endpoint: o.Endpoint, Started: o.Started}, e.reply.Signal)
 	s.log.Info("order finished", "endpoint", o.Endpoint, "kind", o.Kind, "weights", o.Weights.String(), "version", o.Revision,
-		"expected", o.Expected, "fence", o.Fence, "result", e.result.String(), "err", errText(e.err))
+		"expected", o.Expected, "fence", o.Fence, "result", result.String(), "err", errText(e.err))
 	end, l := s.endpoints[o.Endpoint], s.ledgers[o.Endpoint]
 	if end == nil || l == nil {
 		return
 	}
-	if e.result == wick.OrderFenced && s.terms.Holder(end.shard).Fence == o.Fence {
+	if result == wick.OrderFenced && s.terms.Holder(end.shard).Fence == o.Fence {
 		s.log.Warn("term lost", "shard", end.shard, "fence", o.Fence, "cause", "the endpoint has seen a later holder's fencing token")
 		s.terms.Revoke(end.shard)
 		s.dirty = true
 	}
-	l.OrderDone(now, o, e.result)
+	l.OrderDone(now, o, result)
 	s.queuePlacements(now, end, l)
 	if o.Kind == wick.OrderLoad {
 		s.loading++
@@ -168,6 +169,9 @@
 	s.log.Info("endpoint report read", "endpoint", e.endpoint, "orders", e.report.Orders, "loaded", len(e.report.Loaded),
 		"incoming", len(e.report.Incoming), "err", errText(e.err))
 	end, l := s.endpoints[e.endpoint], s.ledgers[e.endpoint]
+	if end != nil && (e.report.Started == 0 || e.report.Started == end.info.Started) {
+		s.applySignal(now, end.start(), e.report.Signal)
+	}
 	if end == nil || l == nil {
 		return
 	}
--- a/coord/report.go
+++ b/coord/report.go
@@ -40,7 +40,7 @@
 	r := &wick.InstanceReport{Ready: s.ready(), Known: s.knownOffsets()}
 	if !h.told {
 		h.told = true
-		r.Evidence = s.suspects.Evidence(now)
+		r.Evidence, r.Leaving = s.suspects.Evidence(now), s.leavingEndpoints()
 	}
 	if slices.Equal(r.Known, h.known) {
 		r.Known = nil
--- a/coord/state.go
+++ b/coord/state.go
@@ -21,7 +21,7 @@
 
 	endpoints map[wick.EndpointName]*endpoint
 	// crashes are the crashes and suspected crashes of the last seconds.
-	crashes map[wick.CrashID]*suspectedCrash
+	crashes map[wick.EndpointStart]*suspectedCrash
 	// suspects has the evidence of all daemons, and verdicts is what follows from
 	// it.
 	suspects *crash.Suspects
@@ -107,7 +107,7 @@
 			RequireFencing: cfg.Bounds.RequireFencing,
 		}),
 		endpoints:     make(map[wick.EndpointName]*endpoint),
-		crashes:       make(map[wick.CrashID]*suspectedCrash),
+		crashes:       make(map[wick.EndpointStart]*suspectedCrash),
 		suspects:      crash.NewSuspects(crash.Config{}),
 		granted:       make(map[wick.TrialID]wick.Instant),
 		ledgers:       make(map[wick.EndpointName]*slots.Ledger),
--- a/coord/suspects_test.go
+++ b/coord/suspects_test.go
@@ -13,7 +13,7 @@
 
 // crashUnder crashes an endpoint under a request of this daemon.
 func (w *harness) crashUnder(at wick.Instant, name wick.EndpointName, p wick.PendingRequest, trial wick.TrialID) {
-	id := wick.CrashID{Endpoint: name}
+	id := wick.EndpointStart{Endpoint: name}
 	attemptBroken{wick.BrokenAttempt{Endpoint: id, Address: "x:1", Request: p, Trial: trial}}.apply(w.state, at)
 	probeDone{id, errors.New("connection refused")}.apply(w.state, at)
 }
@@ -29,7 +29,7 @@
 }
 
 func TestEvidenceIsShared(t *testing.T) {
-	report := wick.CrashReport{Crash: wick.CrashID{Endpoint: "f"}, Pending: []wick.PendingRequest{{Request: 7}}}
+	report := wick.CrashReport{Crash: wick.EndpointStart{Endpoint: "f"}, Pending: []wick.PendingRequest{{Request: 7}}}
 	tests := []struct {
 		name string
 		do   func(w *harness, e wick.EndpointName, daemon *link)
@@ -54,7 +54,7 @@
 		}, crash.Clear, 1},
 		{"a request whose answer had begun", func(w *harness, e wick.EndpointName, _ *link) {
 			w.broken(0, e, 0, 7, true)
-			probeDone{wick.CrashID{Endpoint: e}, errors.New("silent")}.apply(w.state, ms(5))
+			probeDone{wick.EndpointStart{Endpoint: e}, errors.New("silent")}.apply(w.state, ms(5))
 		}, crash.Clear, 0},
 	}
 	for _, test := range tests {
--- a/coord/thread.go
+++ b/coord/thread.go
@@ -43,6 +43,7 @@
 	Decoder  wick.RecordDecoder
 	Log      *slog.Logger
 	Observer wick.GatewayObserver
+	Pauses   wick.EndpointPauses
 	// AnsweredParts are the parts of prompts that this daemon saw answered.
 	AnsweredParts wick.AnsweredParts
 }
@@ -149,6 +150,9 @@
 // EndTrial gives up a trial.
 func (t *Thread) EndTrial(id wick.TrialID) { t.post(trialEnded{id}) }
 
+// ReportLeaving reports an endpoint that said that it is about to end.
+func (t *Thread) ReportLeaving(id wick.EndpointStart) { t.post(endpointLeaving{id}) }
+
 // Stop starts the shutdown: callers are sent to other daemons and this daemon's
 // terms are released.
 func (t *Thread) Stop() { t.post(stopping{}) }
@@ -162,7 +166,7 @@
 func (t *Thread) PutDone(key string, ok bool, err error) { t.post(putDone{key, ok, err}) }
 
 // OrderDone receives the result of Order of wick.GatewayIO.
-func (t *Thread) OrderDone(o wick.RunnerOrder, r wick.OrderResult, err error) {
+func (t *Thread) OrderDone(o wick.RunnerOrder, r wick.OrderReply, err error) {
 	t.post(orderDone{o, r, err})
 }
 
@@ -172,7 +176,7 @@
 }
 
 // ProbeDone receives the result of Probe of wick.GatewayIO.
-func (t *Thread) ProbeDone(id wick.CrashID, err error) { t.post(probeDone{id, err}) }
+func (t *Thread) ProbeDone(id wick.EndpointStart, err error) { t.post(probeDone{id, err}) }
 
 var _ wick.LinkHandler = (*Thread)(nil)
 
--- a/coord/update.go
+++ b/coord/update.go
@@ -17,6 +17,7 @@
 	cachedPrefix []wick.CachedPrefix
 	spans        []wick.Span
 	evidence     wick.Evidence
+	leaving      []wick.EndpointStart
 	// instances are the daemons whose link or readiness changed.
 	instances map[wick.HostName]bool
 	// sentAt is when the last update was sent, and agesSentAt when the last one
@@ -82,6 +83,7 @@
 		}
 	}
 	s.addEvidence(now, u.Evidence, daemonEvidence)
+	s.setLeaving(u.Leaving, false)
 	for _, id := range u.Trials {
 		s.grant(now, id)
 	}
@@ -157,7 +159,7 @@
 		u.Loads = append(u.Loads, wick.NamedLoad{Endpoint: e.info.Name, Load: e.total})
 	}
 	u.Instances = s.instances()
-	u.Evidence = s.suspects.Evidence(now)
+	u.Evidence, u.Leaving = s.suspects.Evidence(now), s.leavingEndpoints()
 	return u
 }
 
@@ -215,7 +217,7 @@
 func (s *state) flush(now wick.Instant, tick bool) {
 	o := &s.out
 	since := now.Sub(o.sentAt)
-	urgent := o.shards || len(o.instances) > 0 || len(o.records) > 0 || !o.evidence.Empty() || s.stopping
+	urgent := o.shards || len(o.instances) > 0 || len(o.records) > 0 || !o.evidence.Empty() || len(o.leaving) > 0 || s.stopping
 	soon := len(o.placements) > 0 && since >= placementsInterval
 	if urgent || soon || tick && (len(o.loads) > 0 && since >= loadsInterval || since >= heartbeat) {
 		s.sendUpdate(now)
@@ -232,7 +234,7 @@
 	u := s.baseUpdate()
 	u.Records, u.Placements, u.Loads, u.CachedPrefixes = o.records, o.placements, o.loads, o.cachedPrefix
 	u.Spans = o.spans
-	u.Evidence = o.evidence
+	u.Evidence, u.Leaving = o.evidence, o.leaving
 	for i := range u.Placements {
 		u.Placements[i].ReadyIn = wick.Duration(max(o.readyAt[i].Sub(now), 0))
 	}
--- a/coord/view.go
+++ b/coord/view.go
@@ -65,9 +65,11 @@
 
 // endpoint is the control state of an endpoint.
 type endpoint struct {
-	info  *wick.Runner
-	shard wick.Shard
-	meter *tally.Meter
+	info *wick.Runner
+	// leaving is set once the endpoint said that it is about to end.
+	leaving bool
+	shard   wick.Shard
+	meter   *tally.Meter
 	// adapters and cached are replaced and never modified, since views share
 	// them.
 	adapters map[wick.Weights]Residence
@@ -114,7 +116,7 @@
 		}
 	}
 	for _, e := range s.sortedEndpoints {
-		if e.info.Draining || config == nil {
+		if !e.takesRequests() || config == nil {
 			continue
 		}
 		if _, known := config.Pools[e.info.Pool]; known {
--- a/crash.go
+++ b/crash.go
@@ -1,7 +1,8 @@
 package wick
 
-// CrashID identifies a crash: an endpoint crashes once between two starts.
-type CrashID struct {
+// EndpointStart identifies one start of an endpoint, and the crash that ends it: an
+// endpoint crashes once between two starts.
+type EndpointStart struct {
 	Endpoint EndpointName `cbor:"1,keyasint"`
 	Started  Started      `cbor:"2,keyasint,omitempty"`
 }
@@ -24,7 +25,7 @@
 // cancel it.
 type BrokenAttempt struct {
 	// Endpoint is the endpoint as it was when the request was sent.
-	Endpoint CrashID
+	Endpoint EndpointStart
 	Address  Address
 	Request  PendingRequest
 	// Trial is the trial that the attempt was, if any.
@@ -38,7 +39,7 @@
 // CrashReport reports the requests that were pending at a crash. Daemons that saw
 // the same crash report different requests.
 type CrashReport struct {
-	Crash   CrashID          `cbor:"1,keyasint"`
+	Crash   EndpointStart    `cbor:"1,keyasint"`
 	Pending []PendingRequest `cbor:"2,keyasint"`
 	// Age is the time since the crash.
 	Age Duration `cbor:"3,keyasint,omitempty"`
@@ -48,8 +49,8 @@
 // endpoints any more.
 type StoppedCause struct {
 	// Crash and Request identify the trial that proved the cause.
-	Crash   CrashID     `cbor:"1,keyasint"`
-	Request Fingerprint `cbor:"2,keyasint"`
+	Crash   EndpointStart `cbor:"1,keyasint"`
+	Request Fingerprint   `cbor:"2,keyasint"`
 	// Keys is the fingerprint of a request, or those of parts of prompts.
 	Keys []Fingerprint `cbor:"3,keyasint"`
 	// Age is the time since the crash.
--- a/crash/model_test.go
+++ b/crash/model_test.go
@@ -94,7 +94,7 @@
 		f.shared++
 	}
 	f.trials = Trials{}
-	id := wick.CrashID{Endpoint: wick.EndpointName(fmt.Sprint(at)), Started: wick.Started(f.starts[at])}
+	id := wick.EndpointStart{Endpoint: wick.EndpointName(fmt.Sprint(at)), Started: wick.Started(f.starts[at])}
 	for _, d := range f.daemons {
 		if len(d.pending[at]) == 0 {
 			continue
--- a/crash/suspects.go
+++ b/crash/suspects.go
@@ -28,15 +28,15 @@
 	cfg     Config
 	entries map[wick.Fingerprint]*suspect
 	// crashes are the known crashes, order lists the oldest first.
-	crashes map[wick.CrashID]*crashRecord
-	order   []wick.CrashID
+	crashes map[wick.EndpointStart]*crashRecord
+	order   []wick.EndpointStart
 	// causes are the causes that were proved, by the request that was on trial.
 	causes map[trialCrash]*cause
 }
 
 // trialCrash identifies a crash under a request on trial.
 type trialCrash struct {
-	crash   wick.CrashID
+	crash   wick.EndpointStart
 	request wick.Fingerprint
 }
 
@@ -62,7 +62,7 @@
 	vouched bool
 	// crashes are the crashes since it was last answered, and lastCrash is the time of
 	// the latest.
-	crashes   map[wick.CrashID]accusation
+	crashes   map[wick.EndpointStart]accusation
 	lastCrash wick.Instant
 	// lastEvent is the time of the last evidence.
 	lastEvent wick.Instant
@@ -111,7 +111,7 @@
 	return &Suspects{
 		cfg:     cfg,
 		entries: make(map[wick.Fingerprint]*suspect),
-		crashes: make(map[wick.CrashID]*crashRecord),
+		crashes: make(map[wick.EndpointStart]*crashRecord),
 		causes:  make(map[trialCrash]*cause),
 	}
 }
@@ -145,7 +145,7 @@
 }
 
 // accuse adds a crash to the evidence about a pending request or a part of it.
-func (s *Suspects) accuse(at wick.Instant, id wick.CrashID, p wick.PendingRequest, f wick.Fingerprint, part bool) {
+func (s *Suspects) accuse(at wick.Instant, id wick.EndpointStart, p wick.PendingRequest, f wick.Fingerprint, part bool) {
 	e := s.entry(f, part)
 	if _, known := e.crashes[id]; !known || p.Trial {
 		e.crashes[id] = accusation{request: p.Request, trial: p.Trial}
@@ -157,7 +157,7 @@
 // judgeAnew judges the crashes at which requests or parts were pending about which
 // there is new evidence.
 func (s *Suspects) judgeAnew(list []wick.PendingRequest) {
-	ids := make(map[wick.CrashID]bool)
+	ids := make(map[wick.EndpointStart]bool)
 	for _, p := range list {
 		for _, f := range append([]wick.Fingerprint{p.Request}, p.Parts...) {
 			if e := s.entries[f]; e != nil {
@@ -176,7 +176,7 @@
 
 // judge stops the causes that a crash proves. It takes that back if there is new
 // evidence for another cause of the same crash.
-func (s *Suspects) judge(id wick.CrashID, c *crashRecord) {
+func (s *Suspects) judge(id wick.EndpointStart, c *crashRecord) {
 	for f, p := range c.pending {
 		if !p.Trial {
 			continue
@@ -197,7 +197,7 @@
 // itself, or those of its parts with the most crashes against them, which can't be
 // told apart yet. Vouched parts come into question only if no other part does. It
 // returns nil if the cause is not proved.
-func (s *Suspects) provedCause(id wick.CrashID, c *crashRecord, p wick.PendingRequest) []wick.Fingerprint {
+func (s *Suspects) provedCause(id wick.EndpointStart, c *crashRecord, p wick.PendingRequest) []wick.Fingerprint {
 	if n := s.crashesOf(id, p.Request); n >= crashesToStop && !s.otherRequest(id, c, p, n) {
 		return []wick.Fingerprint{p.Request}
 	}
@@ -217,7 +217,7 @@
 // partsInQuestion returns the parts of a request on trial that may have caused a
 // crash: those never seen answered, or else the vouched ones that were pending on
 // trial at vouchedTrials crashes.
-func (s *Suspects) partsInQuestion(id wick.CrashID, p wick.PendingRequest) []wick.Fingerprint {
+func (s *Suspects) partsInQuestion(id wick.EndpointStart, p wick.PendingRequest) []wick.Fingerprint {
 	var plain, vouched []wick.Fingerprint
 	for _, f := range p.Parts {
 		switch e := s.entries[f]; {
@@ -236,7 +236,7 @@
 
 // crashesOf returns the number of crashes against a suspect that was pending at a
 // crash, or 0 if it is none or was answered since.
-func (s *Suspects) crashesOf(id wick.CrashID, f wick.Fingerprint) int {
+func (s *Suspects) crashesOf(id wick.EndpointStart, f wick.Fingerprint) int {
 	e := s.entries[f]
 	if e == nil || !e.suspected() {
 		return 0
@@ -249,7 +249,7 @@
 
 // otherRequest reports whether another request that was pending at a crash has at
 // least n crashes against it.
-func (s *Suspects) otherRequest(id wick.CrashID, c *crashRecord, p wick.PendingRequest, n int) bool {
+func (s *Suspects) otherRequest(id wick.EndpointStart, c *crashRecord, p wick.PendingRequest, n int) bool {
 	for f := range c.pending {
 		if f != p.Request && s.crashesOf(id, f) >= n {
 			return true
@@ -260,7 +260,7 @@
 
 // otherPart reports whether a part that only other requests have had at a crash has
 // at least n crashes against it.
-func (s *Suspects) otherPart(id wick.CrashID, c *crashRecord, p wick.PendingRequest, n int) bool {
+func (s *Suspects) otherPart(id wick.EndpointStart, c *crashRecord, p wick.PendingRequest, n int) bool {
 	for _, other := range c.pending {
 		for _, f := range other.Parts {
 			if !slices.Contains(p.Parts, f) && s.crashesOf(id, f) >= n {
@@ -282,7 +282,7 @@
 		delete(s.entries, f)
 		return true
 	}
-	e.crashes, e.vouched, e.lastEvent = make(map[wick.CrashID]accusation), true, now
+	e.crashes, e.vouched, e.lastEvent = make(map[wick.EndpointStart]accusation), true, now
 	return true
 }
 
@@ -385,10 +385,10 @@
 
 // count returns the number of crashes that count against a suspect: those of one
 // repeated request count once against a part.
-func (e *suspect) count() int { return e.countWithout(func(wick.CrashID) bool { return false }) }
+func (e *suspect) count() int { return e.countWithout(func(wick.EndpointStart) bool { return false }) }
 
 // countWithout is count without the crashes that are to be left out.
-func (e *suspect) countWithout(leaveOut func(wick.CrashID) bool) int {
+func (e *suspect) countWithout(leaveOut func(wick.EndpointStart) bool) int {
 	n := 0
 	requests := make(map[wick.Fingerprint]bool)
 	for id, a := range e.crashes {
@@ -420,7 +420,7 @@
 }
 
 // crashRecord returns the record of a crash, adding it if needed.
-func (s *Suspects) crashRecord(at wick.Instant, id wick.CrashID) *crashRecord {
+func (s *Suspects) crashRecord(at wick.Instant, id wick.EndpointStart) *crashRecord {
 	c := s.crashes[id]
 	if c == nil {
 		if len(s.order) >= maxCrashes {
@@ -455,7 +455,7 @@
 		if len(s.entries) >= s.cfg.Limit {
 			s.evict()
 		}
-		e = &suspect{part: part, crashes: make(map[wick.CrashID]accusation)}
+		e = &suspect{part: part, crashes: make(map[wick.EndpointStart]accusation)}
 		s.entries[f] = e
 	}
 	return e
--- a/crash/suspects_test.go
+++ b/crash/suspects_test.go
@@ -8,8 +8,8 @@
 )
 
 // crashOf returns the id of the n-th crash in a test.
-func crashOf(n int) wick.CrashID {
-	return wick.CrashID{Endpoint: "e", Started: wick.Started(n)}
+func crashOf(n int) wick.EndpointStart {
+	return wick.EndpointStart{Endpoint: "e", Started: wick.Started(n)}
 }
 
 // report returns a report of the n-th crash, at which requests were pending.
--- a/crash/verdicts.go
+++ b/crash/verdicts.go
@@ -25,7 +25,7 @@
 	counts := make(map[wick.Fingerprint]int, len(s.entries))
 	most := 0
 	for f, e := range s.entries {
-		n := e.countWithout(func(id wick.CrashID) bool {
+		n := e.countWithout(func(id wick.EndpointStart) bool {
 			keys, ok := explained[id]
 			return ok && !slices.Contains(keys, f)
 		})
@@ -52,11 +52,11 @@
 
 // explainedCrashes returns the crashes at which a request with a proved cause was
 // pending, with the keys of the cause.
-func (s *Suspects) explainedCrashes() map[wick.CrashID][]wick.Fingerprint {
+func (s *Suspects) explainedCrashes() map[wick.EndpointStart][]wick.Fingerprint {
 	if len(s.causes) == 0 {
 		return nil
 	}
-	m := make(map[wick.CrashID][]wick.Fingerprint)
+	m := make(map[wick.EndpointStart][]wick.Fingerprint)
 	for id, c := range s.crashes {
 		for _, p := range c.pending {
 			for _, proved := range s.causes {
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -73,6 +73,7 @@
 		return t.handleSendError(ctx, to, wick.AsError(err))
 	}
 	defer rec.Body.Close()
+	t.applySignal(to, rec.Signal)
 	if rec.NotRun {
 		return t.handleNotRun(ctx, to, rec)
 	}
@@ -127,9 +128,9 @@
 	want := wick.AdapterRequest{Endpoint: to.runner.Name, Weights: t.weights, Revision: to.revision}
 	early := t.weights.Adapter != "" && now.Sub(to.ready) < earlyWindow
 	s.cfg.Log.Info("refused by endpoint", "request", t.exchange.Request, "endpoint", to.runner.Name, "status", rec.Status,
-		"weights", t.weights.String(), "version", to.revision, "ready_age_ms", now.Sub(to.ready).Milliseconds())
+		"weights", t.weights.String(), "version", to.revision, "ready_age_ms", now.Sub(to.ready).Milliseconds(), "pause_ms", rec.Signal.Pause.Std().Milliseconds())
 	switch {
-	case early:
+	case early && rec.Signal.Pause == 0:
 		want.Reason = wick.AdapterNotReady
 		s.cfg.Control.RequestAdapter(want)
 		pause.For(ctx, earlyPause)
@@ -138,6 +139,8 @@
 		want.Reason = wick.AdapterMissing
 		s.cfg.Control.RequestAdapter(want)
 		t.avoid[to.runner.Name] = true
+	case rec.Signal.Pause > 0:
+		// The endpoint is full, not failing.
 	default:
 		t.recordFailure(to)
 	}
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -34,6 +34,8 @@
 	RequestAdapter(w wick.AdapterRequest)
 	ReportCachedPrefix(k wick.CachedPrefix)
 	ReportBroken(b wick.BrokenAttempt)
+	// ReportLeaving reports an endpoint that said that it is about to end.
+	ReportLeaving(id wick.EndpointStart)
 	// ReportAnswered reports suspects in a request whose answer an endpoint began.
 	ReportAnswered(suspects []wick.Fingerprint)
 	// RequestTrial requests a trial, and EndTrial gives it up.
@@ -53,6 +55,7 @@
 	Retry    wick.SharedBudget
 	Log      *slog.Logger
 	Observer wick.GatewayObserver
+	Pauses   wick.EndpointPauses
 	// AnsweredParts records the parts of prompts that were answered.
 	AnsweredParts wick.AnsweredParts
 }
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -25,6 +25,7 @@
 	status int
 	notRun bool
 	body   string
+	signal wick.EndpointSignal
 	// cut breaks the body off; err fails the whole send.
 	cut bool
 	err error
@@ -48,7 +49,7 @@
 	if r.err != nil {
 		return nil, r.err
 	}
-	return &wick.Response{Status: r.status, NotRun: r.notRun, Body: &body{Reader: strings.NewReader(r.body), cut: r.cut}}, nil
+	return &wick.Response{Status: r.status, NotRun: r.notRun, Signal: r.signal, Body: &body{Reader: strings.NewReader(r.body), cut: r.cut}}, nil
 }
 
 // body is the body of a reply, which may break off.
@@ -89,6 +90,7 @@
 	wants    []wick.AdapterRequest
 	broken   []wick.BrokenAttempt
 	answered []wick.Fingerprint
+	leaving  []wick.EndpointStart
 	trials   []wick.TrialRequest
 	ended    []wick.TrialID
 }
@@ -110,6 +112,8 @@
 
 func (c *control) RequestTrial(r wick.TrialRequest) { c.trials = append(c.trials, r) }
 
+func (c *control) ReportLeaving(id wick.EndpointStart) { c.leaving = append(c.leaving, id) }
+
 func (c *control) EndTrial(id wick.TrialID) { c.ended = append(c.ended, id) }
 
 // clock implements wick.Clock.
@@ -156,7 +160,7 @@
 		Domain:  "d",
 		Bounds:  wick.Bounds{RevisionDeadline: wick.Duration(5 * time.Second), EntriesTTL: wick.Duration(5 * time.Second)},
 		Control: c, Sender: s, Clock: clock{time.Now()}, Retry: retry,
-		Log: slog.New(slog.DiscardHandler), Observer: fakes.GatewayObserver{}, AnsweredParts: new(tally.Parts),
+		Log: slog.New(slog.DiscardHandler), Observer: fakes.GatewayObserver{}, Pauses: new(tally.Pauses), AnsweredParts: new(tally.Parts),
 	})
 }
 
@@ -427,3 +431,63 @@
 		})
 	}
 }
+
+func TestPausedEndpoints(t *testing.T) {
+	full := func(d time.Duration) reply {
+		return reply{status: 503, notRun: true, signal: wick.EndpointSignal{Pause: wick.Duration(d)}}
+	}
+	ok := reply{status: 200, body: "answer"}
+	tests := []struct {
+		name    string
+		replies []reply
+		sends   int
+		code    wick.Code
+		// retryAfter is set if the caller is told when to come back, leaving if the
+		// endpoint is reported as leaving, and waits if the request waits.
+		retryAfter, leaving, waits bool
+	}{
+		{"one endpoint is paused", []reply{full(time.Second), ok}, 2, "", false, false, false},
+		{"both, for a moment", []reply{full(200 * time.Millisecond), full(200 * time.Millisecond), ok}, 3, "", false, false, true},
+		{"both, for longer than the request may wait", []reply{full(20 * time.Second), full(20 * time.Second)}, 2, wick.CodeNoEndpoint, true, false, false},
+		{"one is leaving and answers", []reply{{status: 200, body: "answer", signal: wick.EndpointSignal{Leaving: true}}}, 1, "", false, true, false},
+		{"one is leaving and refuses", []reply{{status: 503, notRun: true, signal: wick.EndpointSignal{Leaving: true}}, ok}, 2, "", false, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			send := &sender{replies: test.replies}
+			c := &control{view: view(route(wick.KindUnsafe, "plain", 1, false))}
+			began := time.Now()
+			err := server(t, c, send, budget(t, 1000)).Forward(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: "/x"}, &writer{})
+			took := time.Since(began)
+			var e *wick.Error
+			code := wick.Code("")
+			if errors.As(err, &e) {
+				code = e.Code
+			}
+			if len(send.sent) != test.sends || code != test.code || (e != nil && e.RetryAfter > 0) != test.retryAfter || (len(c.leaving) > 0) != test.leaving {
+				t.Errorf("%d sends, code %q, leaving %v; want %+v: %v", len(send.sent), code, c.leaving, test, err)
+			}
+			if (took > 150*time.Millisecond) != test.waits {
+				t.Errorf("took %v, waits: %v", took, test.waits)
+			}
+			if len(send.sent) == 2 && send.sent[0].Endpoint == send.sent[1].Endpoint {
+				t.Error("sent to the same endpoint again")
+			}
+		})
+	}
+}
+
+// A pause is no failure: it does not count against the endpoint later.
+func TestPauseIsNoFailure(t *testing.T) {
+	c := &control{view: view(route(wick.KindUnsafe, "plain", 1, false))}
+	refusal := reply{status: 503, notRun: true, signal: wick.EndpointSignal{Pause: wick.Duration(time.Second)}}
+	if err := server(t, c, &sender{replies: []reply{refusal, {status: 200}}}, budget(t, 1000)).Forward(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: "/x"}, &writer{}); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range c.view.Pools["plain"] {
+		if o := r.Meter.TakeOutcomes(); o.Failed > 0 {
+			t.Errorf("%s has %d failures", r.Name, o.Failed)
+		}
+	}
+}
--- a/direct/pick.go
+++ b/direct/pick.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"currantwick"
@@ -46,7 +47,11 @@
 		v, now := s.cfg.Control.View(), s.cfg.Clock.Now()
 		r := t.findEndpoint(v, now, chosen)
 		if r == nil {
-			return target{}, t.refuse(wick.CodeNoEndpoint, "no endpoint of %s can take the request", t.pool)
+			if err := t.waitForPause(ctx, v, now); err != nil {
+				return target{}, err
+			}
+			chosen = ""
+			continue
 		}
 		if late := t.lateBy(now, r.Name != chosen); late > 0 {
 			return target{}, t.refuse(wick.CodeOverload, "the answer would begin %d ms too late", late.Milliseconds())
@@ -141,10 +146,10 @@
 // picks one and updates the estimate; nil if there is none. It also updates
 // newestReady.
 func (t *task) findEndpoint(v *coord.View, now wick.Instant, chosen wick.EndpointName) *coord.Runner {
-	list := v.Pools[t.pool]
+	s, list := t.server.cfg.Pauses, v.Pools[t.pool]
 	t.newestReady = t.isNewestReady(v, now)
 	for _, r := range list {
-		if r.Name == chosen {
+		if r.Name == chosen && s.Until(now, startOf(r)) == 0 {
 			if _, holds := t.residence(v, r, now); holds || r.OrdersActive {
 				return r
 			}
@@ -154,12 +159,13 @@
 		return nil
 	}
 	cands := t.candidates(v, now, list)
-	in := t.input(v, now)
-	var i int
-	if engine := v.ServingConfig.Pools[t.pool].Engine; engine != nil {
-		i, t.estimate = choose.PickEngine(in, cands)
-	} else {
-		i = choose.PickService(in, cands)
+	paused := t.avoidPaused(now, list, cands, rand.Float64())
+	i := t.choose(v, now, cands)
+	if i < 0 && paused {
+		// An endpoint whose pause has ended is better than none.
+		cands = t.candidates(v, now, list)
+		t.avoidPaused(now, list, cands, 0)
+		i = t.choose(v, now, cands)
 	}
 	if i < 0 {
 		return nil
@@ -167,6 +173,18 @@
 	return list[i]
 }
 
+// choose returns the index of the best candidate and updates the estimate; -1 if
+// there is none.
+func (t *task) choose(v *coord.View, now wick.Instant, cands []choose.Candidate) int {
+	in := t.input(v, now)
+	if v.ServingConfig.Pools[t.pool].Engine == nil {
+		return choose.PickService(in, cands)
+	}
+	i, estimate := choose.PickEngine(in, cands)
+	t.estimate = estimate
+	return i
+}
+
 // input describes the request to package choose.
 func (t *task) input(v *coord.View, now wick.Instant) choose.Input {
 	return choose.Input{
--- a/direct/trial.go
+++ b/direct/trial.go
@@ -125,7 +125,7 @@
 	r := to.runner
 	judged := make(chan struct{})
 	t.server.cfg.Control.ReportBroken(wick.BrokenAttempt{
-		Endpoint: wick.CrashID{Endpoint: r.Name, Started: r.Started},
+		Endpoint: startOf(r),
 		Address:  r.Address,
 		Request:  wick.PendingRequest{Request: t.fingerprint, Parts: t.parts, Trial: t.onTrial()},
 		Trial:    t.trial,
--- a/direct/trial_test.go
+++ b/direct/trial_test.go
@@ -44,6 +44,8 @@
 
 func (a *arbiter) ReportAnswered([]wick.Fingerprint) { a.answered++ }
 
+func (a *arbiter) ReportLeaving(wick.EndpointStart) {}
+
 func (a *arbiter) EndTrial(wick.TrialID) { a.ended++ }
 
 func (a *arbiter) RequestTrial(r wick.TrialRequest) {
@@ -139,7 +141,7 @@
 				Pools: map[wick.PoolName][]*coord.Runner{"p": {{Runner: &wick.Runner{Name: "e", Pool: "p", Slots: 8}, Meter: tally.NewMeter()}}},
 			}}
 			send := &once{body: "answer", err: test.sendErr}
-			s := New(Config{Control: c, Sender: send, Clock: started(time.Now()), Retry: unlimited{}, Log: slog.New(slog.DiscardHandler), Observer: fakes.GatewayObserver{}, AnsweredParts: new(tally.Parts)})
+			s := New(Config{Control: c, Sender: send, Clock: started(time.Now()), Retry: unlimited{}, Log: slog.New(slog.DiscardHandler), Observer: fakes.GatewayObserver{}, Pauses: new(tally.Pauses), AnsweredParts: new(tally.Parts)})
 			err := s.Forward(t.Context(), x, sink{})
 			var e *wick.Error
 			code := wick.Code("")
--- a/exchange.go
+++ b/exchange.go
@@ -135,6 +135,7 @@
 	// Misdirected is set if another endpoint has the address now, or if the
 	// endpoint has not loaded the requested adapter or version.
 	Misdirected bool
+	Signal      EndpointSignal
 	Body        Body
 }
 
--- a/fakes/observer.go
+++ b/fakes/observer.go
@@ -47,5 +47,11 @@
 // RequestStopped implements wick.GatewayObserver.
 func (GatewayObserver) RequestStopped() {}
 
+// EndpointPaused implements wick.GatewayObserver.
+func (GatewayObserver) EndpointPaused() {}
+
+// EndpointLeaving implements wick.GatewayObserver.
+func (GatewayObserver) EndpointLeaving() {}
+
 // ShardsHeld implements wick.GatewayObserver.
 func (GatewayObserver) ShardsHeld(int) {}
--- a/fleet.go
+++ b/fleet.go
@@ -148,8 +148,10 @@
 	// Revision is the adapter revision to load.
 	Revision Revision
 	Endpoint EndpointName
-	Holder   HostName
-	Fence    Fence
+	// Started is the endpoint's start for which the order is meant. It is not sent.
+	Started Started
+	Holder  HostName
+	Fence   Fence
 	// Expected is the number of orders that the endpoint has accepted before
 	// this one.
 	Expected OrderCount
@@ -196,18 +198,21 @@
 	Loaded   []Loaded
 	Incoming []Loaded
 	// Busy is set while a base model is being loaded or unloaded.
-	Busy bool
+	Busy   bool
+	Signal EndpointSignal
 }
 
 // RunnerClient sends orders to endpoints and requests their reports.
 // Implementations are safe for concurrent use and retry nothing.
 type RunnerClient interface {
-	Order(ctx Context, to Address, order RunnerOrder) (OrderResult, error)
+	Order(ctx Context, to Address, order RunnerOrder) (OrderReply, error)
 	Inspect(ctx Context, endpoint EndpointName, at Address) (RunnerReport, error)
 	// Probe returns an error if an endpoint does not run any more since its last
 	// start. A plain service, which has no report, is only connected to: any request
 	// would be work for it.
-	Probe(ctx Context, id CrashID, at Address, engine bool) error
+	Probe(ctx Context, id EndpointStart, at Address, engine bool) error
+	// CloseIdle closes the idle connections for requests to an address.
+	CloseIdle(at Address)
 }
 
 // Topic identifies a topic of the platform's record store.
--- a/gateio/gateio.go
+++ b/gateio/gateio.go
@@ -85,8 +85,8 @@
 // Order implements wick.GatewayIO.
 func (s *IO) Order(to wick.Address, order wick.RunnerOrder) {
 	s.start(func() {
-		result, err := s.cfg.Runners.Order(s.ctx, to, order)
-		s.thread.OrderDone(order, result, err)
+		reply, err := s.cfg.Runners.Order(s.ctx, to, order)
+		s.thread.OrderDone(order, reply, err)
 	})
 }
 
@@ -99,9 +99,12 @@
 }
 
 // Probe implements wick.GatewayIO.
-func (s *IO) Probe(id wick.CrashID, at wick.Address, engine bool) {
+func (s *IO) Probe(id wick.EndpointStart, at wick.Address, engine bool) {
 	s.start(func() { s.thread.ProbeDone(id, s.cfg.Runners.Probe(s.ctx, id, at, engine)) })
 }
 
+// CloseIdle implements wick.GatewayIO.
+func (s *IO) CloseIdle(at wick.Address) { s.cfg.Runners.CloseIdle(at) }
+
 // Dial implements wick.GatewayIO.
 func (s *IO) Dial(to wick.Address) { s.hub.Dial(s.ctx, to) }
--- a/instance.go
+++ b/instance.go
@@ -119,6 +119,8 @@
 	// TrialRequests ask for trials, and EndedTrials lists those that have ended.
 	TrialRequests []TrialRequest `cbor:"8,keyasint,omitempty"`
 	EndedTrials   []TrialID      `cbor:"9,keyasint,omitempty"`
+	// Leaving are endpoints that said that they are about to end.
+	Leaving []EndpointStart `cbor:"10,keyasint,omitempty"`
 }
 
 // AdapterPlacement reports that an endpoint has an adapter, or no longer has it.
@@ -179,6 +181,8 @@
 	Evidence
 	// Trials are the trials that the holder grants to the receiver.
 	Trials []TrialID `cbor:"12,keyasint,omitempty"`
+	// Leaving is as in InstanceReport.
+	Leaving []EndpointStart `cbor:"13,keyasint,omitempty"`
 }
 
 // LinkMessage is a message between two linked daemons. Exactly one field is
@@ -230,7 +234,9 @@
 	Inspect(endpoint EndpointName, at Address)
 	// Probe checks whether an endpoint still runs since its last start; engine is set
 	// for a model engine, as opposed to a plain service.
-	Probe(id CrashID, at Address, engine bool)
+	Probe(id EndpointStart, at Address, engine bool)
+	// CloseIdle closes the idle connections for requests to an endpoint.
+	CloseIdle(at Address)
 	// Dial opens a link.
 	Dial(to Address)
 }
--- a/observer.go
+++ b/observer.go
@@ -76,6 +76,10 @@
 	// RequestStopped records that a request was stopped because it crashed
 	// endpoints.
 	RequestStopped()
+	// EndpointPaused records that an endpoint asked for a pause, and EndpointLeaving
+	// that one said that it is about to end.
+	EndpointPaused()
+	EndpointLeaving()
 	// ShardsHeld records how many shards this daemon holds.
 	ShardsHeld(n int)
 }
--- a/soak/runner_test.go
+++ b/soak/runner_test.go
@@ -25,6 +25,10 @@
 	runnerFails runnerMode = "Fails"
 	// runnerFull refuses requests.
 	runnerFull runnerMode = "Full"
+	// runnerPauses refuses requests and asks for a pause of pauseTime.
+	runnerPauses runnerMode = "Pauses"
+	// runnerLeaves says in all answers that it is about to end, and serves.
+	runnerLeaves runnerMode = "Leaves"
 	// runnerBreaks cuts answers off.
 	runnerBreaks runnerMode = "Breaks"
 	// runnerDropsAnswers executes orders and drops their answers.
@@ -43,6 +47,8 @@
 	cachedTime = 12 * time.Millisecond
 	// orderLag is how late runnerLags executes an order.
 	orderLag = 400 * time.Millisecond
+	// pauseTime is the pause that runnerPauses asks for.
+	pauseTime = 5 * time.Second
 	// eventsPerStream is the number of events of a stream.
 	eventsPerStream = 4
 )
@@ -82,6 +88,8 @@
 	slots    map[string]*slot
 	cached   map[string]bool
 	received []http.Header
+	// arrivals are the times at which requests arrived.
+	arrivals []time.Time
 }
 
 // slot is an adapter that is loading, loaded, or waiting to be unloaded.
@@ -118,6 +126,19 @@
 	return append([]http.Header(nil), r.received...)
 }
 
+// arrivalsAfter counts the requests that arrived after an instant.
+func (r *runner) arrivalsAfter(t time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, at := range r.arrivals {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
 // storeRecord returns the runner's record for the store.
 func (r *runner) storeRecord(pool wick.PoolName, at wick.Address, in wick.Domain, slots wick.Slots, state string) string {
 	r.mu.Lock()
@@ -183,7 +204,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.received = append(r.received, h.Clone())
-	if r.mode == runnerFull {
+	r.arrivals = append(r.arrivals, time.Now())
+	if r.mode == runnerFull || r.mode == runnerPauses {
 		return nil, http.StatusServiceUnavailable
 	}
 	model, name, _ := strings.Cut(h.Get("Currantwick-Model"), "/")
@@ -244,6 +266,12 @@
 	h.Set("Currantwick-Attempt-Identifier", string(id))
 	h.Set("Currantwick-Server-Seal", seal)
 	p, status := r.admit(id, req.Header)
+	switch r.currentMode() {
+	case runnerPauses:
+		h.Set("Retry-After", strconv.FormatFloat(pauseTime.Seconds(), 'f', 1, 64))
+	case runnerLeaves:
+		h.Set("Server-Leaving", "1")
+	}
 	if status != 0 {
 		h.Set("Currantwick-Not-Executed", "1")
 		w.WriteHeader(status)
--- a/stats/gateway.go
+++ b/stats/gateway.go
@@ -23,6 +23,8 @@
 	connections   prometheus.Counter
 	crashes       prometheus.Counter
 	stopped       prometheus.Counter
+	pauses        prometheus.Counter
+	leaving       prometheus.Counter
 	configVersion prometheus.Gauge
 	heldShards    prometheus.Gauge
 }
@@ -46,13 +48,15 @@
 		connections:   newCounter("connections_opened_total", "New connections to endpoints for requests."),
 		crashes:       newCounter("endpoint_crashes_total", "Crashes of endpoints under requests of this daemon."),
 		stopped:       newCounter("requests_stopped_total", "Requests stopped because they crashed endpoints."),
+		pauses:        newCounter("endpoint_pauses_total", "Pauses that endpoints asked for."),
+		leaving:       newCounter("endpoints_leaving_total", "Endpoints that said that they are about to end."),
 		configVersion: newGauge("configuration_version", "Version of the configuration in force."),
 		heldShards:    newGauge("held_shards", "Shards whose endpoints take orders from this daemon."),
 	}
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
-	registry.MustRegister(g.requests, g.firstPart, g.duration, g.adapterWait, g.attempts, g.orders, g.reports, g.store, g.retriesDenied, g.termsStarted, g.connections, g.crashes, g.stopped, g.configVersion, g.heldShards, lines)
+	registry.MustRegister(g.requests, g.firstPart, g.duration, g.adapterWait, g.attempts, g.orders, g.reports, g.store, g.retriesDenied, g.termsStarted, g.connections, g.crashes, g.stopped, g.pauses, g.leaving, g.configVersion, g.heldShards, lines)
 	return g
 }
 
@@ -119,6 +123,12 @@
 // RequestStopped implements wick.GatewayObserver.
 func (g *Gateway) RequestStopped() { g.stopped.Inc() }
 
+// EndpointPaused implements wick.GatewayObserver.
+func (g *Gateway) EndpointPaused() { g.pauses.Inc() }
+
+// EndpointLeaving implements wick.GatewayObserver.
+func (g *Gateway) EndpointLeaving() { g.leaving.Inc() }
+
 // ConfigApplied implements wick.GatewayObserver.
 func (g *Gateway) ConfigApplied(version uint64) { g.configVersion.Set(float64(version)) }
 
--- a/wick.go
+++ b/wick.go
@@ -38,9 +38,9 @@
 //
 // This package does no I/O, starts no goroutine and reads no clock, and neither
 // do the packages that decide: config, audit, lease, claim, route, place, sched,
-// evict, eject and crash for the first mode, terms, slots, facts and choose for
-// the second, and limit for both. arch_test.go checks this. All I/O is in adapter
-// packages.
+// evict and eject for the first mode, terms, slots, facts, choose and admit for the
+// second, and limit and crash for both. arch_test.go checks this. All I/O is in
+// adapter packages.
 package wick
 
 // Checker is a value that validates its own invariants. Wire types with
