Let an endpoint whose pause has just ended get some requests

Cause: at the instant of its end the share was 0, so with all endpoints paused a request could find none that may take it.

Change: the share after a pause is at least 0.05.

--- a/admit/pauses.go
+++ b/admit/pauses.go
@@ -17,6 +17,8 @@
 	// maxRamp.
 	rampShare = 0.5
 	maxRamp   = time.Second
+	// minShare is the share of requests at the end of a pause.
+	minShare = 0.05
 )
 
 // Pauses are the pauses that endpoints asked this daemon for. The zero value is
@@ -77,7 +79,7 @@
 		delete(p.byStart, id)
 		return 1
 	}
-	return float64(now.Sub(v.end)) / float64(ramp)
+	return max(float64(now.Sub(v.end))/float64(ramp), minShare)
 }
 
 // drop makes room: pauses that have ended, and otherwise the one that ends first.
--- a/coord/suspects.go
+++ b/coord/suspects.go
@@ -10,8 +10,8 @@
 )
 
 // Daemons share the evidence about requests and parts of prompts that may crash
-// endpoints: a daemon tells holders, and a holder tells all daemons linked to it. Who may try a suspect
-// is decided by one of the holders, the arbiter.
+// endpoints: a daemon tells holders, and a holder tells all daemons linked to it. Who
+// may try a suspect is decided by one of the holders, the arbiter.
 
 const (
 	// evidenceHolders is the number of holders to which a daemon reports evidence:
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -36,31 +36,6 @@
 // must be known.
 const maxSends = 3
 
-// arrivals records the times at which deadly requests reached runners.
-type arrivals struct {
-	mu sync.Mutex
-	at []time.Time
-}
-
-func (a *arrivals) add() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.at = append(a.at, time.Now())
-}
-
-// after counts the arrivals after an instant.
-func (a *arrivals) after(t time.Time) int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	n := 0
-	for _, at := range a.at {
-		if at.After(t) {
-			n++
-		}
-	}
-	return n
-}
-
 // send sends deadly requests through the daemons in turn, each without waiting for
 // the answers of the others.
 func (b *barrage) send(s *system) {
