Take a stream that ends inside an event for broken off

Callers would see: a stream that an endpoint's crash ended without a length or chunks, passed on as complete; and the request that crashed the endpoint would have counted as answered.

Cause: the end of a body without a length is that of its connection, and direct took any end for the end of the answer.

Change: a stream with status 200 that ends inside an event, or without an event if its body has neither a length nor chunks, is broken off: resumed where the route allows it, cut for the caller otherwise, and reported for the search for crashes. The key asked_pause_ms of a refusal no longer shares a name with the longest pause of a stream.

--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -208,3 +208,29 @@
 		t.Error("the connection stayed open")
 	}
 }
+
+func TestUnframed(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+		want   bool
+	}{
+		{"a length", ok, false},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", false},
+		{"neither", "HTTP/1.1 200 OK\r\n\r\nhi", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r, err := conns.New(conns.Config{}).Do(t.Context(), serve(t, answer(test.answer)), request("1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.Unframed != test.want {
+				t.Errorf("unframed: %v, want %v", r.Unframed, test.want)
+			}
+			if err := r.Close(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -70,6 +70,9 @@
 type Reply struct {
 	Status int
 	Header http.Header
+	// Unframed is set if the body has neither a length nor chunks and ends with its
+	// connection, so that its end does not show that it is complete.
+	Unframed bool
 
 	conn *conn
 	body io.ReadCloser
@@ -190,6 +193,7 @@
 		if own {
 			c.input.left = unlimited
 			r.Status, r.Header, r.closing, r.body = resp.StatusCode, resp.Header, resp.Close, resp.Body
+			r.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 			return nil
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
@@ -216,7 +220,8 @@
 	return echo == "", nil
 }
 
-// Read implements io.Reader. It returns io.EOF only after a complete body.
+// Read implements io.Reader. It returns io.EOF only after a complete body, as far as
+// that shows (see Unframed).
 func (r *Reply) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	switch {
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -128,7 +128,7 @@
 	want := wick.AdapterRequest{Endpoint: to.runner.Name, Weights: t.weights, Revision: to.revision}
 	early := t.weights.Adapter != "" && now.Sub(to.ready) < earlyWindow
 	s.cfg.Log.Info("refused by endpoint", "request", t.exchange.Request, "endpoint", to.runner.Name, "status", rec.Status,
-		"weights", t.weights.String(), "version", to.revision, "ready_age_ms", now.Sub(to.ready).Milliseconds(), "pause_ms", rec.Signal.Pause.Std().Milliseconds())
+		"weights", t.weights.String(), "version", to.revision, "ready_age_ms", now.Sub(to.ready).Milliseconds(), "asked_pause_ms", rec.Signal.Pause.Std().Milliseconds())
 	switch {
 	case early && rec.Signal.Pause == 0:
 		want.Reason = wick.AdapterNotReady
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -25,7 +25,9 @@
 	status int
 	notRun bool
 	body   string
-	signal wick.EndpointSignal
+	// unframed is set for a body whose end does not show that it is complete.
+	unframed bool
+	signal   wick.EndpointSignal
 	// cut breaks the body off; err fails the whole send.
 	cut bool
 	err error
@@ -49,7 +51,7 @@
 	if r.err != nil {
 		return nil, r.err
 	}
-	return &wick.Response{Status: r.status, NotRun: r.notRun, Signal: r.signal, Body: &body{Reader: strings.NewReader(r.body), cut: r.cut}}, nil
+	return &wick.Response{Status: r.status, NotRun: r.notRun, Unframed: r.unframed, Signal: r.signal, Body: &body{Reader: strings.NewReader(r.body), cut: r.cut}}, nil
 }
 
 // body is the body of a reply, which may break off.
@@ -491,3 +493,36 @@
 		}
 	}
 }
+
+// A stream that ends inside an event was broken off, however its end is framed, and so
+// was one without an event whose end says nothing.
+func TestStreamsThatEndEarly(t *testing.T) {
+	const event = "id: 1\ndata: x\n\n"
+	tests := []struct {
+		name     string
+		reply    reply
+		complete bool
+		// passed is what the caller got, broken is set if the break is reported.
+		passed string
+		broken bool
+	}{
+		{"whole", reply{status: 200, body: event}, true, event, false},
+		{"whole, without a length", reply{status: 200, body: event, unframed: true}, true, event, false},
+		{"inside an event", reply{status: 200, body: event + "id: 2\nda"}, false, event, true},
+		{"inside an event, without a length", reply{status: 200, body: event + "id: 2\nda", unframed: true}, false, event, true},
+		{"no event, without a length", reply{status: 200, unframed: true}, false, "", true},
+		{"no event, but with a length", reply{status: 200}, true, "", false},
+		{"an error with a body that is no stream", reply{status: 500, body: "failed"}, true, "failed", false},
+		{"an error without a length", reply{status: 500, body: "failed", unframed: true}, true, "failed", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := &control{view: view(route(wick.KindStream, "plain", 1, false))}
+			to := &writer{}
+			err := server(t, c, &sender{replies: []reply{test.reply}}, budget(t, 0)).Forward(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: "/x"}, to)
+			if (err == nil) != test.complete || to.body.String() != test.passed || (len(c.broken) > 0) != test.broken {
+				t.Errorf("passed %q, reported %v, error %v; want %q, %v, complete %v", to.body.String(), c.broken, err, test.passed, test.broken, test.complete)
+			}
+		})
+	}
+}
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -50,9 +50,21 @@
 	return complete, nil
 }
 
-// rest returns the incomplete event at the end of the stream.
+// rest returns what follows the last complete event.
 func (e *eventBuffer) rest() []byte { return e.buf }
 
+// checkEnd returns an error if a stream that ends here was broken off: inside an
+// event, or, if its end does not show that it is complete, before any event.
+func (e *eventBuffer) checkEnd(unframed, begun bool) error {
+	switch {
+	case len(e.buf) > 0:
+		return fmt.Errorf("it ended inside an event: %w", io.ErrUnexpectedEOF)
+	case unframed && !begun:
+		return fmt.Errorf("it ended without an event: %w", io.ErrUnexpectedEOF)
+	}
+	return nil
+}
+
 // lastID returns the id of the last event that has one.
 func lastID(complete []byte) (wick.EventID, bool) {
 	at := bytes.LastIndex(complete, idLine)
@@ -120,6 +132,11 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if rec.Status == http.StatusOK {
+				if eerr := in.checkEnd(rec.Unframed, from.begun); eerr != nil {
+					return t.handleStreamError(ctx, from, eerr)
+				}
+			}
 			t.answered()
 			if serr := t.startAnswer(rec); serr != nil {
 				return serr
--- a/exchange.go
+++ b/exchange.go
@@ -135,8 +135,11 @@
 	// Misdirected is set if another endpoint has the address now, or if the
 	// endpoint has not loaded the requested adapter or version.
 	Misdirected bool
-	Signal      EndpointSignal
-	Body        Body
+	// Unframed is set if the body ends with its connection, so that its end does not
+	// show that it is complete.
+	Unframed bool
+	Signal   EndpointSignal
+	Body     Body
 }
 
 // Body is the body of a response.
