Stop a part of prompts although its requests come again

Cause: callers send a deadly request again, so its second crash, on trial, proved the request; the part was then not looked at, and the crashes explained by the request no longer counted against it. And while a stopped part had many crashes, a new one with a single crash was not tried.

Change: parts are judged before the request. Crashes explained by a request stay evidence against its own parts. Crashes count once against a part only if they are all of one request. Stopped parts do not set the bar for others.

--- a/crash/suspects.go
+++ b/crash/suspects.go
@@ -19,7 +19,7 @@
 // never seen answered; a part that was (a vouched one) takes vouchedCrashes.
 //
 // Invariants: A crash counts once against a request or a part, however many
-// daemons report it, and the crashes of one repeated request count once against
+// daemons report it, and the crashes of a single repeated request count once against
 // its parts. A cause is stopped only if it was pending on trial at a crash, with
 // crashesToStop crashes against a request or partCrashesToStop against a part, and
 // if nothing else that was pending there has as many. A part that was answered before
@@ -193,25 +193,25 @@
 	}
 }
 
-// provedCause returns what caused a crash under a request on trial: the request
-// itself, or those of its parts with the most crashes against them, which can't be
-// told apart yet. Vouched parts come into question only if no other part does. It
+// provedCause returns what caused a crash under a request on trial: those of its parts
+// with the most crashes against them, which can't be told apart yet, or else the
+// request itself. Vouched parts come into question only if no other part does. It
 // returns nil if the cause is not proved.
 func (s *Suspects) provedCause(id wick.EndpointStart, c *crashRecord, p wick.PendingRequest) []wick.Fingerprint {
-	if n := s.crashesOf(id, p.Request); n >= crashesToStop && !s.otherRequest(id, c, p, n) {
-		return []wick.Fingerprint{p.Request}
-	}
 	parts := s.partsInQuestion(id, p)
 	most := 0
 	for _, f := range parts {
 		most = max(most, s.crashesOf(id, f))
 	}
-	if most < partCrashesToStop || s.otherPart(id, c, p, most) {
-		return nil
+	if most >= partCrashesToStop && !s.otherPart(id, c, p, most) {
+		keys := slices.DeleteFunc(parts, func(f wick.Fingerprint) bool { return s.crashesOf(id, f) < most })
+		slices.Sort(keys)
+		return keys
 	}
-	keys := slices.DeleteFunc(parts, func(f wick.Fingerprint) bool { return s.crashesOf(id, f) < most })
-	slices.Sort(keys)
-	return keys
+	if n := s.crashesOf(id, p.Request); n >= crashesToStop && !s.otherRequest(id, c, p, n) {
+		return []wick.Fingerprint{p.Request}
+	}
+	return nil
 }
 
 // partsInQuestion returns the parts of a request on trial that may have caused a
@@ -383,8 +383,8 @@
 	return ev
 }
 
-// count returns the number of crashes that count against a suspect: those of one
-// repeated request count once against a part.
+// count returns the number of crashes that count against a suspect. Those of a single
+// repeated request, which may be the cause itself, count once against its parts.
 func (e *suspect) count() int { return e.countWithout(func(wick.EndpointStart) bool { return false }) }
 
 // countWithout is count without the crashes that are to be left out.
@@ -392,11 +392,14 @@
 	n := 0
 	requests := make(map[wick.Fingerprint]bool)
 	for id, a := range e.crashes {
-		if !leaveOut(id) && !(e.part && requests[a.request]) {
+		if !leaveOut(id) {
 			requests[a.request] = true
 			n++
 		}
 	}
+	if e.part && len(requests) == 1 {
+		return 1
+	}
 	return n
 }
 
--- a/crash/suspects_test.go
+++ b/crash/suspects_test.go
@@ -193,11 +193,23 @@
 			s.Answered(0, commonPart)
 			s.AddCrash(0, report(4, prompt(6, commonPart, deadlyPart)))
 		}, RunAlone, Clear},
-		{"a request that is proved explains its crashes", func(s *Suspects) {
+		{"the same request three times", func(s *Suspects) {
 			s.AddCrash(0, report(1, prompt(1, deadlyPart)))
 			s.AddCrash(0, report(2, promptOnTrial(1, deadlyPart)))
 			s.AddCrash(0, report(3, promptOnTrial(1, deadlyPart)))
-		}, Clear, Clear},
+		}, RunAlone, Clear},
+		{"a request that came twice, and another", func(s *Suspects) {
+			s.AddCrash(0, report(1, prompt(1, deadlyPart)))
+			s.AddCrash(0, report(2, promptOnTrial(1, deadlyPart)))
+			s.AddCrash(0, report(3, promptOnTrial(2, deadlyPart)))
+		}, Stopped, Clear},
+		{"one crash after another part was stopped", func(s *Suspects) {
+			for n := range 5 {
+				s.AddCrash(0, report(n+10, prompt(wick.Fingerprint(n+10), besidePart)))
+			}
+			s.AddCrash(0, report(15, promptOnTrial(15, besidePart)))
+			s.AddCrash(0, report(1, prompt(1, deadlyPart)))
+		}, RunAlone, Clear},
 		{"a trial beside another part with as many crashes", func(s *Suspects) {
 			twice(s)
 			s.AddCrash(0, report(4, prompt(7, otherPart)))
--- a/crash/verdicts.go
+++ b/crash/verdicts.go
@@ -18,7 +18,8 @@
 
 // Verdicts returns the verdicts that follow from the evidence. A crash with a proved
 // cause is no evidence about what else was pending there, and parts with less than
-// half of the crashes of the most accused part are no suspects yet.
+// half of the crashes of the most accused part, among those that are not stopped, are
+// no suspects yet.
 func (s *Suspects) Verdicts() Verdicts {
 	var v Verdicts
 	explained := s.explainedCrashes()
@@ -30,7 +31,7 @@
 			return ok && !slices.Contains(keys, f)
 		})
 		counts[f] = n
-		if e.part {
+		if e.part && !s.isStopped(f) {
 			most = max(most, n)
 		}
 	}
@@ -50,8 +51,19 @@
 	return v
 }
 
+// isStopped reports whether a request or a part is stopped by itself.
+func (s *Suspects) isStopped(f wick.Fingerprint) bool {
+	for _, c := range s.causes {
+		if len(c.keys) == 1 && c.keys[0] == f {
+			return true
+		}
+	}
+	return false
+}
+
 // explainedCrashes returns the crashes at which a request with a proved cause was
-// pending, with the keys of the cause.
+// pending, with what stays accused of them: the keys of the cause, and the parts of a
+// request that is the cause, since one of them may be the cause of more.
 func (s *Suspects) explainedCrashes() map[wick.EndpointStart][]wick.Fingerprint {
 	if len(s.causes) == 0 {
 		return nil
@@ -60,8 +72,12 @@
 	for id, c := range s.crashes {
 		for _, p := range c.pending {
 			for _, proved := range s.causes {
-				if hasAll(proved.keys, p.Request, p.Parts) {
-					m[id] = append(m[id], proved.keys...)
+				if !hasAll(proved.keys, p.Request, p.Parts) {
+					continue
+				}
+				m[id] = append(m[id], proved.keys...)
+				if proved.keys[0] == p.Request {
+					m[id] = append(m[id], p.Parts...)
 				}
 			}
 		}
