Stop parts that were never answered only together, and try them again soon

Cause by reading: before any answer, a first part that all requests share is pending at more crashes than the deadly one if the reports of a frozen daemon are missing. It alone was then stopped, for ten minutes, and nothing could clear it.

Change: all parts of the request on trial that were never answered and have at least two crashes and half of the most are stopped together, so that sound requests without the deadly part pass on trial. A cause is stopped for 15 s, then tried again, and for twice as long after each proof, up to ten minutes.

--- a/coord/suspects.go
+++ b/coord/suspects.go
@@ -42,7 +42,7 @@
 	if told.Empty() && len(vouched) == 0 {
 		return
 	}
-	s.updateVerdicts()
+	s.updateVerdicts(now)
 	if s.terms.HoldsAny() {
 		told.Vouched = append(told.Vouched, vouched...)
 		s.out.evidence.Append(told)
@@ -118,9 +118,9 @@
 }
 
 // updateVerdicts publishes the verdicts and logs the causes whose verdict changed.
-func (s *state) updateVerdicts() {
+func (s *state) updateVerdicts(now wick.Instant) {
 	old := s.verdicts.Stopped()
-	s.verdicts = s.suspects.Verdicts()
+	s.verdicts = s.suspects.Verdicts(now)
 	s.dirty = true
 	for _, keys := range missing(s.verdicts.Stopped(), old) {
 		s.log.Warn("requests stopped", "keys", texts(keys), "cause", "they crashed endpoints, the last one on trial")
@@ -145,7 +145,7 @@
 // expireSuspects drops old evidence and unused trials.
 func (s *state) expireSuspects(now wick.Instant) {
 	if s.suspects.Expire(now) {
-		s.updateVerdicts()
+		s.updateVerdicts(now)
 	}
 	for id, at := range s.granted {
 		if now.Sub(at) > maxGrantAge {
--- a/crash.go
+++ b/crash.go
@@ -53,8 +53,10 @@
 	Request Fingerprint   `cbor:"2,keyasint"`
 	// Keys is the fingerprint of a request, or those of parts of prompts.
 	Keys []Fingerprint `cbor:"3,keyasint"`
-	// Age is the time since the crash.
-	Age Duration `cbor:"4,keyasint,omitempty"`
+	// Age is the time since the crash, and Stop how long after it requests are
+	// stopped.
+	Age  Duration `cbor:"4,keyasint,omitempty"`
+	Stop Duration `cbor:"5,keyasint"`
 }
 
 // Evidence is what daemons tell one another about requests and parts of prompts
--- a/crash/suspects.go
+++ b/crash/suspects.go
@@ -32,6 +32,8 @@
 	order   []wick.EndpointStart
 	// causes are the causes that were proved, by the request that was on trial.
 	causes map[trialCrash]*cause
+	// expiredAt is the time of the last call of Expire.
+	expiredAt wick.Instant
 }
 
 // trialCrash identifies a crash under a request on trial.
@@ -45,10 +47,16 @@
 type cause struct {
 	keys []wick.Fingerprint
 	at   wick.Instant
+	// stop is how long after the crash requests with the cause are stopped. Then they
+	// are suspects again, and the next proof stops them for twice as long.
+	stop time.Duration
 	// received is set if another daemon proved the cause.
 	received bool
 }
 
+// stops reports whether requests with the cause are stopped.
+func (c *cause) stops(now wick.Instant) bool { return now.Sub(c.at) < c.stop }
+
 // crashRecord is what is known of one crash.
 type crashRecord struct {
 	at      wick.Instant
@@ -91,8 +99,10 @@
 	maxPending = 256
 	// maxCauses bounds the stopped causes; the oldest give way.
 	maxCauses = 128
-	// sharedStoppedTTL is the default StoppedTTL of a Suspects. A cause is then a
-	// suspect again until its evidence is sharedSuspectTTL old.
+	// firstStop is how long a cause is stopped after its first proof, and
+	// sharedStoppedTTL, the default StoppedTTL of a Suspects, the longest time. A
+	// cause is then a suspect again until its evidence is sharedSuspectTTL old.
+	firstStop        = 15 * time.Second
 	sharedStoppedTTL = 10 * time.Minute
 	sharedSuspectTTL = 20 * time.Minute
 )
@@ -186,7 +196,7 @@
 		switch old := s.causes[key]; {
 		case old != nil && old.received:
 		case len(keys) > 0:
-			s.addCause(key, &cause{keys: keys, at: c.at})
+			s.addCause(key, &cause{keys: keys, at: c.at, stop: s.nextStop(key, keys)})
 		default:
 			delete(s.causes, key)
 		}
@@ -194,8 +204,8 @@
 }
 
 // provedCause returns what caused a crash under a request on trial: those of its parts
-// with the most crashes against them, which can't be told apart yet, or else the
-// request itself. Vouched parts come into question only if no other part does. It
+// with many crashes against them, which can't be told apart yet, or else the request
+// itself. Vouched parts come into question only if no other part does. It
 // returns nil if the cause is not proved.
 func (s *Suspects) provedCause(id wick.EndpointStart, c *crashRecord, p wick.PendingRequest) []wick.Fingerprint {
 	parts := s.partsInQuestion(id, p)
@@ -204,7 +214,10 @@
 		most = max(most, s.crashesOf(id, f))
 	}
 	if most >= partCrashesToStop && !s.otherPart(id, c, p, most) {
-		keys := slices.DeleteFunc(parts, func(f wick.Fingerprint) bool { return s.crashesOf(id, f) < most })
+		// A part that was never answered may be the cause although another one, which
+		// more requests share, has more crashes against it.
+		least := max(2, most/2)
+		keys := slices.DeleteFunc(parts, func(f wick.Fingerprint) bool { return s.crashesOf(id, f) < least })
 		slices.Sort(keys)
 		return keys
 	}
@@ -317,23 +330,37 @@
 func (s *Suspects) Stop(now wick.Instant, r wick.StoppedCause) bool {
 	at := now.Add(-max(r.Age, 0).Std())
 	key := trialCrash{r.Crash, r.Request}
-	if len(r.Keys) == 0 || now.Sub(at) >= s.cfg.StoppedTTL || s.causes[key] != nil {
+	c := &cause{keys: slices.Clone(r.Keys), at: at, stop: min(r.Stop.Std(), s.cfg.StoppedTTL), received: true}
+	if len(r.Keys) == 0 || !c.stops(now) || s.causes[key] != nil {
 		return false
 	}
-	s.addCause(key, &cause{keys: slices.Clone(r.Keys), at: at, received: true})
+	s.addCause(key, c)
 	return true
 }
 
+// nextStop returns how long a proved cause is stopped: firstStop, or twice as long as
+// after the last proof of the same cause.
+func (s *Suspects) nextStop(key trialCrash, keys []wick.Fingerprint) time.Duration {
+	stop := firstStop
+	for k, c := range s.causes {
+		if k != key && c.at < s.crashes[key.crash].at && slices.Equal(c.keys, keys) {
+			stop = max(stop, 2*c.stop)
+		}
+	}
+	return min(stop, s.cfg.StoppedTTL)
+}
+
 // Expire drops evidence that is too old, and reports whether a verdict may have
 // changed.
 func (s *Suspects) Expire(now wick.Instant) bool {
 	changed := false
 	for key, c := range s.causes {
-		if now.Sub(c.at) >= s.cfg.StoppedTTL {
+		changed = changed || c.stops(s.expiredAt) && !c.stops(now)
+		if now.Sub(c.at) >= s.cfg.SuspectTTL {
 			delete(s.causes, key)
-			changed = true
 		}
 	}
+	s.expiredAt = now
 	for f, e := range s.entries {
 		if now.Sub(e.lastEvent) >= s.cfg.SuspectTTL {
 			delete(s.entries, f)
@@ -378,7 +405,9 @@
 		}
 	}
 	for key, c := range s.causes {
-		ev.Stopped = append(ev.Stopped, wick.StoppedCause{Crash: key.crash, Request: key.request, Keys: c.keys, Age: age(c.at)})
+		if c.stops(now) {
+			ev.Stopped = append(ev.Stopped, wick.StoppedCause{Crash: key.crash, Request: key.request, Keys: c.keys, Age: age(c.at), Stop: wick.Duration(c.stop)})
+		}
 	}
 	return ev
 }
--- a/crash/verdicts.go
+++ b/crash/verdicts.go
@@ -20,7 +20,7 @@
 // cause is no evidence about what else was pending there, and parts with less than
 // half of the crashes of the most accused part, among those that are not stopped, are
 // no suspects yet.
-func (s *Suspects) Verdicts() Verdicts {
+func (s *Suspects) Verdicts(now wick.Instant) Verdicts {
 	var v Verdicts
 	explained := s.explainedCrashes()
 	counts := make(map[wick.Fingerprint]int, len(s.entries))
@@ -46,7 +46,9 @@
 		v.suspects[f] = true
 	}
 	for _, c := range s.causes {
-		v.stopped = append(v.stopped, c.keys)
+		if c.stops(now) {
+			v.stopped = append(v.stopped, c.keys)
+		}
 	}
 	return v
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -86,6 +86,7 @@
 }{
 	{"runners ignore fencing tokens", 11},
 	{"runners check fencing tokens", 12},
+	{"a first part that was never answered was stopped while a daemon was frozen", 46791},
 }
 
 // TestSoakBesideCrashes is TestSoak beside requests with a part in their prompts that
