Review: show that a late copy of a refusal runs a request twice

A server's second copy of a refusal, late, on the connection of the next sending of the same request, passes for the answer to that sending. The daemon sends the request once more and it runs twice.

--- /dev/null
+++ b/review/stand/latecopy.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Figures of the case late-copy. The rate is about that of one sheet, and the share of
+// garbled servers, the share of their answers and the length of a window are the largest
+// doses of the site files.
+const (
+	// lateWorlds is the number of deployments, which run side by side.
+	lateWorlds    = 2
+	lateDaemons   = 7
+	lateServers   = 12
+	lateAdapters  = 3000
+	lateGarbled   = 7 // Of 12 servers: at most the share of 0.6 that the site file has.
+	lateShare     = 0.03
+	lateWindow    = 5 * time.Second
+	latePause     = 200 * time.Millisecond
+	lateWindows   = 19
+	latePerSecond = 160
+)
+
+// playLateCopy plays lateWorlds deployments side by side.
+func playLateCopy(w *world) (int, error) {
+	runs := newLedger()
+	var group errgroup.Group
+	for n := range lateWorlds {
+		group.Go(func() error {
+			part := w
+			if n > 0 {
+				var err error
+				if part, err = w.another(); err != nil {
+					return err
+				}
+				defer part.end()
+			}
+			return part.playLateCopy(runs)
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return 0, fmt.Errorf("play: %w", err)
+	}
+	return runs.check(w.record), nil
+}
+
+// playLateCopy sends requests for adapters that are mostly not loaded. A server refuses
+// a request while its adapter is on the way. Servers in trouble send a second copy of an
+// answer late, where the next answer is due.
+func (w *world) playLateCopy(runs *ledger) error {
+	config, err := json.Marshal(map[string]any{
+		"version": 1,
+		"routes": []map[string]any{{
+			"name": "berth-notice", "host": "ficu95.example", names.PrefixField: "/lohu930/", "kind": "streaming", "timeoutMs": 10000, "objectiveMs": 800,
+			"gapTargetMs": 250, "priority": 0, "service": "draft-models", "attempts": 1, "resumable": false,
+		}},
+		"services": []map[string]any{{
+			"name": "draft-models", "healthPath": "/health", "connectionLimit": 620,
+			"engine": map[string]any{
+				"slots": 128, "adapterSlots": adapterSlots, "loadsPerS": 4.3, "weightsMb": 17000,
+				"models": []map[string]any{{"name": modelName, "weightsMb": 16100, "loadS": 1.3, "adapters": lateAdapters, "adapterMb": 14}},
+			},
+		}},
+		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 5000, "idleMs": 15000},
+	})
+	if err != nil {
+		return fmt.Errorf("encode configuration: %w", err)
+	}
+	w.store.put(names.ConfigTopic, -1, entry{"config", config})
+	var troubled atomic.Bool
+	onWay := new(transit)
+	onWay.serve(&w.group)
+	zones := []string{"addis-a", "addis-b", "adama"}
+	for i := range lateServers {
+		s := &server{
+			id: fmt.Sprintf("i-%08x", rand.Uint32()), addr: w.net.at(firstServer+i, portServer), zone: zones[i%3], world: w, onWay: onWay, ledger: runs,
+		}
+		if i < lateGarbled {
+			s.extraShare, s.garbling = lateShare, troubled.Load
+		}
+		if err := s.serve(&w.group); err != nil {
+			return err
+		}
+	}
+	if err := w.startDaemons(lateDaemons, w.storeAddress()); err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second) // The holders of terms begin to give orders.
+	var callers errgroup.Group
+	client := newCaller()
+	begin := time.Now()
+	total := lateWindows*(lateWindow+latePause) + latePause
+	for n := 0; time.Since(begin) < total; n++ {
+		time.Sleep(time.Until(begin.Add(time.Duration(float64(n) / latePerSecond * float64(time.Second)))))
+		at := time.Since(begin) % (lateWindow + latePause)
+		if on := w.trouble && at >= latePause; on != troubled.Load() {
+			troubled.Store(on)
+			w.record.add("second answers: %v", on)
+		}
+		to := w.net.at(firstDaemon+n%lateDaemons, portFront)
+		adapter := fmt.Sprintf("a%d", zipf(lateAdapters))
+		callers.Go(func() error {
+			r := w.send(client, call{
+				method: http.MethodPost, host: "ficu95.example", path: "/lohu930/2f", model: modelName + "/" + adapter, left: 10 * time.Second, to: to,
+				body: []byte(adapter),
+			})
+			if r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests {
+				runs.refuse(r.id, r.status)
+			}
+			return nil
+		})
+	}
+	_ = callers.Wait() // No caller returns an error.
+	time.Sleep(time.Second)
+	return nil
+}
+
+// zipf draws a rank from 1 to n; low ranks are more frequent.
+func zipf(n int) int {
+	const exponent = 0.9
+	// The inverse of the distribution function of a continuous power law.
+	u := rand.Float64()
+	top := math.Pow(float64(n+1), 1-exponent)
+	return min(int(math.Pow(1-u*(1-top), 1/(1-exponent))), n)
+}
+
+// check counts the requests that ran more than once, and those that ran although their
+// caller was told that they had not.
+func (l *ledger) check(rec *record) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	twice, refused := 0, 0
+	for id, list := range l.runs {
+		if len(list) > 1 {
+			twice++
+			rec.say("TWICE: %s ran %d times: %v", id, len(list), list)
+		}
+		if status := l.refused[id]; status != 0 {
+			refused++
+			rec.say("REFUSED: %s was answered %d and ran: %v", id, status, list)
+		}
+	}
+	rec.say("%d requests ran, %d of them more than once, %d although refused", len(l.runs), twice, refused)
+	return twice + refused
+}
--- /dev/null
+++ b/review/stand/plain.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Figures of the plain service on the sheet of the small deployments.
+const (
+	plainSlots = 6
+	plainQueue = 24
+	plainWork  = 15 * time.Millisecond
+	beatTime   = 1200 * time.Millisecond
+	// plainDown is how long a crashed server is down.
+	plainDown = 3 * time.Second
+)
+
+// plain is a stand-in for the servers of a plain service at one address. Each start has
+// an identifier of its own.
+type plain struct {
+	addr, zone, service string
+	world               *world
+	ledger              *ledger
+	// deadly reports whether a request crashes the server that begins to run it.
+	deadly func(body []byte) bool
+	// arrived is called when a deadly request begins to run.
+	arrived func(id string)
+
+	mu      sync.Mutex
+	id      string
+	born    int64
+	beat    int
+	server  *http.Server
+	running int
+}
+
+// start begins a new start of the server.
+func (p *plain) start(g *errgroup.Group) error {
+	l, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return fmt.Errorf("listen for server: %w", err)
+	}
+	p.mu.Lock()
+	p.id, p.born, p.running = fmt.Sprintf("i-%08x", rand.Uint32()), time.Now().UnixMilli(), 0
+	id, srv := p.id, &http.Server{}
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { p.handle(g, id, w, r) })
+	p.server = srv
+	p.mu.Unlock()
+	g.Go(func() error {
+		_ = srv.Serve(l) // Ends with the server.
+		return nil
+	})
+	p.publish(id)
+	g.Go(func() error {
+		for range time.Tick(beatTime) {
+			if !p.publish(id) {
+				return nil
+			}
+		}
+		return nil
+	})
+	return nil
+}
+
+// publish writes the server's record and reports whether this start still runs.
+func (p *plain) publish(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.id != id {
+		return false
+	}
+	p.beat++
+	data, err := json.Marshal(map[string]any{
+		"service": p.service, "address": p.addr, "zone": p.zone, "version": 1, "slots": plainSlots, "state": "ready", "coldRemainingMs": 0,
+		"sequence": p.beat, "born": p.born,
+	})
+	if err == nil {
+		p.world.store.put(names.ServerTopic, -1, entry{id, data})
+	}
+	return true
+}
+
+// crash ends this start and all that it runs. The server is back after plainDown; the
+// record of the old start goes after three beats without a report.
+func (p *plain) crash(g *errgroup.Group, id string) {
+	p.mu.Lock()
+	if p.id != id {
+		p.mu.Unlock()
+		return
+	}
+	p.id = ""
+	srv := p.server
+	p.mu.Unlock()
+	p.world.record.add("%s: crashes", id)
+	_ = srv.Close()
+	time.AfterFunc(3*beatTime, func() { p.world.store.put(names.ServerTopic, -1, entry{id, nil}) })
+	time.AfterFunc(plainDown, func() {
+		if err := p.start(g); err != nil {
+			p.world.record.say("server not started again: %v", err)
+		}
+	})
+}
+
+func (p *plain) handle(g *errgroup.Group, id string, w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get(names.Attempt)
+	h := w.Header()
+	h.Set(names.Attempt, attempt)
+	if want := r.Header.Get(names.Expect); want != "" && want != id {
+		h.Set(names.Instance, id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	p.mu.Lock()
+	if p.id != id {
+		p.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	if p.running >= plainSlots+plainQueue {
+		p.mu.Unlock()
+		h.Set(names.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	p.running++
+	p.mu.Unlock()
+	n := p.ledger.run(attempt, id)
+	p.world.record.add("%s: %s begins to run, run %d", id, attempt, n)
+	if p.deadly != nil && p.deadly(body) {
+		p.arrived(attempt)
+		p.crash(g, id)
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(plainWork)
+	p.mu.Lock()
+	p.running--
+	p.mu.Unlock()
+	h.Set(names.Seal, fmt.Sprintf("seal.%s.%s", id, attempt))
+	_, _ = fmt.Fprintf(w, "answer to %s", attempt) // The caller may have left.
+}
