Review: show that a request which crashes engines after its first event is never stopped

The first event of an answer clears the request as a suspect, so that each of its repeats crashes one more engine and cuts off what else runs there.

--- a/review/stand/forget.go
+++ b/review/stand/forget.go
@@ -60,6 +60,7 @@
 	runs := newLedger()
 	var mu sync.Mutex
 	var crashes []time.Time
+	lost := 0
 	zones := []string{"addis-a", "addis-b", "adama"}
 	for i := range forgetServers {
 		p := &plain{
@@ -110,10 +111,15 @@
 			time.Sleep(time.Until(begin.Add(time.Duration(n) * time.Second / forgetPerSecond)))
 			to := w.net.at(firstDaemon+n%forgetDaemons, portFront)
 			calls.Go(func() error {
-				w.send(client, call{
+				r := w.send(client, call{
 					method: http.MethodPost, host: "ficu95.example", path: "/puxa403/2f", left: 600 * time.Millisecond, to: to,
-					body: []byte(fmt.Sprintf("book berth %d", n)),
+					body: fmt.Appendf(nil, "book berth %d", n),
 				})
+				if r.status == http.StatusBadGateway {
+					mu.Lock()
+					defer mu.Unlock()
+					lost++
+				}
 				return nil
 			})
 		}
@@ -140,6 +146,7 @@
 			counted++
 		}
 	}
+	w.record.say("%d sound requests were answered 502: a server crashed while it ran them", lost)
 	w.record.say("%d retries reached servers later than %v after the third crash, %d are allowed", counted, touchTime, maxRetries)
 	return max(counted-maxRetries, 0), nil
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(*world) (int, error){
 	"late-copy": playLateCopy,
 	"forgotten": playForgotten,
+	"begun":     playBegun,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/plain.go
+++ b/review/stand/plain.go
@@ -33,6 +33,9 @@
 	deadly func(body []byte) bool
 	// arrived is called when a deadly request begins to run.
 	arrived func(id string)
+	// engine is set for a model engine, which answers with streams. It has its model and
+	// no adapters.
+	engine bool
 
 	mu      sync.Mutex
 	id      string
@@ -78,10 +81,14 @@
 		return false
 	}
 	p.beat++
-	data, err := json.Marshal(map[string]any{
+	state := map[string]any{
 		"service": p.service, "address": p.addr, "zone": p.zone, "version": 1, "slots": plainSlots, "state": "ready", "coldRemainingMs": 0,
 		"sequence": p.beat, "born": p.born,
-	})
+	}
+	if p.engine {
+		state["models"] = baseModel()
+	}
+	data, err := json.Marshal(state)
 	if err == nil {
 		p.world.store.put(names.ServerTopic, -1, entry{id, data})
 	}
@@ -118,6 +125,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	switch r.URL.Path {
+	case names.Order:
+		return // The model is there already.
+	case names.Report:
+		p.report(w)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -137,15 +151,60 @@
 	p.mu.Unlock()
 	n := p.ledger.run(attempt, id)
 	p.world.record.add("%s: %s begins to run, run %d", id, attempt, n)
-	if p.deadly != nil && p.deadly(body) {
+	isDeadly := p.deadly != nil && p.deadly(body)
+	if isDeadly {
 		p.arrived(attempt)
+	}
+	if p.engine {
+		p.stream(w, attempt, isDeadly)
+	}
+	if isDeadly {
 		p.crash(g, id)
 		panic(http.ErrAbortHandler)
 	}
-	time.Sleep(plainWork)
+	if !p.engine {
+		time.Sleep(plainWork)
+	}
 	p.mu.Lock()
 	p.running--
 	p.mu.Unlock()
+	if p.engine {
+		return
+	}
 	h.Set(names.Seal, fmt.Sprintf("seal.%s.%s", id, attempt))
 	_, _ = fmt.Fprintf(w, "answer to %s", attempt) // The caller may have left.
 }
+
+// baseModel describes what an engine without adapters holds.
+func baseModel() []map[string]any {
+	return []map[string]any{{"name": modelName, "version": 1, "adapters": []string{}}}
+}
+
+func (p *plain) report(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	// The caller may have left.
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"stage": "both", "models": baseModel(), "incoming": []string{}, "busy": false, "sequence": 0, "born": p.born,
+		"waiting": 0, "running": 0, "cacheUsed": 0, "cacheTotal": 149363, "handles": 0,
+	})
+}
+
+// stream answers with events. A deadly request gets the first one only.
+func (p *plain) stream(w http.ResponseWriter, attempt string, deadly bool) {
+	h := w.Header()
+	h.Set(names.Seal, "seal."+attempt)
+	h.Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	for i := range eventsPerRun {
+		time.Sleep(eventTime)
+		if deadly && i > 0 {
+			return
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i+1, attempt, i+1); err != nil {
+			return
+		}
+		if err := control.Flush(); err != nil {
+			return
+		}
+	}
+}
