Review: show that bodies within the configured limit exceed a daemon's memory

80 callers a daemon send bodies of 4 MiB, which the configuration allows. Each daemon holds them all until their answers end and exceeds its 284 MiB, for which the platform kills it.

--- a/review/stand/begun.go
+++ b/review/stand/begun.go
@@ -22,11 +22,9 @@
 	begunPerSecond = 60
 )
 
-// playBegun sends a request that crashes each engine after the first event of its answer,
-// again and again. It counts the retries that reach engines later than touchTime after the
-// third crash.
-func playBegun(w *world) (int, error) {
-	config, err := json.Marshal(map[string]any{
+// engineConfig is a configuration with one streaming route to engines.
+func engineConfig() ([]byte, error) {
+	data, err := json.Marshal(map[string]any{
 		"version": 1,
 		"routes": []map[string]any{{
 			"name": "berth-notice", "host": "ficu95.example", names.PrefixField: "/lohu930/", "kind": "streaming", "timeoutMs": 10000, "objectiveMs": 800,
@@ -36,13 +34,24 @@
 			"name": "draft-models", "healthPath": "/health", "connectionLimit": 620,
 			"engine": map[string]any{
 				"slots": 128, "adapterSlots": adapterSlots, "loadsPerS": 4.3, "weightsMb": 17000,
-				"models": []map[string]any{{"name": modelName, "weightsMb": 16100, "loadS": 1.3, "adapters": 3000, "adapterMb": 14}},
+				"models": []map[string]any{{"name": modelName, "weightsMb": 16100, "loadS": 1.3, "adapters": modelAdapters, "adapterMb": 14}},
 			},
 		}},
 		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 5000, "idleMs": 15000},
 	})
 	if err != nil {
-		return 0, fmt.Errorf("encode configuration: %w", err)
+		return nil, fmt.Errorf("encode configuration: %w", err)
+	}
+	return data, nil
+}
+
+// playBegun sends a request that crashes each engine after the first event of its answer,
+// again and again. It counts the retries that reach engines later than touchTime after the
+// third crash.
+func playBegun(w *world) (int, error) {
+	config, err := engineConfig()
+	if err != nil {
+		return 0, err
 	}
 	w.store.put(names.ConfigTopic, -1, entry{"config", config})
 	const deadlyBody = "draft the notice of berth 17"
@@ -54,6 +63,7 @@
 	for i := range begunServers {
 		p := &plain{
 			addr: w.net.at(firstServer+i, portServer), zone: zones[i%3], service: "draft-models", world: w, ledger: runs, engine: true,
+			events: eventsPerRun, pace: eventTime,
 			deadly: func(body []byte) bool { return w.trouble && string(body) == deadlyBody },
 			arrived: func(id string) {
 				mu.Lock()
--- a/review/stand/latecopy.go
+++ b/review/stand/latecopy.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -20,7 +19,6 @@
 	lateWorlds    = 2
 	lateDaemons   = 7
 	lateServers   = 12
-	lateAdapters  = 3000
 	lateGarbled   = 7 // Of 12 servers: at most the share of 0.6 that the site file has.
 	lateShare     = 0.03
 	lateWindow    = 5 * time.Second
@@ -56,23 +54,9 @@
 // a request while its adapter is on the way. Servers in trouble send a second copy of an
 // answer late, where the next answer is due.
 func (w *world) playLateCopy(runs *ledger) error {
-	config, err := json.Marshal(map[string]any{
-		"version": 1,
-		"routes": []map[string]any{{
-			"name": "berth-notice", "host": "ficu95.example", names.PrefixField: "/lohu930/", "kind": "streaming", "timeoutMs": 10000, "objectiveMs": 800,
-			"gapTargetMs": 250, "priority": 0, "service": "draft-models", "attempts": 1, "resumable": false,
-		}},
-		"services": []map[string]any{{
-			"name": "draft-models", "healthPath": "/health", "connectionLimit": 620,
-			"engine": map[string]any{
-				"slots": 128, "adapterSlots": adapterSlots, "loadsPerS": 4.3, "weightsMb": 17000,
-				"models": []map[string]any{{"name": modelName, "weightsMb": 16100, "loadS": 1.3, "adapters": lateAdapters, "adapterMb": 14}},
-			},
-		}},
-		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 5000, "idleMs": 15000},
-	})
+	config, err := engineConfig()
 	if err != nil {
-		return fmt.Errorf("encode configuration: %w", err)
+		return err
 	}
 	w.store.put(names.ConfigTopic, -1, entry{"config", config})
 	var troubled atomic.Bool
@@ -106,7 +90,7 @@
 			w.record.add("second answers: %v", on)
 		}
 		to := w.net.at(firstDaemon+n%lateDaemons, portFront)
-		adapter := fmt.Sprintf("a%d", zipf(lateAdapters))
+		adapter := fmt.Sprintf("a%d", zipf(modelAdapters))
 		callers.Go(func() error {
 			r := w.send(client, call{
 				method: http.MethodPost, host: "ficu95.example", path: "/lohu930/2f", model: modelName + "/" + adapter, left: 10 * time.Second, to: to,
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -26,6 +26,7 @@
 	"late-copy": playLateCopy,
 	"forgotten": playForgotten,
 	"begun":     playBegun,
+	"large":     playLarge,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/plain.go
+++ b/review/stand/plain.go
@@ -36,6 +36,11 @@
 	// engine is set for a model engine, which answers with streams. It has its model and
 	// no adapters.
 	engine bool
+	// events and pace are the number of events of an answer and the time of each.
+	events int
+	pace   time.Duration
+	// slots is the number of requests that run at once; plainSlots if 0.
+	slots int
 
 	mu      sync.Mutex
 	id      string
@@ -73,6 +78,13 @@
 	return nil
 }
 
+func (p *plain) slotCount() int {
+	if p.slots > 0 {
+		return p.slots
+	}
+	return plainSlots
+}
+
 // publish writes the server's record and reports whether this start still runs.
 func (p *plain) publish(id string) bool {
 	p.mu.Lock()
@@ -82,7 +94,7 @@
 	}
 	p.beat++
 	state := map[string]any{
-		"service": p.service, "address": p.addr, "zone": p.zone, "version": 1, "slots": plainSlots, "state": "ready", "coldRemainingMs": 0,
+		"service": p.service, "address": p.addr, "zone": p.zone, "version": 1, "slots": p.slotCount(), "state": "ready", "coldRemainingMs": 0,
 		"sequence": p.beat, "born": p.born,
 	}
 	if p.engine {
@@ -141,7 +153,7 @@
 		p.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
-	if p.running >= plainSlots+plainQueue {
+	if p.running >= p.slotCount()+plainQueue {
 		p.mu.Unlock()
 		h.Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -195,8 +207,8 @@
 	h.Set(names.Seal, "seal."+attempt)
 	h.Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
-	for i := range eventsPerRun {
-		time.Sleep(eventTime)
+	for i := range p.events {
+		time.Sleep(p.pace)
 		if deadly && i > 0 {
 			return
 		}
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -27,6 +27,7 @@
 	eventTime      = 20 * time.Millisecond
 	eventsPerRun   = 8
 	modelName      = "daka510000"
+	modelAdapters  = 3000
 )
 
 // transit is the weight store: it shares its throughput among the adapters that are on
