Review: show that orders overfill engines whose memory holds fewer adapters than slots

The configuration's weightsMb and adapterMb are never read. With adapters of 40 MB an engine of the sheet holds 15 and has 17 slots; the order for the 16th crashes it.

--- a/review/stand/begun.go
+++ b/review/stand/begun.go
@@ -22,8 +22,9 @@
 	begunPerSecond = 60
 )
 
-// engineConfig is a configuration with one streaming route to engines.
-func engineConfig() ([]byte, error) {
+// engineConfig is a configuration with one streaming route to engines whose adapters have
+// the given size.
+func engineConfig(adapterMb int) ([]byte, error) {
 	data, err := json.Marshal(map[string]any{
 		"version": 1,
 		"routes": []map[string]any{{
@@ -33,8 +34,8 @@
 		"services": []map[string]any{{
 			"name": "draft-models", "healthPath": "/health", "connectionLimit": 620,
 			"engine": map[string]any{
-				"slots": 128, "adapterSlots": adapterSlots, "loadsPerS": 4.3, "weightsMb": 17000,
-				"models": []map[string]any{{"name": modelName, "weightsMb": 16100, "loadS": 1.3, "adapters": modelAdapters, "adapterMb": 14}},
+				"slots": 128, "adapterSlots": adapterSlots, "loadsPerS": 4.3, "weightsMb": engineWeights,
+				"models": []map[string]any{{"name": modelName, "weightsMb": modelWeights, "loadS": 1.3, "adapters": modelAdapters, "adapterMb": adapterMb}},
 			},
 		}},
 		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 5000, "idleMs": 15000},
@@ -49,7 +50,7 @@
 // again and again. It counts the retries that reach engines later than touchTime after the
 // third crash.
 func playBegun(w *world) (int, error) {
-	config, err := engineConfig()
+	config, err := engineConfig(adapterWeight)
 	if err != nil {
 		return 0, err
 	}
--- a/review/stand/large.go
+++ b/review/stand/large.go
@@ -77,7 +77,7 @@
 // a channel that has carried a request. The platform kills a daemon whose memory exceeds
 // its limit.
 func playLarge(w *world) (int, error) {
-	config, err := engineConfig()
+	config, err := engineConfig(adapterWeight)
 	if err != nil {
 		return 0, err
 	}
--- a/review/stand/latecopy.go
+++ b/review/stand/latecopy.go
@@ -54,7 +54,7 @@
 // a request while its adapter is on the way. Servers in trouble send a second copy of an
 // answer late, where the next answer is due.
 func (w *world) playLateCopy(runs *ledger) error {
-	config, err := engineConfig()
+	config, err := engineConfig(adapterWeight)
 	if err != nil {
 		return err
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -27,6 +27,7 @@
 	"forgotten": playForgotten,
 	"begun":     playBegun,
 	"large":     playLarge,
+	"weights":   playWeights,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -28,6 +28,10 @@
 	eventsPerRun   = 8
 	modelName      = "daka510000"
 	modelAdapters  = 3000
+	// Sizes in MB: what an engine holds, its model, and an adapter of it.
+	engineWeights = 16700
+	modelWeights  = 16100
+	adapterWeight = 14
 )
 
 // transit is the weight store: it shares its throughput among the adapters that are on
@@ -104,7 +108,16 @@
 	extraShare float64
 	garbling   func() bool
 
+	// adapterMb is the size of an adapter; adapterWeight if 0.
+	adapterMb int
+	// overfilled is called when an order asks for more than the engine holds, before the
+	// engine crashes.
+	overfilled func()
+
+	listener net.Listener
 	mu       sync.Mutex
+	conns    []net.Conn
+	crashed  bool
 	sequence int
 	fence    int64
 	adapters map[string]*loaded
@@ -144,7 +157,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for server: %w", err)
 	}
-	s.born = time.Now().UnixMilli()
+	s.listener, s.born = l, time.Now().UnixMilli()
 	s.adapters, s.hot = make(map[string]*loaded), make(map[string]bool)
 	s.publish()
 	g.Go(func() error {
@@ -153,6 +166,9 @@
 			if err != nil {
 				return nil
 			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
 			g.Go(func() error {
 				s.serveConn(c)
 				return nil
@@ -170,6 +186,10 @@
 
 func (s *server) publish() {
 	s.mu.Lock()
+	if s.crashed {
+		s.mu.Unlock()
+		return
+	}
 	s.beat++
 	data, err := json.Marshal(map[string]any{
 		"service": "draft-models", "address": s.addr, "zone": s.zone, "version": 1, "slots": 128, "state": "ready",
@@ -181,6 +201,18 @@
 	}
 }
 
+// crash ends the engine for good and all that it runs. Its record goes after three beats
+// without a report. The caller holds the lock.
+func (s *server) crash() {
+	s.crashed = true
+	s.world.record.add("%s: crashes", s.id)
+	_ = s.listener.Close()
+	for _, c := range s.conns {
+		_ = c.Close()
+	}
+	time.AfterFunc(3*beatTime, func() { s.world.store.put(names.ServerTopic, -1, entry{s.id, nil}) })
+}
+
 // models describes what is loaded. The caller holds the lock.
 func (s *server) models() []map[string]any {
 	list := []string{}
@@ -341,7 +373,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case o.Holder == "" || fence == 0 || o.Model != modelName:
+	case s.crashed || o.Holder == "" || fence == 0 || o.Model != modelName:
 		return http.StatusBadRequest
 	case fence < s.fence:
 		return http.StatusPreconditionFailed
@@ -374,8 +406,16 @@
 	if incoming >= adaptersOnWay {
 		return http.StatusConflict
 	}
-	if len(s.adapters) >= adapterSlots {
-		s.world.record.say("%s: ordered to load more than its slots hold", s.id)
+	size := s.adapterMb
+	if size == 0 {
+		size = adapterWeight
+	}
+	if total := modelWeights + (len(s.adapters)+1)*size; len(s.adapters) >= adapterSlots || total > engineWeights {
+		s.world.record.say("%s: ordered to load %s: %d adapters and %d MB in all; it holds %d and %d", s.id, name, len(s.adapters)+1, total, adapterSlots, engineWeights)
+		if s.overfilled != nil {
+			s.overfilled()
+		}
+		s.crash()
 		return http.StatusBadRequest
 	}
 	s.sequence++
