--- a/review/stand/latecopy.go
+++ b/review/stand/latecopy.go
@@ -16,7 +16,7 @@
 // doses of the site files.
 const (
 	// lateWorlds is the number of deployments, which run side by side.
-	lateWorlds    = 2
+	lateWorlds    = 3
 	lateDaemons   = 7
 	lateServers   = 12
 	lateGarbled   = 7 // Of 12 servers: at most the share of 0.6 that the site file has.
