Review: show that silent streams are cut while their daemon stops

The daemon breaks a silent stream off before it knows whether its retry budget allows another attempt, and ends the caller's answer if not.

--- a/review/stand/begun.go
+++ b/review/stand/begun.go
@@ -22,7 +22,7 @@
 	begunPerSecond = 60
 )
 
-// engineConfig is a configuration with one streaming route to engines whose adapters have
+// engineConfig is a configuration with two streaming routes to engines whose adapters have
 // the given size.
 func engineConfig(adapterMb int) ([]byte, error) {
 	data, err := json.Marshal(map[string]any{
@@ -30,6 +30,9 @@
 		"routes": []map[string]any{{
 			"name": "berth-notice", "host": "ficu95.example", names.PrefixField: "/lohu930/", "kind": "streaming", "timeoutMs": 10000, "objectiveMs": 800,
 			"gapTargetMs": 250, "priority": 0, "service": "draft-models", "attempts": 1, "resumable": false,
+		}, {
+			"name": "delay-notice", "host": "ficu95.example", names.PrefixField: "/pufi791/", "kind": "streaming", "timeoutMs": 15000, "objectiveMs": 1000,
+			"gapTargetMs": 250, "priority": 0, "service": "draft-models", "attempts": 2, "resumable": true,
 		}},
 		"services": []map[string]any{{
 			"name": "draft-models", "healthPath": "/health", "connectionLimit": 620,
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -28,6 +28,7 @@
 	"begun":     playBegun,
 	"large":     playLarge,
 	"weights":   playWeights,
+	"silence":   playSilence,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/plain.go
+++ b/review/stand/plain.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,6 +40,9 @@
 	// events and pace are the number of events of an answer and the time of each.
 	events int
 	pace   time.Duration
+	// pause is how long an answer stays silent after its third event, as if its request
+	// had been preempted; 0 for none.
+	pause time.Duration
 	// slots is the number of requests that run at once; plainSlots if 0.
 	slots int
 
@@ -168,7 +172,7 @@
 		p.arrived(attempt)
 	}
 	if p.engine {
-		p.stream(w, attempt, isDeadly)
+		p.stream(w, r, attempt, isDeadly)
 	}
 	if isDeadly {
 		p.crash(g, id)
@@ -201,14 +205,26 @@
 	})
 }
 
-// stream answers with events. A deadly request gets the first one only.
-func (p *plain) stream(w http.ResponseWriter, attempt string, deadly bool) {
+// stream answers with the events after the last one that the caller has. A deadly request
+// gets the first one only.
+func (p *plain) stream(w http.ResponseWriter, r *http.Request, attempt string, deadly bool) {
+	const pauseAfter = 3
 	h := w.Header()
 	h.Set(names.Seal, "seal."+attempt)
 	h.Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
-	for i := range p.events {
-		time.Sleep(p.pace)
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // Without it, from the first event on.
+	for i := last; i < p.events; i++ {
+		wait := p.pace
+		if i == pauseAfter && last == 0 {
+			wait += p.pause
+		}
+		select {
+		case <-time.After(wait):
+		case <-r.Context().Done():
+			p.world.record.add("%s: dropped after %d events, its channel is closed", attempt, i)
+			return
+		}
 		if deadly && i > 0 {
 			return
 		}
