--- a/review/old_forgotten/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/usr/bin/env bash
-# Plays the case; TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")/../.." || exit 2
-exec target/stand -record review/3/record.txt forgotten
--- a/review/stand/begun.go
+++ b/review/stand/begun.go
@@ -20,6 +20,10 @@
 	begunCalls = 10
 	// begunPerSecond is the rate of the sound requests.
 	begunPerSecond = 60
+	// touchTime is the time after which a machine, or the count of retries, is judged.
+	touchTime = 3 * time.Second
+	// maxRetries is the number of retries that may reach servers.
+	maxRetries = 3
 )
 
 // engineConfig is a configuration with two streaming routes to engines whose adapters have
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,7 +24,7 @@
 // cases maps the name of a case to what plays it, which returns the number of breaks.
 var cases = map[string]func(*world) (int, error){
 	"late-copy": playLateCopy,
-	"forgotten": playForgotten,
+	"stops":     playStops,
 	"begun":     playBegun,
 	"large":     playLarge,
 	"weights":   playWeights,
