--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,7 +24,6 @@
 // cases maps the name of a case to what plays it, which returns the number of breaks.
 var cases = map[string]func(*world) (int, error){
 	"late-copy": playLateCopy,
-	"stops":     playStops,
 	"begun":     playBegun,
 	"large":     playLarge,
 	"weights":   playWeights,
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -103,8 +102,8 @@
 	world  *world
 	onWay  *transit
 	ledger *ledger
-	// extraShare is the share of answers after which a second copy follows late, while
-	// garbling returns true.
+	// extraShare is the largest share of answers after which a second copy follows late,
+	// while garbling returns true. The copies are those of refusals.
 	extraShare float64
 	garbling   func() bool
 
@@ -118,11 +117,13 @@
 	mu       sync.Mutex
 	conns    []net.Conn
 	crashed  bool
-	sequence int
-	fence    int64
-	adapters map[string]*loaded
-	hot      map[string]bool
-	beat     int
+	// answers and copies count what the server has answered and what of it twice.
+	answers, copies int
+	sequence        int
+	fence           int64
+	adapters        map[string]*loaded
+	hot             map[string]bool
+	beat            int
 }
 
 // ledger counts the runs of each request.
@@ -266,6 +267,9 @@
 			late = nil
 		}
 		id := req.Header.Get(names.Attempt)
+		s.mu.Lock()
+		s.answers++
+		s.mu.Unlock()
 		var out answer
 		switch {
 		case req.Header.Get(names.Expect) != "" && req.Header.Get(names.Expect) != s.id:
@@ -289,13 +293,24 @@
 		if _, err := c.Write(data); err != nil {
 			return
 		}
-		if s.garbling != nil && s.garbling() && rand.Float64() < s.extraShare {
+		if out.status == http.StatusServiceUnavailable && s.doubles() {
 			late = data
 			s.world.record.add("%s: a second copy of answer %d to %s is kept", s.id, out.status, id)
 		}
 	}
 }
 
+// doubles reports whether a second copy follows this answer, and counts it.
+func (s *server) doubles() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.garbling == nil || !s.garbling() || float64(s.copies+1) > s.extraShare*float64(s.answers) {
+		return false
+	}
+	s.copies++
+	return true
+}
+
 // admit begins a run, or returns the status with which the request is refused.
 func (s *server) admit(id string, req *http.Request) (*loaded, int) {
 	s.mu.Lock()
