conns: carry no request twice on a connection

Callers saw a command run twice, and now and then a 503 for a command that had run. An endpoint sent a late second copy of a refusal where the answer to the next sending of the same request was due. The identifier of the request was the same, so the copy passed for a second refusal and the request was sent a third time while the second sending ran.

Cause: a pooled connection accepted answers by the identifier alone, also on a connection that had carried an earlier sending of the same request.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -29,6 +29,9 @@
 	lastUsed, expiresAt time.Time
 	// reused is set once the connection has carried an exchange.
 	reused bool
+	// carried has the identifiers of all exchanges that the connection has carried.
+	// No identifier is carried twice.
+	carried carried
 }
 
 func newConn(p *Pool, addr wick.Address, nc net.Conn) (*conn, error) {
@@ -86,8 +89,13 @@
 // be done about it.
 func (c *conn) close() { c.net.Close() }
 
-// release returns a connection to the pool after a complete response.
+// release returns a connection to the pool after a complete response, or closes it if
+// it can't remember more identifiers.
 func (c *conn) release(idle time.Duration) {
+	if c.carried.full() {
+		c.close()
+		return
+	}
 	now := time.Now()
 	c.lastUsed, c.expiresAt, c.reused = now, now.Add(idle), true
 	c.pool.put(c)
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -1,5 +1,5 @@
 // Package conns performs HTTP/1.1 exchanges over pooled TCP connections. A
-// connection carries one exchange at a time. Requests are never retried: an
+// connection carries one exchange at a time, and no request twice. Requests are never retried: an
 // error reports whether a byte was written, and the caller decides on retries.
 package conns
 
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -92,32 +93,35 @@
 	return nil
 }
 
-// takeIdle returns an idle connection that was used less than maxIdle ago and is
-// still open, or nil if there is none.
-func (p *Pool) takeIdle(addr wick.Address, maxIdle time.Duration) *conn {
+// takeIdle returns an idle connection for a request that was used less than the
+// request's MaxIdle ago and is still open, or nil if there is none.
+func (p *Pool) takeIdle(addr wick.Address, req *Request) *conn {
 	now := time.Now()
 	for {
-		c := p.pop(addr)
+		c := p.pop(addr, req.Echo)
 		if c == nil {
 			return nil
 		}
-		if now.Before(c.expiresAt) && now.Sub(c.lastUsed) < maxIdle && c.isIdle() {
+		if now.Before(c.expiresAt) && now.Sub(c.lastUsed) < req.MaxIdle && c.isIdle() {
 			return c
 		}
 		c.close()
 	}
 }
 
-func (p *Pool) pop(addr wick.Address) *conn {
+// pop removes and returns the connection that was used last, of those that have not
+// carried the identifier echo; nil if there is none.
+func (p *Pool) pop(addr wick.Address, echo wick.HeaderField) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if echo.Name == "" || !c.carried.has(echo.Value) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put adds an idle connection, or closes it if there are enough.
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -40,7 +40,8 @@
 	Header               []wick.HeaderField
 	Body                 []byte
 	// Echo is a header field that the response echoes, which identifies late
-	// responses to earlier requests; empty if there is none.
+	// responses to earlier requests; empty if there is none. A connection that has
+	// carried a request with the same value is not reused for this one.
 	Echo wick.HeaderField
 	// MayLackEcho is set if the remote end may leave the echoed field out.
 	MayLackEcho bool
@@ -89,13 +90,16 @@
 // Do sends a request and reads the header of the response. Canceling ctx closes
 // the connection, also while the body is read. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, addr wick.Address, req *Request) (*Reply, error) {
-	c := p.takeIdle(addr, req.MaxIdle)
+	c := p.takeIdle(addr, req)
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, addr); err != nil {
 			return nil, &Error{Err: err}
 		}
 	}
+	if req.Echo.Name != "" {
+		c.carried.add(req.Echo.Value)
+	}
 	r := &Reply{conn: c, stop: context.AfterFunc(ctx, c.close)}
 	wrote, err := r.write(req)
 	if err == nil {
