conns: no answer without identifier where the connection had one

A connection for orders and reports takes answers without the echoed identifier, as the platform's endpoints send them there. It did so too where the endpoint had echoed identifiers before, so that a copy without one passed for the answer to the next call. Such an answer now fails the call.

The new row of TestLateCopies failed before: 'got "hi"'.

Ruled out: a new connection for each call whose answer has no identifier.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -29,6 +29,8 @@
 	lastUsed, expiresAt time.Time
 	// reused is set once the connection has carried an exchange.
 	reused bool
+	// echoed is set once a response had the echoed field.
+	echoed bool
 	// carried has the identifiers of all exchanges that the connection has carried.
 	// No identifier is carried twice.
 	carried carried
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -43,7 +43,8 @@
 	// responses to earlier requests; empty if there is none. A connection that has
 	// carried a request with the same value is not reused for this one.
 	Echo wick.HeaderField
-	// MayLackEcho is set if the remote end may leave the echoed field out.
+	// MayLackEcho is set if the remote end may leave the echoed field out, of all
+	// responses on a connection.
 	MayLackEcho bool
 	// MaxIdle is the maximum time for which a reused connection may have been
 	// idle.
@@ -215,13 +216,14 @@
 		return true, nil
 	}
 	echo := resp.Header.Get(req.Echo.Name)
-	switch {
-	case echo == req.Echo.Value || echo == "" && !c.reused:
-		return true, nil
-	case echo == "" && !req.MayLackEcho:
+	if echo != "" {
+		c.echoed = true
+		return echo == req.Echo.Value, nil
+	}
+	if c.reused && (c.echoed || !req.MayLackEcho) {
 		return false, fmt.Errorf("read answer: no %s on a reused connection", req.Echo.Name)
 	}
-	return echo == "", nil
+	return true, nil
 }
 
 // Read implements io.Reader. It returns io.EOF only after a complete body, as far as
--- a/conns/hostile_test.go
+++ b/conns/hostile_test.go
@@ -114,7 +114,8 @@
 		{"with another id", []string{copied("Id: 7\r\n")}, false, false},
 		{"without an id", []string{copied("")}, false, true},
 		{"in two parts", []string{ok[:20], ok[20:]}, false, false},
-		{"without an id where none is needed", []string{copied("Id: 1\r\n")}, true, false},
+		{"with an id where none is needed", []string{copied("Id: 1\r\n")}, true, false},
+		{"without an id where none is needed, after one with an id", []string{copied("")}, true, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
