slots: count megabytes of models and adapters, not only slots

Callers lost their streams when engines crashed: a holder ordered the 16th adapter of an engine that holds 15. Nothing read the sizes in the configuration, so the ledger compared with the slots alone, and a second model would have overfilled an engine in the same way.

The sizes are decoded and checked. One ledger counts slots and megabytes of all that an engine may hold (loaded, on its way, in doubt, being unloaded or replaced, models too) and is asked by orders, by evictions and for the free room. Nothing is unloaded in vain. What no engine can ever hold is refused at once with a time to come back; before, such a request waited for a load. The warning about adapters that wait has the memory beside the slots.

Ruled out: turning the memory into a number of slots, which is wrong with several models.

--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -121,7 +121,7 @@
 	t.Helper()
 	const name = wick.EndpointName("e")
 	config := &wick.ServingConfig{Version: 1, Pools: map[wick.PoolName]wick.PoolConfig{
-		"p": {Name: "p", Engine: &wick.PoolEngine{AdapterSlots: 2, Models: []wick.ModelName{"m"}}},
+		"p": {Name: "p", Engine: &wick.PoolEngine{AdapterSlots: 2, Models: []wick.ModelConfig{{Name: "m"}}}},
 	}}
 	w.read(0, wick.TopicConfig, record(t, 0, "site", wick.Fact{ServingConfig: config}))
 	w.read(0, wick.TopicRunners, record(t, 0, string(name), wick.Fact{Runner: &wick.Runner{
--- a/coord/loads.go
+++ b/coord/loads.go
@@ -125,5 +125,5 @@
 	e.slotWaitLogged = now
 	s.log.Warn("adapters wait for slots", "endpoint", e.info.Name, "oldest_ms", c.Oldest.Milliseconds(), "wants", c.Requested, "slots", c.Slots,
 		"in_use", c.InUse, "incoming", c.Incoming, "leaving", c.Unloading, "unsure", c.Unsure, "replaced", c.Replaced,
-		"synced", c.Synced, "busy", c.Busy, "running", e.total.Running)
+		"memory_mb", c.Memory, "memory_taken_mb", c.Taken, "synced", c.Synced, "busy", c.Busy, "running", e.total.Running)
 }
--- a/coord/orders.go
+++ b/coord/orders.go
@@ -75,20 +75,13 @@
 	}
 	l := s.ledgers[e.info.Name]
 	if l == nil {
-		l = slots.New(engine.AdapterSlots, firstModel(engine), e.recent)
+		l = slots.New(slots.Config{Engine: engine, Recent: e.recent})
 		s.ledgers[e.info.Name] = l
 	}
-	l.SetCapacity(engine.AdapterSlots)
+	l.SetEngine(engine)
 	return l
 }
 
-func firstModel(e *wick.PoolEngine) wick.ModelName {
-	if len(e.Models) == 0 {
-		return ""
-	}
-	return e.Models[0]
-}
-
 // modelPause returns the time between two loads of base models by one holder, so
 // that all holders together stay within the rate of the weight store.
 func (s *state) modelPause(e *endpoint) time.Duration {
--- a/direct/paused.go
+++ b/direct/paused.go
@@ -54,11 +54,19 @@
 // is paused.
 func (t *task) waitForPause(ctx context.Context, v *coord.View, now wick.Instant) error {
 	var first wick.Instant
+	fits := false
 	for _, r := range v.Pools[t.pool] {
+		if !t.canServe(v, r, now) {
+			continue
+		}
+		fits = true
 		if end := t.server.cfg.Pauses.Until(now, startOf(r)); end > 0 && !t.avoid[r.Name] && (first == 0 || end < first) {
 			first = end
 		}
 	}
+	if !fits && len(v.Pools[t.pool]) > 0 {
+		return t.refuse(wick.CodeNoEndpoint, "no endpoint of %s has room for %v", t.pool, t.weights)
+	}
 	if first == 0 {
 		return t.refuse(wick.CodeNoEndpoint, "no endpoint of %s can take the request", t.pool)
 	}
--- a/direct/pick.go
+++ b/direct/pick.go
@@ -142,6 +142,28 @@
 	return res, !t.newestReady && now.Sub(newest.ReceivedAt) <= t.server.cfg.Bounds.RevisionDeadline.Std()/3
 }
 
+// canHold reports whether an endpoint can hold the request's adapter and model beside
+// the models that it has loaded.
+func (t *task) canHold(v *coord.View, r *coord.Runner) bool {
+	e := v.ServingConfig.Pools[t.pool].Engine
+	if e == nil {
+		return true
+	}
+	return e.CanHold(func(yield func(wick.ModelName) bool) {
+		for _, m := range e.Models {
+			if _, loaded := r.Adapters[wick.Weights{Model: m.Name}]; loaded && !yield(m.Name) {
+				return
+			}
+		}
+	}, t.weights)
+}
+
+// canServe reports whether an endpoint has the request's adapter or can hold it.
+func (t *task) canServe(v *coord.View, r *coord.Runner, now wick.Instant) bool {
+	_, holds := t.residence(v, r, now)
+	return holds || t.canHold(v, r)
+}
+
 // findEndpoint returns the endpoint chosen before if it is still usable, or else
 // picks one and updates the estimate; nil if there is none. It also updates
 // newestReady.
@@ -150,7 +172,7 @@
 	t.newestReady = t.isNewestReady(v, now)
 	for _, r := range list {
 		if r.Name == chosen && s.Until(now, startOf(r)) == 0 {
-			if _, holds := t.residence(v, r, now); holds || r.OrdersActive {
+			if _, holds := t.residence(v, r, now); holds || r.OrdersActive && t.canHold(v, r) {
 				return r
 			}
 		}
@@ -216,7 +238,7 @@
 			CachedTokens:    r.Meter.CachedTokens(t.sharedPrefixes),
 			Lag:             max(m.Lag, r.OtherLoad.Lag.Std()),
 			FailedShare:     max(m.FailedShare, r.OtherLoad.FailedShare),
-			Avoid:           t.avoid[r.Name],
+			Avoid:           t.avoid[r.Name] || !holds && !t.canHold(v, r),
 			HasAdapter:      holds,
 			ReadyIn:         res.Ready.Sub(now),
 			BaseLoaded:      base,
--- a/fleet.go
+++ b/fleet.go
@@ -1,6 +1,9 @@
 package wick
 
-import "context"
+import (
+	"context"
+	"iter"
+)
 
 // Context is an alias of context.Context.
 type Context = context.Context
@@ -116,14 +119,66 @@
 
 // PoolEngine is the configuration of the model engines of a pool.
 type PoolEngine struct {
+	// AdapterSlots is how many adapters an engine holds at most.
 	AdapterSlots Slots
+	// WeightMemory is how much of the weights of models and adapters together an
+	// engine holds at most; 0 if only slots limit it.
+	WeightMemory Megabytes
 	// Models lists the base models of the pool.
-	Models []ModelName
+	Models []ModelConfig
 	// ModelLoadRate is the rate at which base models may be loaded from the weight
 	// store, over all endpoints; 0 if not specified.
 	ModelLoadRate PerSecond
 }
 
+// ModelConfig is the configuration of a base model.
+type ModelConfig struct {
+	Name ModelName
+	// Size is the size of the model's weights, and AdapterSize that of each of its
+	// adapters; 0 if not specified.
+	Size, AdapterSize Megabytes
+}
+
+// SizeOf returns the size of a model or of an adapter without its model. One whose
+// model the configuration does not name counts as the largest of those that it names.
+func (e *PoolEngine) SizeOf(w Weights) Megabytes {
+	var largest ModelConfig
+	for _, m := range e.Models {
+		if m.Name == w.Model {
+			return m.sizeOf(w)
+		}
+		largest.Size, largest.AdapterSize = max(largest.Size, m.Size), max(largest.AdapterSize, m.AdapterSize)
+	}
+	return largest.sizeOf(w)
+}
+
+func (m ModelConfig) sizeOf(w Weights) Megabytes {
+	if w.Adapter == "" {
+		return m.Size
+	}
+	return m.AdapterSize
+}
+
+// CanHold reports whether an engine that holds the given base models can hold w, with
+// its model, beside them once it has unloaded other adapters.
+func (e *PoolEngine) CanHold(models iter.Seq[ModelName], w Weights) bool {
+	if w.Adapter != "" && e.AdapterSlots <= 0 {
+		return false
+	}
+	sum, loaded := Megabytes(0), false
+	for m := range models {
+		sum += e.SizeOf(Weights{Model: m})
+		loaded = loaded || m == w.Model
+	}
+	if !loaded {
+		sum += e.SizeOf(w.Base())
+	}
+	if w.Adapter != "" {
+		sum += e.SizeOf(w)
+	}
+	return e.WeightMemory <= 0 || sum <= e.WeightMemory
+}
+
 // Fact is a decoded record of the platform: a change of the configuration, of an
 // endpoint or of an adapter. Exactly one of ServingConfig, Runner,
 // RemovedEndpoint and NewRevision is set; a record that can't be decoded yields
--- a/slots/answers.go
+++ b/slots/answers.go
@@ -47,7 +47,7 @@
 	if o.Kind == wick.OrderUnload {
 		if r == wick.OrderNoChange {
 			delete(l.placements, o.Weights)
-			l.recent.Add(now, o.Weights, l.capacity)
+			l.recent.Add(now, o.Weights, l.engine.AdapterSlots)
 			return
 		}
 		if p := l.placements[o.Weights]; p != nil {
@@ -83,7 +83,7 @@
 		p.InUse, p.replaced = old.InUse, true
 	}
 	l.placements[o.Weights] = p
-	l.recent.Add(now, o.Weights, l.capacity)
+	l.recent.Add(now, o.Weights, l.engine.AdapterSlots)
 }
 
 // orderLost keeps a slot for an adapter that may be loaded, and requests the
@@ -140,7 +140,7 @@
 		if p.unloading {
 			l.nextCheck = now.Add(reportLag)
 		}
-		l.recent.Add(now, w, l.capacity)
+		l.recent.Add(now, w, l.engine.AdapterSlots)
 	}
 	l.orders, l.synced = r.Orders, !r.Busy
 	l.nextStep = now
--- a/slots/plan.go
+++ b/slots/plan.go
@@ -42,19 +42,21 @@
 // order returns the order that should be sent now.
 func (l *Ledger) order(now wick.Instant, models bool) (wick.RunnerOrder, bool) {
 	w, v := l.nextLoad(now)
-	if v == nil && len(l.models) == 0 && l.base != "" {
-		w, v = wick.Weights{Model: l.base}, &pendingAdapter{}
+	if v == nil && len(l.models) == 0 && len(l.engine.Models) > 0 {
+		w, v = wick.Weights{Model: l.engine.Models[0].Name}, &pendingAdapter{}
 	}
-	switch {
-	case v == nil:
+	if v == nil {
 		return wick.RunnerOrder{}, false
-	case !l.models[w.Model]:
-		return wick.RunnerOrder{Kind: wick.OrderLoad, Weights: w.Base()}, models
-	case l.slotsTaken() < l.capacity:
-		return wick.RunnerOrder{Kind: wick.OrderLoad, Weights: w, Revision: v.revision}, true
 	}
-	victim, ok := l.victim(now)
-	return wick.RunnerOrder{Kind: wick.OrderUnload, Weights: victim}, ok
+	o, may := wick.RunnerOrder{Kind: wick.OrderLoad, Weights: w, Revision: v.revision}, true
+	if !l.models[w.Model] {
+		o, may = wick.RunnerOrder{Kind: wick.OrderLoad, Weights: w.Base()}, models
+	}
+	if l.fitsBeside(o.Weights, l.taken()) {
+		return o, may
+	}
+	victim, ok := l.victim(now, o.Weights)
+	return wick.RunnerOrder{Kind: wick.OrderUnload, Weights: victim}, may && ok
 }
 
 // expire treats loads as finished when their estimated time has passed, lowers
@@ -77,20 +79,8 @@
 	}
 }
 
-// slotsTaken counts the slots in use. The old version of an adapter that is
-// being replaced takes one too.
-func (l *Ledger) slotsTaken() wick.Slots {
-	n := len(l.placements)
-	for _, p := range l.placements {
-		if p.replaced {
-			n++
-		}
-	}
-	return wick.Slots(n)
-}
-
-// nextLoad returns the adapter that was requested most, if one more may be
-// loaded.
+// nextLoad returns the adapter that was requested most, of those that the endpoint
+// can hold, if one more may be loaded.
 func (l *Ledger) nextLoad(now wick.Instant) (wick.Weights, *pendingAdapter) {
 	incoming := 0
 	for _, p := range l.placements {
@@ -104,7 +94,7 @@
 	var best wick.Weights
 	var found *pendingAdapter
 	for w, v := range l.requested {
-		if now < v.notBefore {
+		if now < v.notBefore || !l.canHold(w) {
 			continue
 		}
 		if p := l.placements[w]; p != nil && (p.incoming || p.unloading || p.outdatedInUse(v)) {
@@ -132,8 +122,12 @@
 	return v.since < u.since
 }
 
-// victim returns the least recently used evictable adapter.
-func (l *Ledger) victim(now wick.Instant) (wick.Weights, bool) {
+// victim returns the least recently used evictable adapter, if all evictable ones
+// together make room for w.
+func (l *Ledger) victim(now wick.Instant, w wick.Weights) (wick.Weights, bool) {
+	if !l.fitsBeside(w, l.leastTaken(now)) {
+		return wick.Weights{}, false
+	}
 	var best wick.Weights
 	var found *Placement
 	for w, p := range l.placements {
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -93,10 +93,10 @@
 // Ledger is the state of one endpoint at the daemon that gives it orders. It is
 // not safe for concurrent use.
 type Ledger struct {
-	capacity wick.Slots
-	// base is the model that an empty endpoint loads, and models those that it
-	// has loaded.
-	base       wick.ModelName
+	// engine is the configuration of the endpoint's pool. An empty endpoint loads its
+	// first model.
+	engine *wick.PoolEngine
+	// models are those that the endpoint has loaded.
 	models     map[wick.ModelName]bool
 	placements map[wick.Weights]*Placement
 	requested  map[wick.Weights]*pendingAdapter
@@ -122,17 +122,22 @@
 	storeSlowdown float64
 }
 
-// New returns the ledger of an endpoint that loads at most capacity adapters
-// and, if nothing else is requested, the model base. recent holds the adapters
-// that it had loaded before.
-func New(capacity wick.Slots, base wick.ModelName, recent *RecentAdapters) *Ledger {
+// Config configures a Ledger.
+type Config struct {
+	// Engine is the configuration of the endpoint's pool.
+	Engine *wick.PoolEngine
+	// Recent holds the adapters that the endpoint had loaded before.
+	Recent *RecentAdapters
+}
+
+// New returns the ledger of an endpoint.
+func New(cfg Config) *Ledger {
 	return &Ledger{
-		capacity:      capacity,
-		base:          base,
+		engine:        cfg.Engine,
 		models:        make(map[wick.ModelName]bool),
 		placements:    make(map[wick.Weights]*Placement),
 		requested:     make(map[wick.Weights]*pendingAdapter),
-		recent:        recent,
+		recent:        cfg.Recent,
 		storeLoad:     defaultStoreLoad,
 		cached:        defaultCachedLoad,
 		storeSlowdown: 1,
@@ -157,8 +162,9 @@
 	}
 }
 
-// SetCapacity sets the number of adapter slots.
-func (l *Ledger) SetCapacity(n wick.Slots) { l.capacity = n }
+// SetEngine replaces the configuration of the endpoint's pool. An endpoint that holds
+// more than the new one allows loads nothing until enough is unloaded.
+func (l *Ledger) SetEngine(e *wick.PoolEngine) { l.engine = e }
 
 // SetLoading sets the number of adapters that are loading at all endpoints and
 // the number above which load times grow in proportion.
@@ -225,13 +231,7 @@
 // Free returns how many more adapters could be loaded now, after those that are
 // already requested; negative if more are requested than could be loaded.
 func (l *Ledger) Free(now wick.Instant) int {
-	free := int(l.capacity-l.slotsTaken()) - len(l.requested)
-	for _, p := range l.placements {
-		if p.evictable(now) {
-			free++
-		}
-	}
-	return free
+	return l.free(l.leastTaken(now)) - len(l.requested)
 }
 
 // PendingCount counts the adapters that requests wait for.
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -19,6 +19,12 @@
 
 func ms(n int) wick.Instant { return wick.Instant(time.Duration(n) * time.Millisecond) }
 
+// newLedger returns the ledger of an endpoint with one model and no limit but its slots.
+func newLedger(capacity wick.Slots) *slots.Ledger {
+	e := &wick.PoolEngine{AdapterSlots: capacity, Models: []wick.ModelConfig{{Name: base}}}
+	return slots.New(slots.Config{Engine: e, Recent: slots.NewRecentAdapters()})
+}
+
 // engine is an endpoint that carries out orders as the platform specifies.
 type engine struct {
 	capacity int
@@ -123,7 +129,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			l := slots.New(2, base, slots.NewRecentAdapters())
+			l := newLedger(2)
 			if step, _ := l.Next(0, true); step != slots.StepInspect {
 				t.Fatalf("first step is %v, want StepInspect", step)
 			}
@@ -153,7 +159,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			l := slots.New(2, base, slots.NewRecentAdapters())
+			l := newLedger(2)
 			l.Next(0, true)
 			l.ReportDone(0, wick.RunnerReport{
 				Models: []wick.ModelName{base},
@@ -191,7 +197,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			l := slots.New(4, base, slots.NewRecentAdapters())
+			l := newLedger(4)
 			l.Next(0, true)
 			l.ReportDone(0, wick.RunnerReport{Models: []wick.ModelName{base}, Loaded: []wick.Loaded{{Weights: adapter(1), Revision: 1}}}, nil)
 			l.Use(ms(100), adapter(1), test.inUse)
@@ -215,7 +221,7 @@
 		{wick.OrderUnload, 6},
 	}
 	for _, test := range tests {
-		l := slots.New(4, base, slots.NewRecentAdapters())
+		l := newLedger(4)
 		l.Next(0, true)
 		l.ReportDone(0, wick.RunnerReport{Models: []wick.ModelName{base}, Orders: 5}, nil)
 		l.RequestAdapter(0, adapter(1), 0)
@@ -234,7 +240,7 @@
 func TestNeverOverfilled(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		e := &engine{capacity: rapid.IntRange(1, 4).Draw(t, "capacity"), models: true, loaded: make(map[wick.Weights]wick.Revision)}
-		l := slots.New(wick.Slots(e.capacity), base, slots.NewRecentAdapters())
+		l := newLedger(wick.Slots(e.capacity))
 		now := wick.Instant(0)
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "pause")) * time.Millisecond)
@@ -279,7 +285,7 @@
 // While an adapter that was ordered to be unloaded still serves, its slot is
 // taken, but other orders continue.
 func TestOrdersContinueDuringUnload(t *testing.T) {
-	l := slots.New(2, base, slots.NewRecentAdapters())
+	l := newLedger(2)
 	l.Next(0, true)
 	both := []wick.Loaded{{Weights: adapter(0), Revision: 1}, {Weights: adapter(1), Revision: 1}}
 	l.ReportDone(0, wick.RunnerReport{Models: []wick.ModelName{base}, Loaded: both}, nil)
@@ -336,7 +342,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			l := slots.New(1, base, slots.NewRecentAdapters())
+			l := newLedger(1)
 			l.Next(0, true)
 			l.ReportDone(0, wick.RunnerReport{Models: []wick.ModelName{base}}, nil)
 			l.RequestAdapter(0, adapter(1), 0)
--- a/slots/usage.go
+++ b/slots/usage.go
@@ -10,6 +10,9 @@
 // requests wait for.
 type Usage struct {
 	Slots, InUse, Incoming, Unloading, Unsure, Replaced, Requested int
+	// Memory is what the endpoint holds of weights at most, 0 if only slots limit it;
+	// Taken is what it may hold now.
+	Memory, Taken wick.Megabytes
 	// Oldest is how long the longest-waiting of these adapters has been
 	// requested.
 	Oldest time.Duration
@@ -20,7 +23,10 @@
 
 // Usage returns the current counts.
 func (l *Ledger) Usage(now wick.Instant) Usage {
-	c := Usage{Slots: int(l.capacity), Requested: len(l.requested), Synced: l.synced, Busy: l.busy}
+	c := Usage{
+		Slots: int(l.engine.AdapterSlots), Requested: len(l.requested), Memory: l.engine.WeightMemory, Taken: l.taken().memory,
+		Synced: l.synced, Busy: l.busy,
+	}
 	for _, p := range l.placements {
 		c.add(p)
 	}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -210,7 +210,7 @@
 
 func (s *system) publishConfig() {
 	s.version++
-	s.store.putConfig(fmt.Sprintf(routes, s.version, s.version))
+	s.store.putConfig(s.config())
 }
 
 func (s *system) publishRevision() {
--- a/soak/order_test.go
+++ b/soak/order_test.go
@@ -92,6 +92,10 @@
 		r.cfg.Ledger.violate("%s: ordered to load %s with %d slots taken", r.cfg.Name, name, taken)
 		return http.StatusBadRequest
 	}
+	if used := r.cfg.ModelSize + wick.Megabytes(len(r.slots))*r.cfg.AdapterSize; old == nil && r.cfg.Memory > 0 && used+r.cfg.AdapterSize > r.cfg.Memory {
+		r.cfg.Ledger.violate("%s: ordered to load %s with %v of %v MB taken", r.cfg.Name, name, used, r.cfg.Memory)
+		return http.StatusBadRequest
+	}
 	r.orders++
 	takes := loadTime
 	if r.cached[name] {
--- a/soak/runner_test.go
+++ b/soak/runner_test.go
@@ -59,6 +59,9 @@
 	Model wick.ModelName
 	// Adapters is the number of adapter slots.
 	Adapters wick.Slots
+	// Memory is the memory for the model, of ModelSize, and for adapters, of
+	// AdapterSize each; 0 if it is not limited.
+	Memory, ModelSize, AdapterSize wick.Megabytes
 	// Fenced is set if the runner rejects orders with an old fencing token.
 	Fenced bool
 	Ledger *ledger
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,13 +26,15 @@
 
 // cases are the seeds that CI runs: one per kind of deployment, and every seed
 // that ever failed, named after the cause. Runners check fencing tokens in runs
-// with an even seed and ignore them in runs with an odd one.
+// with an even seed and ignore them in runs with an odd one. Where half of the seed,
+// rounded down, is odd, they have memory for fewer adapters than slots.
 var cases = []struct {
 	name string
 	seed uint64
 }{
 	{"runners ignore fencing tokens", 1},
 	{"runners check fencing tokens", 2},
+	{"orders filled runners beyond the memory for their adapters", 6},
 	{"a daemon was started twice because a kill and a stop overlapped", 3392439568},
 	{"a daemon was started twice because a kill and a stop overlapped (second seed)", 4130853260},
 	{"another run took the port of a link that refused connections", 2809333892},
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -19,6 +19,15 @@
 	slotsPerRunner = 3
 )
 
+// Sizes of weights. A runner has memory for its model and, in half of the systems, for
+// fewer adapters than it has slots.
+const (
+	weightMemory = wick.Megabytes(1000)
+	modelSize    = wick.Megabytes(900)
+	smallAdapter = wick.Megabytes(30)
+	largeAdapter = wick.Megabytes(40)
+)
+
 // Names in the configuration.
 const (
 	host  = "soak.example"
@@ -26,15 +35,16 @@
 	pool  = "s"
 )
 
-// routes is the format of a configuration. Its arguments are the version and the
-// number in the path of the route that is new in this version.
+// routes is the format of a configuration. Its arguments are the version, the number in
+// the path of the route that is new in this version, and the sizes of an adapter, of the
+// model and of all that a runner holds.
 const routes = `{"version":%d,"routes":[
 	{"name":"stream","host":"soak.example","pathPrefix":"/stream/","kind":"streaming","timeoutMs":4000,"objectiveMs":500,"gapTargetMs":400,"service":"s","attempts":1},
 	{"name":"resumable","host":"soak.example","pathPrefix":"/stream/again/","kind":"streaming","timeoutMs":4000,"objectiveMs":500,"gapTargetMs":400,"service":"s","attempts":2,"resumable":true},
 	{"name":"safe","host":"soak.example","pathPrefix":"/safe/","kind":"safe","timeoutMs":2000,"objectiveMs":300,"service":"s","attempts":2},
 	{"name":"unsafe","host":"soak.example","pathPrefix":"/unsafe/","kind":"unsafe","timeoutMs":2000,"objectiveMs":300,"service":"s","attempts":1},
 	{"name":"new","host":"soak.example","pathPrefix":"/safe/new%d/","kind":"safe","timeoutMs":2000,"objectiveMs":300,"service":"s","attempts":1}],
-	"services":[{"name":"s","engine":{"slots":8,"adapterSlots":3,"loadsPerS":20,"models":[{"name":"m"}]}}],"limits":{"headerBytes":16384,"bodyBytes":100000}}`
+	"services":[{"name":"s","engine":{"slots":8,"adapterSlots":3,"loadsPerS":20,"models":[{"name":"m","adapterMb":%v,"weightsMb":%v}],"weightsMb":%v}}],"limits":{"headerBytes":16384,"bodyBytes":100000}}`
 
 // bounds returns the platform's bounds, with shorter times than in production to
 // keep runs short.
@@ -83,6 +93,8 @@
 	daemons []*daemon
 	runners []*restartableRunner
 	fenced  bool
+	// adapterSize is the size of each adapter.
+	adapterSize wick.Megabytes
 	// version is the newest published configuration, and revision the newest
 	// published adapter version.
 	version, revision uint64
@@ -112,6 +124,7 @@
 func startSystemWith(t *testing.T, seed uint64, deadly func(h http.Header, body []byte) bool) *system {
 	t.Helper()
 	s := &system{deadly: deadly, ledger: new(ledger), fenced: seed%2 == 0, version: 1, revision: 1, startTime: time.Now()}
+	s.adapterSize = []wick.Megabytes{smallAdapter, largeAdapter}[seed/2%2]
 	alias := make(map[wick.Address]wick.Address)
 	s.store = newStore(alias)
 	atStore := httptest.NewServer(s.store)
@@ -143,7 +156,7 @@
 		}
 	})
 	s.proxy = proxy
-	s.store.putConfig(fmt.Sprintf(routes, s.version, s.version))
+	s.store.putConfig(s.config())
 	for _, r := range s.runners {
 		s.publishRunner(r, "ready")
 	}
@@ -161,6 +174,11 @@
 	return s
 }
 
+// config returns the configuration of the newest version.
+func (s *system) config() string {
+	return fmt.Sprintf(routes, s.version, s.version, s.adapterSize, modelSize, weightMemory)
+}
+
 func storeLink(i int) fault.LinkName { return fault.LinkName(fmt.Sprintf("store of daemon %d", i)) }
 
 func peerLink(i int) fault.LinkName { return fault.LinkName(fmt.Sprintf("peers of daemon %d", i)) }
@@ -176,6 +194,7 @@
 	r.runner = newRunner(runnerConfig{
 		Name:  wick.EndpointName(fmt.Sprintf("%s-%d", r.link[len("runner "):], number)),
 		Model: model, Adapters: slotsPerRunner, Fenced: s.fenced, Ledger: s.ledger,
+		Memory: weightMemory, ModelSize: modelSize, AdapterSize: s.adapterSize,
 		Deadly: s.deadly, Crash: sync.OnceFunc(func() { s.crashRunner(r, number) }),
 	}, loaded)
 	r.server = httptest.NewServer(r.runner)
--- a/units.go
+++ b/units.go
@@ -10,6 +10,8 @@
 	Tokens int
 	// Bytes counts bytes.
 	Bytes int64
+	// Megabytes is a size of weights, in units of 1,000,000 bytes.
+	Megabytes float64
 	// Slots counts batch slots, adapter slots, or loads in flight.
 	Slots int
 	// PerSecond is a rate of events per second.
