--- a/direct/direct.go
+++ b/direct/direct.go
@@ -143,6 +143,9 @@
 	t.sharedPrefixes = sharedPrefixes(t.weights, x.Parts)
 	t.avoid = make(map[wick.EndpointName]bool)
 	s.cfg.Retry.Earn(v.Daemons)
+	if e := v.ServingConfig.Pools[t.pool].Engine; e != nil && e.CacheTokens > 0 && x.PromptTokens > e.CacheTokens {
+		return t.refuse(wick.CodeNoEndpoint, "prompt of %d tokens exceeds the %d that an endpoint of %s holds", x.PromptTokens, e.CacheTokens, t.pool)
+	}
 	return nil
 }
 
--- a/direct/room_test.go
+++ b/direct/room_test.go
@@ -63,3 +63,32 @@
 		})
 	}
 }
+
+// A prompt that exceeds the memory of every endpoint was sent to one after the other,
+// each of which refused it as if it were full.
+func TestPromptWithoutRoom(t *testing.T) {
+	tests := []struct {
+		name          string
+		limit, prompt wick.Tokens
+		sends         int
+	}{
+		{"fits", 1000, 1000, 1},
+		{"too long", 1000, 1001, 0},
+		{"no limit given", 0, 1001, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := &control{view: view(route(wick.KindStream, "llm", 1, false))}
+			c.view.ServingConfig.Pools["llm"].Engine.CacheTokens = test.limit
+			send := &sender{replies: []reply{{status: 200, body: "id: 1\n\n"}}}
+			x := &wick.Exchange{Request: "q", Host: "h", Path: "/x", Method: "POST", Target: "/x", Model: "m", Adapter: "a", PromptTokens: test.prompt}
+			err := server(t, c, send, budget(t, 1000)).Forward(t.Context(), x, &writer{})
+			if len(send.sent) != test.sends {
+				t.Fatalf("sent %d times, want %d: %v", len(send.sent), test.sends, err)
+			}
+			if e := wick.AsError(err); test.sends == 0 && (e.Outcome != wick.NotRun || e.RetryAfter <= 0) {
+				t.Errorf("refused with %+v, want NotRun with a time to come back", e)
+			}
+		})
+	}
+}
--- a/fleet.go
+++ b/fleet.go
@@ -124,6 +124,9 @@
 	// WeightMemory is how much of the weights of models and adapters together an
 	// engine holds at most; 0 if only slots limit it.
 	WeightMemory Megabytes
+	// CacheTokens is how many tokens of requests an engine holds at most; 0 if not
+	// specified.
+	CacheTokens Tokens
 	// Models lists the base models of the pool.
 	Models []ModelConfig
 	// ModelLoadRate is the rate at which base models may be loaded from the weight
