soak: draw the addresses of a daemon at once

A port was closed before the next one was drawn, so that the kernel could give out one twice for one daemon. All four are held open until the last is drawn.

--- a/soak/gateway_test.go
+++ b/soak/gateway_test.go
@@ -46,10 +46,10 @@
 	store.putRunner("i-1", run.storeRecord("s", wick.Address(atRunner.Listener.Addr().String()), "a", 8, "ready"))
 	// A malformed record must be ignored.
 	store.putRunner("i-2", `{"service":"s","address":17}`)
-	ip := loopback()
+	at := freeAddresses(t, loopback())
 	s := &inProcess{runner: run, daemon: wick.DaemonConfig{
 		Host: "front-a-1", Domain: "a",
-		CallerAddress: freeAddress(t, ip), ReadyAddress: freeAddress(t, ip), DirectoryAddress: freeAddress(t, ip), PeerAddress: freeAddress(t, ip),
+		CallerAddress: at.callers, ReadyAddress: at.ready, DirectoryAddress: at.directory, PeerAddress: at.peers,
 		StoreAddress: wick.Address(atStore.Listener.Addr().String()),
 		Cores:        runtime.NumCPU(), Memory: 8 << 30, Capacity: 1,
 		Bounds: wick.Bounds{
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -36,16 +36,38 @@
 	running      bool
 }
 
-// freeAddress returns an unused address on ip. Each daemon has its own loopback
-// ip, so that nothing else takes the port before the daemon listens on it.
-func freeAddress(t *testing.T, ip string) wick.Address {
+// daemonAddresses are the addresses that a daemon listens on.
+type daemonAddresses struct {
+	callers, ready, directory, peers wick.Address
+}
+
+// freeAddresses returns unused addresses on ip, no two of them alike. Each daemon has
+// its own loopback ip, so that nothing else takes a port before the daemon listens on it.
+func freeAddresses(t *testing.T, ip string) daemonAddresses {
 	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
+	var a daemonAddresses
+	for _, at := range []*wick.Address{&a.callers, &a.ready, &a.directory, &a.peers} {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close() // After all are drawn: a closed port may be drawn again.
+		*at = wick.Address(l.Addr().String())
+	}
+	return a
+}
+
+// A daemon was given one port twice and exited at its start.
+func TestFreeAddresses(t *testing.T) {
+	const draws = 20_000
+	ip := loopback()
+	for range draws {
+		a := freeAddresses(t, ip)
+		seen := map[wick.Address]bool{a.callers: true, a.ready: true, a.directory: true, a.peers: true}
+		if len(seen) != 4 {
+			t.Fatalf("drew %+v, with one address twice", a)
+		}
 	}
-	defer l.Close()
-	return wick.Address(l.Addr().String())
 }
 
 // loopback returns a random one of about 15 million loopback addresses.
@@ -55,10 +77,10 @@
 
 func newDaemon(t *testing.T, i int, b wick.Bounds) *daemon {
 	t.Helper()
-	ip := loopback()
+	at := freeAddresses(t, loopback())
 	d := &daemon{settings: wick.DaemonConfig{
 		Host: wick.HostName(fmt.Sprintf("front-%d", i)), Domain: domainOf(i),
-		CallerAddress: freeAddress(t, ip), ReadyAddress: freeAddress(t, ip), DirectoryAddress: freeAddress(t, ip), PeerAddress: freeAddress(t, ip),
+		CallerAddress: at.callers, ReadyAddress: at.ready, DirectoryAddress: at.directory, PeerAddress: at.peers,
 		Cores: 1, Memory: 284 << 20, Capacity: 0.4, Bounds: b,
 	}}
 	dir := t.TempDir()
