direct: break a stalled stream off only if it can move

Callers' answers ended in the middle while their daemon stopped: engines that preempt what they run are silent for seconds, the watch on stalled streams canceled them shortly before callers give up, and then the retry budget refused the next attempt. Now the retry is taken out of the budget first, and only if another endpoint could serve the request; otherwise the stream stays and is looked at again.

Evidence: the lost requests' lines say 'the retry budget is spent', and their engines went on in time. The stand-in of the test sends its first part at once, so that silence can begin after it.

--- a/direct/paused.go
+++ b/direct/paused.go
@@ -56,7 +56,7 @@
 	var first wick.Instant
 	fits := false
 	for _, r := range v.Pools[t.pool] {
-		if !t.canServe(v, r, now) {
+		if _, holds := t.residence(v, r, now); !holds && !t.canHold(v, r) {
 			continue
 		}
 		fits = true
--- a/direct/pick.go
+++ b/direct/pick.go
@@ -158,10 +158,10 @@
 	}, t.weights)
 }
 
-// canServe reports whether an endpoint has the request's adapter or can hold it.
+// canServe reports whether an endpoint has the request's adapter or could load it.
 func (t *task) canServe(v *coord.View, r *coord.Runner, now wick.Instant) bool {
 	_, holds := t.residence(v, r, now)
-	return holds || t.canHold(v, r)
+	return holds || r.OrdersActive && t.canHold(v, r)
 }
 
 // findEndpoint returns the endpoint chosen before if it is still usable, or else
@@ -172,7 +172,7 @@
 	t.newestReady = t.isNewestReady(v, now)
 	for _, r := range list {
 		if r.Name == chosen && s.Until(now, startOf(r)) == 0 {
-			if _, holds := t.residence(v, r, now); holds || r.OrdersActive && t.canHold(v, r) {
+			if t.canServe(v, r, now) {
 				return r
 			}
 		}
--- a/direct/stall_test.go
+++ b/direct/stall_test.go
@@ -32,16 +32,22 @@
 	ctx   context.Context
 	parts []string
 	pause time.Duration
+	// begun is set once the first part was sent, which comes without a pause.
+	begun bool
 }
 
 func (b *pacedBody) Read(p []byte) (int, error) {
 	if len(b.parts) == 0 {
 		return 0, io.EOF
 	}
+	pause := b.pause
+	if !b.begun {
+		pause, b.begun = 0, true
+	}
 	select {
 	case <-b.ctx.Done():
 		return 0, errCut
-	case <-time.After(b.pause):
+	case <-time.After(pause):
 	}
 	n := copy(p, b.parts[0])
 	b.parts = b.parts[1:]
@@ -52,9 +58,11 @@
 
 // A stream whose events keep coming is left alone however slow it is. One that
 // sends bytes without completing an event goes on at another endpoint before its
-// caller gives up, if it may.
+// caller gives up, if it may; otherwise it is not broken off, as it was although no
+// other attempt was possible.
 func TestStalledStreams(t *testing.T) {
 	const rest = "id: 2\n\n"
+	silent := []string{"id: 1\n\n", "id: 2\n\n"}
 	trickle := append([]string{"id: 1\n\n"}, strings.Split(strings.Repeat(":", 100), "")...)
 	tests := []struct {
 		name      string
@@ -62,13 +70,21 @@
 		pause     time.Duration
 		resumable bool
 		attempts  int
-		sends     int
-		complete  bool
+		// alone is set if no other endpoint may take the request, and slack is the
+		// retry budget.
+		alone    bool
+		slack    int
+		sends    int
+		complete bool
 	}{
-		{"slow but sound", []string{"id: 1\n\n", "id: 2\n\n", "id: 3\n\n", "id: 4\n\n"}, 900 * time.Millisecond, true, 2, 1, true},
-		{"bytes but no events", trickle, 100 * time.Millisecond, true, 2, 2, true},
-		{"bytes but no events, not resumable", trickle, 100 * time.Millisecond, false, 2, 1, false},
-		{"bytes but no events, the last attempt", trickle, 100 * time.Millisecond, true, 1, 1, false},
+		{"slow but sound", []string{"id: 1\n\n", "id: 2\n\n", "id: 3\n\n", "id: 4\n\n"}, 900 * time.Millisecond, true, 2, false, 1000, 1, true},
+		{"bytes but no events", trickle, 100 * time.Millisecond, true, 2, false, 1000, 2, true},
+		{"bytes but no events, not resumable", trickle, 100 * time.Millisecond, false, 2, false, 1000, 1, false},
+		{"bytes but no events, the last attempt", trickle, 100 * time.Millisecond, true, 1, false, 1000, 1, false},
+		{"silent, goes on", silent, 2 * time.Second, true, 2, false, 1000, 2, true},
+		{"silent, goes on, no retry budget", silent, 2 * time.Second, true, 2, false, 0, 1, true},
+		{"silent, goes on, no other endpoint", silent, 2 * time.Second, true, 2, true, 1000, 1, true},
+		{"bytes but no events, no retry budget", trickle, 100 * time.Millisecond, true, 2, false, 0, 1, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -78,8 +94,11 @@
 			send := &paced{parts: test.parts, pause: test.pause, rest: rest}
 			to := &writer{}
 			c := &control{view: view(r)}
+			if test.alone {
+				c.view.Pools["llm"] = c.view.Pools["llm"][:1]
+			}
 			x := &wick.Exchange{Request: "q", Host: "h", Path: "/", Model: "m", Adapter: "a"}
-			err := server(t, c, send, budget(t, 1000)).Forward(t.Context(), x, to)
+			err := server(t, c, send, budget(t, test.slack)).Forward(t.Context(), x, to)
 			if send.sends != test.sends || (err == nil) != test.complete {
 				t.Errorf("%d sends, %v; want %d, complete %v", send.sends, err, test.sends, test.complete)
 			}
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
 	"currantwick"
 )
@@ -92,6 +91,8 @@
 	cancel context.CancelFunc
 	// begun is set once a complete event has arrived.
 	begun bool
+	// stall moves the stream when it stalls; nil if it can't move.
+	stall *stallWatch
 }
 
 // passStream passes a stream on, event by event. If the stream breaks off or
@@ -105,8 +106,8 @@
 	}
 	var in eventBuffer
 	buf := make([]byte, readSize)
-	stall := t.watchStall(from.cancel)
-	defer stall.stop()
+	from.stall = t.watchStall(from)
+	defer from.stall.stop()
 	for {
 		n, err := rec.Body.Read(buf)
 		if n > 0 {
@@ -125,7 +126,7 @@
 					from.begun = true
 					t.answered()
 				}
-				stall.reset()
+				from.stall.reset()
 			}
 			if serr := t.sendEvents(rec, complete); serr != nil {
 				return serr
@@ -149,35 +150,6 @@
 	}
 }
 
-// stallWatch breaks a stream off when no complete event arrives for too long,
-// even if bytes do. The zero value does nothing.
-type stallWatch struct {
-	timer *time.Timer
-	after time.Duration
-}
-
-// watchStall returns a watch on a stream that may go on at another endpoint. It
-// breaks the stream off shortly before callers give up.
-func (t *task) watchStall(cancel context.CancelFunc) stallWatch {
-	if !t.route.Resumable || t.ran >= t.route.Attempts {
-		return stallWatch{}
-	}
-	after := time.Duration(float64(t.patience()) * firstWaitPart)
-	return stallWatch{timer: time.AfterFunc(after, cancel), after: after}
-}
-
-func (s stallWatch) reset() {
-	if s.timer != nil {
-		s.timer.Reset(s.after)
-	}
-}
-
-func (s stallWatch) stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-}
-
 // measureGap updates longestGap at a read from the stream.
 func (t *task) measureGap() {
 	now := t.server.cfg.Clock.Now()
@@ -205,6 +177,7 @@
 
 // handleStreamError handles a stream that ended early.
 func (t *task) handleStreamError(ctx context.Context, from *incoming, err error) error {
+	moved := from.stall.stop()
 	cause := wick.Unknownf(wick.CodeBroken, "stream of %s broke off: %v", from.target.runner.Name, err)
 	if ctx.Err() != nil {
 		return t.contextError(ctx, cause)
@@ -213,5 +186,5 @@
 	if from.ctx.Err() == nil {
 		t.reportBroken(ctx, from.target, from.begun)
 	}
-	return &retryableError{cause: cause}
+	return &retryableError{cause: cause, paid: moved}
 }
--- a/direct/task.go
+++ b/direct/task.go
@@ -70,6 +70,8 @@
 	// unsent is set when nothing reached an endpoint, so that the next send
 	// does not count as a retry.
 	unsent bool
+	// paid is set when the retry budget has paid for the next send.
+	paid bool
 }
 
 func (e *retryableError) Error() string { return e.cause.Error() }
@@ -120,7 +122,7 @@
 		return t.contextError(ctx, e.cause)
 	case t.ran > 0 && (t.ran >= t.route.Attempts || !t.mayRerun()):
 		return e.cause
-	case !e.unsent && !t.server.cfg.Retry.Spend(t.server.cfg.Control.View().Daemons):
+	case !e.unsent && !e.paid && !t.server.cfg.Retry.Spend(t.server.cfg.Control.View().Daemons):
 		t.server.cfg.Observer.RetryDenied()
 		return t.refuse(e.cause.Code, "%v; the retry budget is spent", e.cause)
 	}
