platform: bound the memory of all bodies of requests

Callers lost what a daemon ran when the platform killed it for its memory: 80 bodies of 4 MiB, each within the configured limit, exceed 284 MB. Nothing bounded their sum, a body was read before anything decided on the request, and it was copied to be sent.

Bodies over 16 KiB now take their memory out of a budget of 0.4 of the process's, before they are read if their length is announced. Without enough left, the request gets 503 with a time to come back. Long bodies are sent without a copy.

TestBodiesWithinMemory covers the rule, which is new.

--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -41,6 +41,9 @@
 	// memoryLimitShare is the share of the process's memory that is set as the
 	// soft limit, above which the garbage collector runs more often.
 	memoryLimitShare = 0.7
+	// bodyMemoryShare is the share of the process's memory that bodies of requests may
+	// take, so that they stay below the soft limit with everything else.
+	bodyMemoryShare = 0.4
 	// gcPercent lets the heap, which is small, grow threefold between
 	// collections.
 	gcPercent = 200
@@ -247,7 +250,9 @@
 		mux.HandleFunc("GET "+StatePath, g.serveState)
 	}
 	err := errors.Join(
-		open("callers", d.CallerAddress, platform.NewHandler(g.server)),
+		open("callers", d.CallerAddress, platform.NewHandler(platform.HandlerConfig{
+			Gateway: g.server, Memory: tally.NewMemory(wick.Bytes(float64(d.Memory) * bodyMemoryShare)),
+		})),
 		open("directory", d.DirectoryAddress, platform.NewDirectory(g.server)),
 		open("readiness", d.ReadyAddress, platform.NewReadiness(g.server)),
 		open("metrics", g.cfg.MetricsAddress, mux),
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -143,9 +143,9 @@
 
 // write sends the request and reports whether a byte may have been sent.
 func (r *Reply) write(req *Request) (bool, error) {
-	data := encode(req)
-	if len(data) < longRequest {
-		n, err := r.conn.net.Write(data)
+	head := encodeHead(req)
+	if len(head)+len(req.Body) < longRequest {
+		n, err := r.conn.net.Write(append(head, req.Body...))
 		if err != nil {
 			return n > 0, fmt.Errorf("write request: %w", err)
 		}
@@ -154,7 +154,12 @@
 	r.written = make(chan struct{})
 	done, nc := r.written, r.conn.net
 	r.conn.pool.group.Go(func() error {
-		if _, err := nc.Write(data); err == nil {
+		// Two writes, as a copy of a long body would take its memory twice.
+		_, err := nc.Write(head)
+		if err == nil {
+			_, err = nc.Write(req.Body)
+		}
+		if err == nil {
 			close(done)
 		}
 		return nil // A failed write shows as a missing response.
@@ -162,10 +167,11 @@
 	return true, nil
 }
 
-// encode returns the HTTP/1.1 encoding of a request.
-func encode(req *Request) []byte {
+// encodeHead returns the HTTP/1.1 encoding of a request up to its body. A short body may
+// be appended without a copy.
+func encodeHead(req *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(req.Body))
+	b.Grow(512 + min(len(req.Body), longRequest))
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	for _, f := range req.Header {
 		b.WriteString(f.Name + ": " + f.Value + "\r\n")
@@ -174,7 +180,6 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
 	return b.Bytes()
 }
 
--- a/policy_route.go
+++ b/policy_route.go
@@ -94,6 +94,16 @@
 	Spend(daemons int) bool
 }
 
+// MemoryBudget bounds the memory of what requests hold. Implementations are safe for
+// concurrent use.
+type MemoryBudget interface {
+	// Take takes memory out of the budget. It returns false, and takes nothing, if not
+	// enough is left.
+	Take(n Bytes) bool
+	// Give returns what was taken.
+	Give(n Bytes)
+}
+
 // RetryPolicy names an implementation of RetryBudget in the settings.
 type RetryPolicy string
 
