crash: take back a stop that the evidence disputes

Sound callers got 400 for 15 s: a daemon that knew half of the evidence about four crashes stopped the part that most prompts begin with, and told the others. It took its own conclusion back when the other half came, but took the same stop from another daemon at once, and what was told was never taken back.

A told stop is now judged by what its receiver knows: it is dropped, and not taken again, if something else that was pending at that crash has as many crashes against it.

TestDisputedStop failed before, two of four rows.

--- a/crash/suspects.go
+++ b/crash/suspects.go
@@ -194,7 +194,7 @@
 		key := trialCrash{id, f}
 		keys := s.provedCause(id, c, p)
 		switch old := s.causes[key]; {
-		case old != nil && old.received:
+		case old != nil && old.received && !s.disputed(id, c, p, old.keys):
 		case len(keys) > 0:
 			s.addCause(key, &cause{keys: keys, at: c.at, stop: s.nextStop(key, keys)})
 		default:
@@ -203,6 +203,19 @@
 	}
 }
 
+// disputed reports whether something else that was pending at a crash has as many
+// crashes against it as a cause that another daemon proved without knowing of them.
+func (s *Suspects) disputed(id wick.EndpointStart, c *crashRecord, p wick.PendingRequest, keys []wick.Fingerprint) bool {
+	most := 0
+	for _, f := range keys {
+		most = max(most, s.crashesOf(id, f))
+	}
+	if slices.Contains(keys, p.Request) {
+		return s.otherRequest(id, c, p, max(most, crashesToStop))
+	}
+	return s.otherPart(id, c, p, max(most, partCrashesToStop))
+}
+
 // provedCause returns what caused a crash under a request on trial: those of its parts
 // with many crashes against them, which can't be told apart yet, or else the request
 // itself. Vouched parts come into question only if no other part does. It returns nil
@@ -325,8 +338,8 @@
 	return true
 }
 
-// Stop adds a cause that another daemon knows to be stopped, and reports whether
-// it was not known.
+// Stop adds a cause that another daemon knows to be stopped, unless the evidence of this
+// one disputes it, and reports whether it was added.
 func (s *Suspects) Stop(now wick.Instant, r wick.StoppedCause) bool {
 	at := now.Add(-max(r.Age, 0).Std())
 	key := trialCrash{r.Crash, r.Request}
@@ -335,7 +348,10 @@
 		return false
 	}
 	s.addCause(key, c)
-	return true
+	if known := s.crashes[r.Crash]; known != nil {
+		s.judge(r.Crash, known)
+	}
+	return s.causes[key] != nil
 }
 
 // nextStop returns how long a proved cause is stopped: firstStop, or twice as long as
--- a/crash/suspects_test.go
+++ b/crash/suspects_test.go
@@ -282,6 +282,73 @@
 	}
 }
 
+// A daemon that knew half of the evidence stopped a part that most requests share. The
+// others took its word, and it took theirs when it knew better: sound requests were
+// refused everywhere.
+func TestDisputedStop(t *testing.T) {
+	// known are the reports that one daemon knows, and lacking those that it lacks: the
+	// deadly part was pending at all of these crashes too.
+	known := []wick.CrashReport{
+		report(1, prompt(1, commonPart, otherPart)),
+		report(2, prompt(2, commonPart, otherPart)),
+		report(3, promptOnTrial(3, commonPart, otherPart)),
+	}
+	lacking := []wick.CrashReport{
+		report(1, prompt(11, deadlyPart)), report(2, prompt(12, deadlyPart)), report(3, prompt(13, deadlyPart)),
+	}
+	misled := NewSuspects(Config{})
+	for _, r := range known {
+		misled.AddCrash(0, r)
+	}
+	stops := misled.Evidence(0).Stopped
+	if len(stops) == 0 {
+		t.Fatal("half of the evidence stops nothing")
+	}
+	tests := []struct {
+		name string
+		// all is set if the daemon learns all reports, first if it does so before the
+		// stop is told.
+		all, first bool
+		want       Verdict
+	}{
+		{"the evidence comes after the stop", true, false, RunAlone},
+		{"the evidence is there before the stop", true, true, RunAlone},
+		{"the evidence does not come", false, false, Stopped},
+		{"the evidence of the daemon that stopped it is there", false, true, Stopped},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := NewSuspects(Config{})
+			evidence := func() {
+				for _, r := range known {
+					s.AddCrash(0, r)
+				}
+				for _, r := range lacking {
+					if test.all {
+						s.AddCrash(0, r)
+					}
+				}
+			}
+			if test.first {
+				evidence()
+			}
+			for _, r := range stops {
+				s.Stop(0, r)
+			}
+			if !test.first {
+				evidence()
+			}
+			// The daemon is told again, by another one that took the stop.
+			for _, r := range stops {
+				s.Stop(0, r)
+			}
+			if got, _ := s.Verdicts(0).Of(99, []wick.Fingerprint{commonPart, otherPart}); got != test.want {
+				t.Errorf("got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 // Two parts that always came together are stopped together: requests with only one
 // of them may still be tried.
 func TestPartsThatComeTogether(t *testing.T) {
