--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -251,7 +251,9 @@
 	}
 	err := errors.Join(
 		open("callers", d.CallerAddress, platform.NewHandler(platform.HandlerConfig{
-			Gateway: g.server, Memory: tally.NewMemory(wick.Bytes(float64(d.Memory) * bodyMemoryShare)),
+			Gateway: g.server,
+			Memory:  tally.NewMemory(wick.Bytes(float64(d.Memory) * bodyMemoryShare)),
+			Log:     g.cfg.Log,
 		})),
 		open("directory", d.DirectoryAddress, platform.NewDirectory(g.server)),
 		open("readiness", d.ReadyAddress, platform.NewReadiness(g.server)),
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -1,6 +1,7 @@
 // Package conns performs HTTP/1.1 exchanges over pooled TCP connections. A
-// connection carries one exchange at a time, and no request twice. Requests are never retried: an
-// error reports whether a byte was written, and the caller decides on retries.
+// connection carries one exchange at a time, and no request twice. Requests are
+// never retried: an error reports whether a byte was written, and the caller decides
+// on retries.
 package conns
 
 import (
