--- a/conns/carried_test.go
+++ b/conns/carried_test.go
@@ -17,11 +17,9 @@
 	"pgregory.net/rapid"
 )
 
-// doubler is a server that answers each request with its number on the connection.
-// Before the answer to a request it sends late copies of all earlier answers that it
-// has kept on the connection.
+// doubler is a server whose answers have the body "own". If copies is set, a copy of
+// each answer with the body "old" follows late: before the next answer on its connection.
 type doubler struct {
-	// copies is set to keep copies.
 	copies bool
 
 	mu sync.Mutex
@@ -29,7 +27,8 @@
 	carried [][]string
 }
 
-// serve accepts connections until the test ends and returns the address.
+// serve accepts connections until the returned function is called, which waits for the
+// connections to end.
 func (s *doubler) serve(t testing.TB) (wick.Address, func()) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/units.go
+++ b/units.go
@@ -10,7 +10,7 @@
 	Tokens int
 	// Bytes counts bytes.
 	Bytes int64
-	// Megabytes is a size of weights, in units of 1,000,000 bytes.
+	// Megabytes is a size of weights.
 	Megabytes float64
 	// Slots counts batch slots, adapter slots, or loads in flight.
 	Slots int
