Identify callers by their access keys

The team of a request is looked up in the configuration in force; an unknown, missing or malformed key gets 401, and 503 from a daemon that may lack the newest configuration, since callers do not repeat a 401. The priority of a team takes precedence over that of its route. Without tenants nothing changes: the credential is forwarded as before.

--- a/daemon.go
+++ b/daemon.go
@@ -49,6 +49,9 @@
 	// RetryRatio times the requests plus RetrySlack.
 	RetryRatio float64
 	RetrySlack int
+	// RevocationDeadline is the time after which a withdrawn access key must not be
+	// accepted, also by a daemon that can't learn of it; 0 if there is none.
+	RevocationDeadline Duration
 	// EntriesTTL is the longest time for which callers may cache the list of
 	// addresses to use.
 	EntriesTTL Duration
@@ -105,6 +108,9 @@
 			errs = append(errs, badField("Bounds."+t.field, "must be positive, not %v", t.value))
 		}
 	}
+	if b.RevocationDeadline < 0 {
+		errs = append(errs, badField("Bounds.RevocationDeadline", "must not be negative"))
+	}
 	if b.RetryRatio < 0 || b.RetrySlack < 0 {
 		errs = append(errs, badField("Bounds.RetryRatio, RetrySlack", "must not be negative"))
 	}
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -65,9 +65,12 @@
 		Address:         r.Address,
 		TimeLeft:        wick.Duration(remaining),
 		Revision:        to.revision,
-		Urgency:         wick.Urgency(min(baseUrgency+max(t.route.Priority, 0), maxUrgency)),
+		Urgency:         t.urgency,
+		Team:            t.team,
 		ResumeAfter:     t.resumeAfter(),
 		RequireLiveConn: !t.mayRerun(),
+
+		ForwardCredential: t.forwardCredential,
 	})
 	if err != nil {
 		return t.handleSendError(ctx, to, wick.AsError(err))
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -132,12 +132,11 @@
 		return wick.NotRunf(wick.CodeNoRoute, "no route for %s%s in configuration %d", x.Host, x.Path, v.ServingConfig.Version)
 	}
 	t.route = route
-	t.pool = drawPool(route.Split)
-	within := x.TimeLeft.Std()
-	if within <= 0 {
-		within = defaultTimeLeft
+	t.deadline = t.start.Add(min(t.callerTimeLeft(), route.Timeout.Std()))
+	if err := t.identify(v, t.start); err != nil {
+		return err
 	}
-	t.deadline = t.start.Add(min(within, route.Timeout.Std()))
+	t.pool = drawPool(route.Split)
 	t.weights = wick.Weights{Model: x.Model, Adapter: x.Adapter}
 	t.fingerprint, t.parts = fingerprintOf(x), partFingerprints(x.Parts)
 	t.sharedPrefixes = sharedPrefixes(t.weights, x.Parts)
@@ -149,6 +148,14 @@
 	return nil
 }
 
+// callerTimeLeft returns how long the caller waits.
+func (t *task) callerTimeLeft() time.Duration {
+	if t.exchange.TimeLeft <= 0 {
+		return defaultTimeLeft
+	}
+	return t.exchange.TimeLeft.Std()
+}
+
 // drawPool picks a pool at random, in proportion to the weights.
 func drawPool(split []wick.PoolShare) wick.PoolName {
 	sum := 0.0
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -157,11 +157,16 @@
 }
 
 func server(t *testing.T, c direct.Control, s wick.Sender, retry wick.SharedBudget) *direct.Server {
+	t.Helper()
+	return serverAt(t, c, s, retry, clock{time.Now()}, wick.Bounds{RevisionDeadline: wick.Duration(5 * time.Second), EntriesTTL: wick.Duration(5 * time.Second)})
+}
+
+func serverAt(t *testing.T, c direct.Control, s wick.Sender, retry wick.SharedBudget, now wick.Clock, bounds wick.Bounds) *direct.Server {
 	t.Helper()
 	return direct.New(direct.Config{
 		Domain:  "d",
-		Bounds:  wick.Bounds{RevisionDeadline: wick.Duration(5 * time.Second), EntriesTTL: wick.Duration(5 * time.Second)},
-		Control: c, Sender: s, Clock: clock{time.Now()}, Retry: retry,
+		Bounds:  bounds,
+		Control: c, Sender: s, Clock: now, Retry: retry,
 		Log: slog.New(slog.DiscardHandler), Observer: fakes.GatewayObserver{}, Pauses: new(tally.Pauses), AnsweredParts: new(tally.Parts),
 	})
 }
--- a/direct/task.go
+++ b/direct/task.go
@@ -29,8 +29,13 @@
 	configVersion uint64
 	route         wick.RouteConfig
 	pool          wick.PoolName
-	weights       wick.Weights
-	fingerprint   wick.Fingerprint
+	// team is the caller's team; empty for none.
+	team    wick.TeamName
+	urgency wick.Urgency
+	// forwardCredential is set if endpoints get the caller's credential.
+	forwardCredential bool
+	weights           wick.Weights
+	fingerprint       wick.Fingerprint
 	// parts are the fingerprints of the parts that other requests may share.
 	parts []wick.Fingerprint
 	// trial is the trial that the request has asked for as a suspect; 0 for none.
@@ -178,7 +183,7 @@
 		s.cfg.Observer.AdapterWaited(t.waited)
 	}
 	level := slogLevel(code)
-	s.cfg.Log.Log(context.Background(), level, "request", "request", t.exchange.Request, "fingerprint", t.fingerprint.String(), "route", t.route.Name,
+	s.cfg.Log.Log(context.Background(), level, "request", "request", t.exchange.Request, "fingerprint", t.fingerprint.String(), "route", t.route.Name, "team", t.team,
 		"config", t.configVersion, "pool", t.pool, "weights", t.weights.String(), "endpoint", t.last, "sends", t.sends,
 		"status", t.status, "outcome", outcome, "code", code, "cause", text, "waited_ms", t.waited.Milliseconds(),
 		"estimate_ms", t.estimate.Milliseconds(), "first_ms", t.firstByte.Milliseconds(), "pause_ms", t.longestGap.Milliseconds(), "whole_ms", total.Milliseconds(),
--- a/error.go
+++ b/error.go
@@ -42,7 +42,7 @@
 	CodeClaimsDown   Code = "ClaimsDown"   // no claim can be acquired now
 	CodeStopping     Code = "Stopping"     // the daemon is stopping
 	CodeCanceled     Code = "Canceled"     // the caller disconnected
-	CodeUnauthorized Code = "Unauthorized" // the operator's token or the peer's identity is wrong
+	CodeUnauthorized Code = "Unauthorized" // the operator's token, the peer's identity or the caller's key is wrong
 	CodeInternal     Code = "Internal"     // an internal error
 )
 
--- a/exchange.go
+++ b/exchange.go
@@ -63,6 +63,8 @@
 	// that the system sets itself.
 	Header []HeaderField
 	Body   []byte
+	// Credential identifies the caller. Its fields are not in Header.
+	Credential Credential
 	// Model is empty for a plain service, Adapter for a base model.
 	Model        ModelName
 	Adapter      AdapterName
@@ -118,6 +120,10 @@
 	Revision Revision
 	// Urgency is the priority at the endpoint; 0 is served first.
 	Urgency Urgency
+	// Team is the caller's team; empty for none.
+	Team TeamName
+	// ForwardCredential is set if the credential of the exchange is forwarded.
+	ForwardCredential bool
 	// ResumeAfter is the event after which to resume a stream; empty for a new run.
 	ResumeAfter EventID
 	// RequireLiveConn is set for a request that must not run twice. It must use a
--- a/fleet.go
+++ b/fleet.go
@@ -77,6 +77,8 @@
 	Routes  []RouteConfig
 	Pools   map[PoolName]PoolConfig
 	Limits  CallerLimits
+	// Teams is nil if the configuration has no teams.
+	Teams *Teams
 }
 
 // RouteConfig maps requests for one virtual host and path prefix to pools.
@@ -99,6 +101,8 @@
 	Attempts int
 	// Resumable is set if a stream may resume at another endpoint.
 	Resumable bool
+	// AllowAnonymous is set if requests need no access key.
+	AllowAnonymous bool
 	// Split lists the pools with their traffic shares; never empty.
 	Split []PoolShare
 }
