--- a/verbs/apply.go
+++ b/verbs/apply.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 
 	"currantwick"
+
+	"github.com/spf13/pflag"
 )
 
 var applyVerb = verb{
@@ -15,7 +16,13 @@
 	example: `currantwick get > conf.json
   currantwick apply -file conf.json -based -dry-run
   currantwick apply -file conf.json -based`,
-	run: runApply,
+	exits: []exit{
+		{Done, "the change was accepted, or there is nothing to change"},
+		{Failed, "the change was rejected or not published"},
+		{Usage, "the command line, or a token or CA file that it names, is invalid"},
+		{Unknown, "the change may take effect; the audit trail tells"},
+	},
+	define: defineApply,
 }
 
 // applyFlags are the flags of apply.
@@ -26,7 +33,7 @@
 	json                        bool
 }
 
-func (f *applyFlags) register(flags *flag.FlagSet) {
+func (f *applyFlags) register(flags *pflag.FlagSet) {
 	f.adminFlags.register(flags)
 	flags.StringVar(&f.file, "file", "", "configuration `file`; - for standard input")
 	flags.StringVar(&f.operator, "operator", os.Getenv(envOperator), "`name` of the operator, for the audit trail; default from $"+envOperator)
@@ -38,36 +45,35 @@
 	flags.BoolVar(&f.json, "json", false, "print the verdicts as JSON")
 }
 
-func runApply(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+func defineApply(flags *pflag.FlagSet) action {
 	var f applyFlags
 	f.register(flags)
-	if err := flags.Parse(args); err != nil {
-		return Usage, err
-	}
-	c, err := f.client()
-	if err != nil {
-		return Usage, err
-	}
-	if f.operator == "" {
-		return Usage, fmt.Errorf("-operator or $%s must be set", envOperator)
-	}
-	want, err := readConfigFile(env, f.file)
-	if err != nil {
-		return Failed, err
-	}
-	current, err := c.objects(ctx, "", "")
-	if err != nil {
-		return Failed, fmt.Errorf("read the configuration: %w", err)
-	}
-	d := want.diff(current, f.prune)
-	if d.empty() {
-		fmt.Fprintln(env.Out, "nothing to change")
-		return Done, nil
-	}
-	if !f.json {
-		d.print(env.Out)
+	return func(ctx context.Context, env Env, _ []string) (Code, error) {
+		c, err := f.client()
+		if err != nil {
+			return Usage, err
+		}
+		if f.operator == "" {
+			return Usage, fmt.Errorf("-operator or $%s must be set", envOperator)
+		}
+		want, err := readConfigFile(env, f.file)
+		if err != nil {
+			return Failed, err
+		}
+		current, err := c.objects(ctx, "", "")
+		if err != nil {
+			return Failed, fmt.Errorf("read the configuration: %w", err)
+		}
+		d := want.diff(current, f.prune)
+		if d.empty() {
+			fmt.Fprintln(env.Out, "nothing to change")
+			return Done, nil
+		}
+		if !f.json {
+			d.print(env.Out)
+		}
+		return f.publish(ctx, env, c, want, d)
 	}
-	return f.publish(ctx, env, c, want, d)
 }
 
 // publish publishes the changes in order and stops at the first one that is not
--- a/verbs/audit.go
+++ b/verbs/audit.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"time"
 
 	"currantwick"
 	"currantwick/pause"
+
+	"github.com/spf13/pflag"
 )
 
 const (
@@ -25,7 +26,7 @@
 	example: `currantwick audit -operator ana
   currantwick audit -follow -rejected
   currantwick audit -change change-5f2e8c0a11d3b7c9`,
-	run: runAudit,
+	define: defineAudit,
 }
 
 // auditFlags are the flags of audit.
@@ -39,7 +40,7 @@
 	json     bool
 }
 
-func (f *auditFlags) register(flags *flag.FlagSet) {
+func (f *auditFlags) register(flags *pflag.FlagSet) {
 	f.adminFlags.register(flags)
 	flags.Uint64Var(&f.from, "from", 1, "`offset` in the audit trail to start at")
 	flags.BoolVar(&f.follow, "follow", false, "keep waiting for new entries")
@@ -55,18 +56,17 @@
 		(!f.rejected || !v.Accepted())
 }
 
-func runAudit(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+func defineAudit(flags *pflag.FlagSet) action {
 	var f auditFlags
 	f.register(flags)
-	if err := flags.Parse(args); err != nil {
-		return Usage, err
-	}
-	c, err := f.client()
-	if err != nil {
-		return Usage, err
+	return func(ctx context.Context, env Env, _ []string) (Code, error) {
+		c, err := f.client()
+		if err != nil {
+			return Usage, err
+		}
+		r := auditReader{f: f, env: env, client: c, next: wick.Offset(max(f.from, 1))}
+		return r.run(ctx)
 	}
-	r := auditReader{f: f, env: env, client: c, next: wick.Offset(max(f.from, 1))}
-	return r.run(ctx)
 }
 
 // auditReader prints the audit trail. Daemons may write a verdict twice, so it
--- a/verbs/check.go
+++ b/verbs/check.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 
 	"currantwick"
 	"currantwick/config"
 	"currantwick/setup"
+
+	"github.com/spf13/pflag"
 )
 
 var checkVerb = verb{
@@ -17,23 +18,27 @@
 	example: `currantwick check -file conf.json
   currantwick check -file changes.json -onto conf.json
   currantwick check -settings host-1.json`,
-	run: runCheck,
+	exits: []exit{
+		{Done, "the file is valid"},
+		{Failed, "the file has errors or cannot be read"},
+		{Usage, "the command line is invalid"},
+	},
+	define: defineCheck,
 }
 
-func runCheck(_ context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+func defineCheck(flags *pflag.FlagSet) action {
 	settings := flags.String("settings", "", "settings `file` of a daemon")
 	file := flags.String("file", "", "configuration `file`; - for standard input")
 	onto := flags.String("onto", "", "configuration `file` that -file is applied to; an empty configuration if omitted")
-	if err := flags.Parse(args); err != nil {
-		return Usage, err
-	}
-	switch {
-	case (*settings == "") == (*file == ""):
-		return Usage, errors.New("exactly one of -file and -settings must be set")
-	case *settings != "":
-		return checkSettings(env, *settings)
+	return func(_ context.Context, env Env, _ []string) (Code, error) {
+		switch {
+		case (*settings == "") == (*file == ""):
+			return Usage, errors.New("exactly one of -file and -settings must be set")
+		case *settings != "":
+			return checkSettings(env, *settings)
+		}
+		return checkFile(env, *file, *onto)
 	}
-	return checkFile(env, *file, *onto)
 }
 
 func checkSettings(env Env, file string) (Code, error) {
--- a/verbs/client.go
+++ b/verbs/client.go
@@ -6,7 +6,6 @@
 	"crypto/x509"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"net"
 	"net/url"
@@ -18,6 +17,7 @@
 	"currantwick/admin"
 	"currantwick/codec"
 
+	"github.com/spf13/pflag"
 	"github.com/valyala/fasthttp"
 )
 
@@ -45,7 +45,7 @@
 	ca        string
 }
 
-func (f *adminFlags) register(flags *flag.FlagSet) {
+func (f *adminFlags) register(flags *pflag.FlagSet) {
 	flags.StringVar(&f.addresses, "admin", os.Getenv(envAdmin),
 		"comma-separated admin `addresses` of one or more daemons; default from $"+envAdmin)
 	flags.StringVar(&f.tokenFile, "token-file", os.Getenv(envTokenFile),
--- a/verbs/drain.go
+++ b/verbs/drain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"time"
@@ -12,6 +11,7 @@
 	"currantwick/admin"
 	"currantwick/pause"
 
+	"github.com/spf13/pflag"
 	"github.com/valyala/fasthttp"
 )
 
@@ -23,29 +23,34 @@
 	short: "stop a daemon gracefully, or mark an endpoint as leaving so that it gets no new work",
 	example: `currantwick drain -admin 10.0.0.1:7002
   currantwick drain -endpoint runner-3 -operator ana`,
-	run: runDrain,
+	exits: []exit{
+		{Done, "the daemon has stopped, or the change was accepted"},
+		{Failed, "not done, or the change was rejected"},
+		{Usage, "the command line, or a token or CA file that it names, is invalid"},
+		{Unknown, "the daemon may still run, or the change may take effect"},
+	},
+	define: defineDrain,
 }
 
-func runDrain(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+func defineDrain(flags *pflag.FlagSet) action {
 	var f adminFlags
 	f.register(flags)
 	endpoint := flags.String("endpoint", "", "`name` of an endpoint to mark as leaving, instead of the daemon")
 	operator := flags.String("operator", os.Getenv(envOperator), "`name` of the operator who publishes the change; default from $"+envOperator)
 	within := flags.Duration("within", time.Hour, "how long to wait for the daemon to stop; 0 to return at once")
-	if err := flags.Parse(args); err != nil {
-		return Usage, err
-	}
-	c, err := f.client()
-	if err != nil {
-		return Usage, err
-	}
-	if *endpoint != "" {
-		return drainEndpoint(ctx, env, c, *endpoint, *operator)
-	}
-	if len(c.addresses) != 1 {
-		return Usage, errors.New("-admin must name exactly one daemon, the one to stop")
+	return func(ctx context.Context, env Env, _ []string) (Code, error) {
+		c, err := f.client()
+		if err != nil {
+			return Usage, err
+		}
+		if *endpoint != "" {
+			return drainEndpoint(ctx, env, c, *endpoint, *operator)
+		}
+		if len(c.addresses) != 1 {
+			return Usage, errors.New("-admin must name exactly one daemon, the one to stop")
+		}
+		return drainDaemon(ctx, env, c, *within)
 	}
-	return drainDaemon(ctx, env, c, *within)
 }
 
 func drainDaemon(ctx context.Context, env Env, c *client, within time.Duration) (Code, error) {
--- a/verbs/gateway.go
+++ b/verbs/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -19,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/spf13/pflag"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -26,28 +26,28 @@
 	name:    "gateway",
 	short:   "run a daemon on the users' platform",
 	example: "currantwick gateway -settings settings.json -metrics 9464/metrics",
-	run:     runGateway,
+	values:  map[string][]string{"log": {"debug", "info", "warn", "error"}},
+	define:  defineGateway,
 }
 
-func runGateway(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+func defineGateway(flags *pflag.FlagSet) action {
 	file := flags.String("settings", os.Getenv(platform.SettingsVariable), "JSON settings file of the platform")
 	metrics := flags.String("metrics", "", "port and path of the metrics, as PORT/PATH; not served if empty")
 	level := flags.String("log", "info", "minimum log level: debug, info, warn or error")
-	if err := flags.Parse(args); err != nil {
-		return Usage, err
-	}
-	var minLevel slog.Level
-	if err := minLevel.UnmarshalText([]byte(*level)); err != nil {
-		return Usage, fmt.Errorf("log level: %w", err)
-	}
-	daemon, err := platform.LoadSettings(*file)
-	if err != nil {
-		return Usage, err
-	}
-	if err := serveGateway(ctx, env, *file, *metrics, daemon, minLevel); err != nil {
-		return Failed, err
+	return func(ctx context.Context, env Env, _ []string) (Code, error) {
+		var minLevel slog.Level
+		if err := minLevel.UnmarshalText([]byte(*level)); err != nil {
+			return Usage, fmt.Errorf("log level: %w", err)
+		}
+		daemon, err := platform.LoadSettings(*file)
+		if err != nil {
+			return Usage, err
+		}
+		if err := serveGateway(ctx, env, *file, *metrics, daemon, minLevel); err != nil {
+			return Failed, err
+		}
+		return Done, nil
 	}
-	return Done, nil
 }
 
 // serveGateway runs a daemon and its log writer.
--- a/verbs/gone.go
+++ b/verbs/gone.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"strings"
 
@@ -11,6 +10,7 @@
 	"currantwick/admin"
 	"currantwick/codec"
 
+	"github.com/spf13/pflag"
 	"github.com/valyala/fasthttp"
 )
 
@@ -18,44 +18,43 @@
 	name:    "gone",
 	short:   "report hosts as permanently lost, so that no daemon waits for theirs",
 	example: "currantwick gone -hosts entry-3,entry-4",
-	run:     runGone,
+	define:  defineGone,
 }
 
-func runGone(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+func defineGone(flags *pflag.FlagSet) action {
 	var f adminFlags
 	f.register(flags)
 	hosts := flags.String("hosts", "", "comma-separated `names` of hosts whose daemons have certainly stopped")
-	if err := flags.Parse(args); err != nil {
-		return Usage, err
+	return func(ctx context.Context, env Env, _ []string) (Code, error) {
+		if *hosts == "" {
+			return Usage, errors.New("-hosts must name at least one host")
+		}
+		c, err := f.client()
+		if err != nil {
+			return Usage, err
+		}
+		var body admin.Gone
+		for h := range strings.SplitSeq(*hosts, ",") {
+			body.Hosts = append(body.Hosts, wick.HostName(h))
+		}
+		data, err := codec.EncodeJSON(body)
+		if err != nil {
+			return Failed, fmt.Errorf("gone: %w", err)
+		}
+		got, err := c.do(ctx, fasthttp.MethodPost, admin.PathGone, data)
+		if err != nil {
+			return Failed, fmt.Errorf("gone: %w", err)
+		}
+		var runs []wick.Run
+		if err := got.decode(&runs); err != nil {
+			return Failed, fmt.Errorf("gone: %w", err)
+		}
+		for _, r := range runs {
+			fmt.Fprintf(env.Out, "ended: run %d on %s\n", r.Incarnation, r.Host)
+		}
+		if len(runs) == 0 {
+			fmt.Fprintln(env.Out, "no view names these hosts")
+		}
+		return Done, nil
 	}
-	if *hosts == "" {
-		return Usage, errors.New("-hosts must name at least one host")
-	}
-	c, err := f.client()
-	if err != nil {
-		return Usage, err
-	}
-	var body admin.Gone
-	for h := range strings.SplitSeq(*hosts, ",") {
-		body.Hosts = append(body.Hosts, wick.HostName(h))
-	}
-	data, err := codec.EncodeJSON(body)
-	if err != nil {
-		return Failed, fmt.Errorf("gone: %w", err)
-	}
-	got, err := c.do(ctx, fasthttp.MethodPost, admin.PathGone, data)
-	if err != nil {
-		return Failed, fmt.Errorf("gone: %w", err)
-	}
-	var runs []wick.Run
-	if err := got.decode(&runs); err != nil {
-		return Failed, fmt.Errorf("gone: %w", err)
-	}
-	for _, r := range runs {
-		fmt.Fprintf(env.Out, "ended: run %d on %s\n", r.Incarnation, r.Host)
-	}
-	if len(runs) == 0 {
-		fmt.Fprintln(env.Out, "no view names these hosts")
-	}
-	return Done, nil
 }
--- a/verbs/keys.go
+++ b/verbs/keys.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"io/fs"
 	"os"
@@ -14,6 +13,8 @@
 
 	"currantwick"
 	"currantwick/certs"
+
+	"github.com/spf13/pflag"
 )
 
 var keysVerb = verb{
@@ -23,7 +24,7 @@
   currantwick keys -dir keys -hosts h4            (another host)
   currantwick keys -dir keys -rotate              (add a new authority, keep the old one)
   currantwick keys -dir keys -retire              (drop the old authorities)`,
-	run: runKeys,
+	define: defineKeys,
 }
 
 // Modes of the directory and files that keys writes.
@@ -41,26 +42,25 @@
 	cfg  certs.Config
 }
 
-func runKeys(_ context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+func defineKeys(flags *pflag.FlagSet) action {
 	dir := flags.String("dir", "keys", "`directory` of the certificate authority and the certificates")
 	hosts := flags.String("hosts", "", "comma-separated `names` of hosts to create certificates for")
 	life := flags.Duration("life", 365*24*time.Hour, "validity period of new certificates")
 	rotate := flags.Bool("rotate", false, "create a new authority and keep trusting the old ones")
 	retire := flags.Bool("retire", false, "stop trusting all authorities but the newest")
-	if err := flags.Parse(args); err != nil {
-		return Usage, err
-	}
-	if *life <= 0 || *rotate && *retire {
-		return Usage, errors.New("-life must be positive, and only one of -rotate and -retire set")
-	}
-	if *hosts == "" && !*rotate && !*retire {
-		return Usage, errors.New("one of -hosts, -rotate and -retire must be set")
-	}
-	k := keyDir{*dir, certs.Config{Life: *life}}
-	if err := k.run(env, *hosts, *rotate, *retire); err != nil {
-		return Failed, err
+	return func(_ context.Context, env Env, _ []string) (Code, error) {
+		if *life <= 0 || *rotate && *retire {
+			return Usage, errors.New("-life must be positive, and only one of -rotate and -retire set")
+		}
+		if *hosts == "" && !*rotate && !*retire {
+			return Usage, errors.New("one of -hosts, -rotate and -retire must be set")
+		}
+		k := keyDir{*dir, certs.Config{Life: *life}}
+		if err := k.run(env, *hosts, *rotate, *retire); err != nil {
+			return Failed, err
+		}
+		return Done, nil
 	}
-	return Done, nil
 }
 
 func (k keyDir) run(env Env, hosts string, rotate, retire bool) error {
--- a/verbs/serve.go
+++ b/verbs/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"log/slog"
 	"os"
@@ -20,6 +19,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/spf13/pflag"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -27,26 +27,25 @@
 	name:    "serve",
 	short:   "run a daemon",
 	example: "currantwick serve -settings host-1.json",
-	run:     runServe,
+	define:  defineServe,
 }
 
-func runServe(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+func defineServe(flags *pflag.FlagSet) action {
 	file := flags.String("settings", "", "JSON settings file of the daemon")
 	defaults := flags.Bool("print-defaults", false, "print the default settings and exit")
-	if err := flags.Parse(args); err != nil {
-		return Usage, err
-	}
-	if *defaults {
-		return printDefaults(env)
-	}
-	settings, err := setup.Load(*file)
-	if err != nil {
-		return Usage, fmt.Errorf("settings: %w", err)
-	}
-	if err := serve(ctx, env, settings); err != nil {
-		return Failed, err
+	return func(ctx context.Context, env Env, _ []string) (Code, error) {
+		if *defaults {
+			return printDefaults(env)
+		}
+		settings, err := setup.Load(*file)
+		if err != nil {
+			return Usage, fmt.Errorf("settings: %w", err)
+		}
+		if err := serve(ctx, env, settings); err != nil {
+			return Failed, err
+		}
+		return Done, nil
 	}
-	return Done, nil
 }
 
 func printDefaults(env Env) (Code, error) {
--- a/verbs/state.go
+++ b/verbs/state.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"text/tabwriter"
@@ -13,6 +12,7 @@
 	"currantwick/boot"
 	"currantwick/codec"
 
+	"github.com/spf13/pflag"
 	"github.com/valyala/fasthttp"
 )
 
@@ -21,41 +21,40 @@
 	short: "show the state of a daemon on the users' platform",
 	example: `currantwick state -at 10.1.0.38:9464
   currantwick state -at 10.1.0.38:9464 -json`,
-	run: runState,
+	define: defineState,
 }
 
 // stateTimeout bounds the request; the daemon answers from memory.
 const stateTimeout = 5 * time.Second
 
-func runState(_ context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+func defineState(flags *pflag.FlagSet) action {
 	at := flags.String("at", "", "metrics `address` of the daemon")
 	asJSON := flags.Bool("json", false, "print JSON")
-	if err := flags.Parse(args); err != nil {
-		return Usage, err
+	return func(_ context.Context, env Env, _ []string) (Code, error) {
+		if *at == "" {
+			return Usage, errors.New("-at must be set to the metrics address of a daemon")
+		}
+		status, body, err := fasthttp.GetTimeout(nil, "http://"+*at+boot.StatePath, stateTimeout)
+		if err == nil && status != fasthttp.StatusOK {
+			err = fmt.Errorf("status %d", status)
+		}
+		if err != nil {
+			return Failed, fmt.Errorf("state of %s: %w", *at, err)
+		}
+		var s wick.GatewayState
+		if err := codec.DecodeJSON(body, &s); err != nil {
+			return Failed, fmt.Errorf("state of %s: %w", *at, err)
+		}
+		if *asJSON {
+			err = printJSON(env.Out, s)
+		} else {
+			err = printState(env.Out, s)
+		}
+		if err != nil {
+			return Failed, err
+		}
+		return Done, nil
 	}
-	if *at == "" {
-		return Usage, errors.New("-at must be set to the metrics address of a daemon")
-	}
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+*at+boot.StatePath, stateTimeout)
-	if err == nil && status != fasthttp.StatusOK {
-		err = fmt.Errorf("status %d", status)
-	}
-	if err != nil {
-		return Failed, fmt.Errorf("state of %s: %w", *at, err)
-	}
-	var s wick.GatewayState
-	if err := codec.DecodeJSON(body, &s); err != nil {
-		return Failed, fmt.Errorf("state of %s: %w", *at, err)
-	}
-	if *asJSON {
-		err = printJSON(env.Out, s)
-	} else {
-		err = printState(env.Out, s)
-	}
-	if err != nil {
-		return Failed, err
-	}
-	return Done, nil
 }
 
 // printState writes human-readable tables.
--- a/verbs/state_test.go
+++ b/verbs/state_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -36,10 +35,10 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			var out bytes.Buffer
-			code, err := runState(t.Context(), Env{Out: &out}, flag.NewFlagSet("state", flag.ContinueOnError), test.args)
+			var out, errs bytes.Buffer
+			code := Run(t.Context(), Env{Out: &out, Err: &errs}, append([]string{"state"}, test.args...))
 			if code != test.code {
-				t.Fatalf("code %v, error %v; want %v", code, err, test.code)
+				t.Fatalf("code %v, errors %s; want %v", code, errs.String(), test.code)
 			}
 			for _, s := range test.want {
 				if !strings.Contains(out.String(), s) {
--- a/verbs/status.go
+++ b/verbs/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"strconv"
@@ -10,6 +9,8 @@
 	"time"
 
 	"currantwick"
+
+	"github.com/spf13/pflag"
 )
 
 var statusVerb = verb{
@@ -17,33 +18,32 @@
 	short: "show view, owners, leases, endpoints, queues and offsets",
 	example: `currantwick status
   currantwick status -json`,
-	run: runStatus,
+	define: defineStatus,
 }
 
-func runStatus(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error) {
+func defineStatus(flags *pflag.FlagSet) action {
 	var f adminFlags
 	f.register(flags)
 	asJSON := flags.Bool("json", false, "print JSON")
-	if err := flags.Parse(args); err != nil {
-		return Usage, err
-	}
-	c, err := f.client()
-	if err != nil {
-		return Usage, err
-	}
-	s, err := c.status(ctx)
-	if err != nil {
-		return Failed, fmt.Errorf("status: %w", err)
-	}
-	if *asJSON {
-		err = printJSON(env.Out, s)
-	} else {
-		err = printStatus(env.Out, s)
-	}
-	if err != nil {
-		return Failed, err
+	return func(ctx context.Context, env Env, _ []string) (Code, error) {
+		c, err := f.client()
+		if err != nil {
+			return Usage, err
+		}
+		s, err := c.status(ctx)
+		if err != nil {
+			return Failed, fmt.Errorf("status: %w", err)
+		}
+		if *asJSON {
+			err = printJSON(env.Out, s)
+		} else {
+			err = printStatus(env.Out, s)
+		}
+		if err != nil {
+			return Failed, err
+		}
+		return Done, nil
 	}
-	return Done, nil
 }
 
 // printStatus writes human-readable tables.
--- a/verbs/verbs.go
+++ b/verbs/verbs.go
@@ -3,13 +3,15 @@
 
 import (
 	"context"
-	"errors"
-	"flag"
-	"fmt"
 	"io"
 	"os"
+
+	"github.com/spf13/pflag"
 )
 
+// program is the name of the command in help and errors.
+const program = "currantwick"
+
 // Code is an exit code.
 type Code int
 
@@ -42,57 +44,50 @@
 	name string
 	// short is a one-line summary for the help.
 	short string
+	// args describes the arguments after the flags in the help; empty if the
+	// verb ignores them.
+	args string
+	// argValues holds the possible values of the first argument, for
+	// completion; empty for file names.
+	argValues []string
 	// example shows working command lines.
 	example string
-	// run adds the verb's flags to flags, parses args and does the work.
-	run func(ctx context.Context, env Env, flags *flag.FlagSet, args []string) (Code, error)
+	// exits describes the exit codes of the verb; empty for commonExits.
+	exits []exit
+	// values holds the possible values of flags, by flag, for completion. A
+	// flag that is not in it completes to file names.
+	values map[string][]string
+	// define adds the verb's flags to flags and returns what the verb does
+	// once they are parsed.
+	define func(flags *pflag.FlagSet) action
 }
 
-// list holds all verbs in the order of the help.
-var list = []verb{
-	demoVerb, serveVerb, gatewayVerb, checkVerb, applyVerb, getVerb, diffVerb, statusVerb, drainVerb, goneVerb,
-	entriesVerb, auditVerb, keysVerb, stateVerb, traceVerb,
+// action does the work of a verb; args are the arguments after the flags.
+type action func(ctx context.Context, env Env, args []string) (Code, error)
+
+// exit describes an exit code in the help.
+type exit struct {
+	code Code
+	text string
 }
 
-// Run runs the verb that args[0] names and returns the exit code.
-func Run(ctx context.Context, env Env, args []string) Code {
-	if len(args) == 0 || args[0] == "-h" || args[0] == "help" {
-		help(env.Err)
-		return Usage
-	}
-	for _, v := range list {
-		if v.name == args[0] {
-			return v.start(ctx, env, args[1:])
-		}
-	}
-	fmt.Fprintf(env.Err, "currantwick: no verb %q\n", args[0])
-	help(env.Err)
-	return Usage
+// allExits describes the exit codes of all verbs together.
+var allExits = []exit{
+	{Done, "done, or the change was accepted"},
+	{Failed, "not done, or the change was rejected; for diff: there is a difference"},
+	{Usage, "the command line, or a file that it names, is invalid; for diff: any failure"},
+	{Unknown, "unknown: the change may take effect, or the daemon may still run"},
 }
 
-func (v verb) start(ctx context.Context, env Env, args []string) Code {
-	flags := flag.NewFlagSet(v.name, flag.ContinueOnError)
-	flags.SetOutput(env.Err)
-	flags.Usage = func() {
-		fmt.Fprintf(env.Err, "currantwick %s: %s\n\nExample:\n  %s\n\nFlags:\n", v.name, v.short, v.example)
-		flags.PrintDefaults()
-	}
-	code, err := v.run(ctx, env, flags, args)
-	if errors.Is(err, flag.ErrHelp) {
-		return Done
-	}
-	if err != nil {
-		fmt.Fprintf(env.Err, "currantwick %s: %v\n", v.name, err)
-	}
-	return code
+// commonExits describes the exit codes of verbs that publish no change.
+var commonExits = []exit{
+	{Done, "done"},
+	{Failed, "not done"},
+	{Usage, "the command line, or a settings, token or CA file that it names, is invalid"},
 }
 
-func help(w io.Writer) {
-	fmt.Fprintln(w, "usage: currantwick VERB [FLAGS]")
-	fmt.Fprintln(w)
-	for _, v := range list {
-		fmt.Fprintf(w, "  %-8s %s\n", v.name, v.short)
-	}
-	fmt.Fprintln(w)
-	fmt.Fprintln(w, "currantwick VERB -h shows the flags of a verb and an example.")
+// list holds the verbs in the order of the help.
+var list = []verb{
+	demoVerb, serveVerb, gatewayVerb, checkVerb, applyVerb, getVerb, diffVerb, statusVerb, drainVerb, goneVerb,
+	entriesVerb, auditVerb, keysVerb, stateVerb, traceVerb,
 }
