--- a/cmd/currantwick/verbs_test.go
+++ b/cmd/currantwick/verbs_test.go
@@ -45,6 +45,13 @@
 		{"keys", 2, "one of -hosts, -rotate and -retire"},
 		{"keys -hosts a,b -dir k", 0, "k/b.pem"},
 		{"serve -print-defaults", 0, `"TTL":"1.5s"`},
+		{"check --file=good.json", 0, "ok"},
+		{"gateway -settings=none.json", 2, "no such file"},
+		{"gateway --settings none.json", 2, "no such file"},
+		{"--help", 0, "usage: currantwick VERB"},
+		{"help gateway", 0, "--settings"},
+		{"--version", 0, "currantwick version "},
+		{"completion bash", 0, "__start_currantwick"},
 	}
 	for _, test := range tests {
 		t.Run(test.args, func(t *testing.T) {
