--- a/verbs/line.go
+++ b/verbs/line.go
@@ -53,8 +53,10 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 		Args:          checkVerbName,
-		// Without it, cobra would print the help for an unknown verb and succeed.
-		RunE:              func(*cobra.Command, []string) error { return nil },
+		// Without RunE, cobra would print the help for an unknown verb and succeed.
+		RunE: func(root *cobra.Command, _ []string) error {
+			return errors.Join(root.Usage(), &exitError{Usage, errors.New("no verb given")})
+		},
 		ValidArgsFunction: cobra.NoFileCompletions,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
--- a/verbs/line_test.go
+++ b/verbs/line_test.go
@@ -249,6 +249,8 @@
 		out, errs string
 	}{
 		{"no verb", nil, Usage, "", "usage: currantwick VERB"},
+		{"dashes and no verb", []string{"--"}, Usage, "", "currantwick: no verb given\n"},
+		{"flag that is off and no verb", []string{"--version=false"}, Usage, "", "currantwick: no verb given\n"},
 		{"unknown verb", []string{"nonsense"}, Usage, "", `no verb "nonsense"`},
 		{"empty verb", []string{""}, Usage, "", `no verb ""`},
 		{"unknown verb before a known one", []string{"nonsense", "check"}, Usage, "", `no verb "nonsense"`},
