--- a/coord/state.go
+++ b/coord/state.go
@@ -79,9 +79,10 @@
 	wasReady  bool
 	// settledAt is when the offsets that linked daemons must know last advanced.
 	settledAt wick.Instant
-	// nextLoads is when loads are queued next.
-	nextLoads wick.Instant
-	dirty     bool
+	// nextLoads is when loads are queued next, and nextCopies when copies of adapters
+	// are planned next.
+	nextLoads, nextCopies wick.Instant
+	dirty                 bool
 }
 
 // daemonRecord is a record that a daemon wrote about itself.
@@ -157,6 +158,7 @@
 	s.clearAnswered(now)
 	s.expireSuspects(now)
 	s.updateLoads(now)
+	s.planCopies(now)
 	s.flush(now, true)
 }
 
--- a/fakes/observer.go
+++ b/fakes/observer.go
@@ -53,5 +53,8 @@
 // EndpointLeaving implements wick.GatewayObserver.
 func (GatewayObserver) EndpointLeaving() {}
 
+// CopyRequested implements wick.GatewayObserver.
+func (GatewayObserver) CopyRequested() {}
+
 // ShardsHeld implements wick.GatewayObserver.
 func (GatewayObserver) ShardsHeld(int) {}
--- a/observer.go
+++ b/observer.go
@@ -80,6 +80,9 @@
 	// that one said that it is about to end.
 	EndpointPaused()
 	EndpointLeaving()
+	// CopyRequested records that this daemon, as a holder, asked for a copy of a busy
+	// adapter at another endpoint.
+	CopyRequested()
 	// ShardsHeld records how many shards this daemon holds.
 	ShardsHeld(n int)
 }
--- a/stats/gateway.go
+++ b/stats/gateway.go
@@ -25,6 +25,7 @@
 	stopped       prometheus.Counter
 	pauses        prometheus.Counter
 	leaving       prometheus.Counter
+	copies        prometheus.Counter
 	configVersion prometheus.Gauge
 	heldShards    prometheus.Gauge
 }
@@ -50,13 +51,14 @@
 		stopped:       newCounter("requests_stopped_total", "Requests stopped because they crashed endpoints."),
 		pauses:        newCounter("endpoint_pauses_total", "Pauses that endpoints asked for."),
 		leaving:       newCounter("endpoints_leaving_total", "Endpoints that said that they are about to end."),
+		copies:        newCounter("adapter_copies_requested_total", "Copies of busy adapters that this daemon asked for as a holder."),
 		configVersion: newGauge("configuration_version", "Version of the configuration in force."),
 		heldShards:    newGauge("held_shards", "Shards whose endpoints take orders from this daemon."),
 	}
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
-	registry.MustRegister(g.requests, g.firstPart, g.duration, g.adapterWait, g.attempts, g.orders, g.reports, g.store, g.retriesDenied, g.termsStarted, g.connections, g.crashes, g.stopped, g.pauses, g.leaving, g.configVersion, g.heldShards, lines)
+	registry.MustRegister(g.requests, g.firstPart, g.duration, g.adapterWait, g.attempts, g.orders, g.reports, g.store, g.retriesDenied, g.termsStarted, g.connections, g.crashes, g.stopped, g.pauses, g.leaving, g.copies, g.configVersion, g.heldShards, lines)
 	return g
 }
 
@@ -129,6 +131,9 @@
 // EndpointLeaving implements wick.GatewayObserver.
 func (g *Gateway) EndpointLeaving() { g.leaving.Inc() }
 
+// CopyRequested implements wick.GatewayObserver.
+func (g *Gateway) CopyRequested() { g.copies.Inc() }
+
 // ConfigApplied implements wick.GatewayObserver.
 func (g *Gateway) ConfigApplied(version uint64) { g.configVersion.Set(float64(version)) }
 
