--- a/slots/slots.go
+++ b/slots/slots.go
@@ -204,10 +204,12 @@
 }
 
 // NotReady records that the endpoint refused a request because its adapter was
-// still loading.
+// still loading. All requests that waited for one load are refused together, by all
+// daemons; the first report corrects the expected time, and those that come before it
+// are ignored.
 func (l *Ledger) NotReady(now wick.Instant, w wick.Weights) {
 	p := l.placements[w]
-	if p == nil {
+	if p == nil || now < p.Ready {
 		return
 	}
 	p.Ready = now.Add(loadTimeStep)
