Limit the hedges of a gateway per route and in total

Hedgers were kept by the relay alone, with one limit for each pool. Counters for sent, won and denied hedges are added.

--- a/direct/trial_test.go
+++ b/direct/trial_test.go
@@ -94,6 +94,8 @@
 func (unlimited) Earn(int)       {}
 func (unlimited) Spend(int) bool { return true }
 
+func (unlimited) SpendSpare(int) bool { return true }
+
 // started implements wick.Clock.
 type started time.Time
 
--- a/fakes/observer.go
+++ b/fakes/observer.go
@@ -53,5 +53,14 @@
 // EndpointLeaving implements wick.GatewayObserver.
 func (GatewayObserver) EndpointLeaving() {}
 
+// HedgeSent implements wick.GatewayObserver.
+func (GatewayObserver) HedgeSent() {}
+
+// HedgeWon implements wick.GatewayObserver.
+func (GatewayObserver) HedgeWon() {}
+
+// HedgeDenied implements wick.GatewayObserver.
+func (GatewayObserver) HedgeDenied(wick.HedgeDenial) {}
+
 // ShardsHeld implements wick.GatewayObserver.
 func (GatewayObserver) ShardsHeld(int) {}
--- a/limit/retry.go
+++ b/limit/retry.go
@@ -75,6 +75,9 @@
 	Ratio float64
 	// MinDelay and MaxDelay bound the delay of a hedge.
 	MinDelay, MaxDelay time.Duration
+	// Total limits the hedges of all hedgers that share it, in addition to Ratio;
+	// nil for no limit. If the hedgers have locks of their own, it needs one too.
+	Total wick.RetryBudget
 }
 
 const (
@@ -133,6 +136,9 @@
 // RequestStarted implements wick.Hedger.
 func (h *PercentileHedger) RequestStarted() {
 	h.bucket.tokens = min(h.bucket.tokens+h.config.Ratio, hedgeBurst)
+	if h.config.Total != nil {
+		h.config.Total.Earn()
+	}
 }
 
 // ObserveLatency implements wick.Hedger. The estimate takes a large step up for
@@ -161,7 +167,12 @@
 }
 
 // TryHedge implements wick.Hedger.
-func (h *PercentileHedger) TryHedge() bool { return h.bucket.take() }
+func (h *PercentileHedger) TryHedge() bool {
+	if h.bucket.tokens < 1 || h.config.Total != nil && !h.config.Total.Spend() {
+		return false
+	}
+	return h.bucket.take()
+}
 
 // NoHedger sends no hedges. It is the baseline for comparisons.
 type NoHedger struct{}
--- a/limit/shared.go
+++ b/limit/shared.go
@@ -58,5 +58,18 @@
 	return true
 }
 
+// spareShare is the share of the budget that must be left after SpendSpare.
+const spareShare = 0.5
+
+// SpendSpare implements wick.SharedBudget. Where the whole budget is less than two
+// retries, it must be full, since otherwise it would always be low.
+func (s *SharedRetries) SpendSpare(daemons int) bool {
+	most := max(s.part(daemons), 1)
+	if min(s.slackLeft, s.part(daemons))+s.earned < min(most, 1+spareShare*most) {
+		return false
+	}
+	return s.Spend(daemons)
+}
+
 // part returns this daemon's part of the slack.
 func (s *SharedRetries) part(daemons int) float64 { return s.slack / float64(max(daemons, 1)) }
--- a/observer.go
+++ b/observer.go
@@ -80,6 +80,11 @@
 	// that one said that it is about to end.
 	EndpointPaused()
 	EndpointLeaving()
+	// HedgeSent records a second attempt beside a slow one, HedgeWon that its answer
+	// was used, and HedgeDenied that none was sent although the first attempt was slow.
+	HedgeSent()
+	HedgeWon()
+	HedgeDenied(why HedgeDenial)
 	// ShardsHeld records how many shards this daemon holds.
 	ShardsHeld(n int)
 }
--- a/policy_route.go
+++ b/policy_route.go
@@ -92,6 +92,9 @@
 	// Spend reports whether another retry is allowed, and takes it from the
 	// budget if so.
 	Spend(daemons int) bool
+	// SpendSpare is like Spend, for an attempt that can be left out. It also
+	// refuses while the budget is low, so that enough is left for retries.
+	SpendSpare(daemons int) bool
 }
 
 // MemoryBudget bounds the memory of what requests hold. Implementations are safe for
@@ -132,6 +135,40 @@
 	TryHedge() bool
 }
 
+// HedgeKey identifies the requests of a gateway that are expected to take similar
+// times.
+type HedgeKey struct {
+	Route RouteName
+	Pool  PoolName
+}
+
+// Hedgers gives access to the hedgers of a gateway. Implementations, and the
+// hedgers that they return, are safe for concurrent use.
+type Hedgers interface {
+	// Of returns the hedger of the requests with a key, or nil if they must not be
+	// hedged.
+	Of(k HedgeKey) Hedger
+}
+
+// HedgeDenial is the reason why no second attempt was started beside a slow one.
+type HedgeDenial string
+
+// The reasons why a second attempt is denied.
+const (
+	// HedgeLimit: the limit on hedges of the route, or on all, was reached.
+	HedgeLimit HedgeDenial = "limit"
+	// HedgeBudget: the shared retry budget was low.
+	HedgeBudget HedgeDenial = "budget"
+	// HedgeRoom: the endpoints of the pool lacked room.
+	HedgeRoom HedgeDenial = "room"
+	// HedgeEndpoint: no other endpoint had the adapter ready.
+	HedgeEndpoint HedgeDenial = "endpoint"
+	// HedgeSuspect: the request was pending when an endpoint crashed.
+	HedgeSuspect HedgeDenial = "suspect"
+	// HedgeTime: too little time was left for a second attempt.
+	HedgeTime HedgeDenial = "time"
+)
+
 // HedgePolicy names an implementation of Hedger in the settings.
 type HedgePolicy string
 
--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -6,7 +6,6 @@
 
 	"currantwick"
 	"currantwick/limit"
-	"currantwick/tally"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -25,7 +24,7 @@
 	if t.haveTokens > 0 {
 		r.cfg.Observer.StreamResumed()
 	}
-	hedger := r.hedger(t.resolved.Pool.Name)
+	hedger := r.hedgers.Of(t.resolved.Pool.Name)
 	if hedger == nil || !t.mayHedge() {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
@@ -134,16 +133,12 @@
 	return t.end != nil
 }
 
-// hedger returns the hedger of a pool, or nil if its settings are out of range.
-// A daemon with such settings does not start.
-func (r *Relay) hedger(pool wick.PoolName) wick.Hedger {
-	if h, ok := r.hedgers.Load(pool); ok {
-		return h.(*tally.LockedHedger)
-	}
+// newHedger returns a hedger, or nil if its settings are out of range. A daemon with
+// such settings does not start.
+func (r *Relay) newHedger(wick.PoolName) wick.Hedger {
 	h, err := limit.NewHedger(r.cfg.Hedge)
 	if err != nil {
 		return nil
 	}
-	kept, _ := r.hedgers.LoadOrStore(pool, tally.NewLockedHedger(h))
-	return kept.(*tally.LockedHedger)
+	return h
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -8,7 +8,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,15 +63,17 @@
 	cfg  Config
 	load tally.Counts
 	turn atomic.Uint64
-	// hedgers holds a *tally.LockedHedger for each wick.PoolName.
-	hedgers sync.Map
+	// hedgers has a hedger for each pool.
+	hedgers *tally.Hedgers[wick.PoolName]
 }
 
 var _ wick.Front = (*Relay)(nil)
 
 // New returns a Relay.
 func New(cfg Config) *Relay {
-	return &Relay{cfg: cfg}
+	r := &Relay{cfg: cfg}
+	r.hedgers = tally.NewHedgers(r.newHedger)
+	return r
 }
 
 // InFlight returns the work in flight from this daemon, by endpoint.
--- a/stats/gateway.go
+++ b/stats/gateway.go
@@ -25,6 +25,9 @@
 	stopped       prometheus.Counter
 	pauses        prometheus.Counter
 	leaving       prometheus.Counter
+	hedgesSent    prometheus.Counter
+	hedgesWon     prometheus.Counter
+	hedgesDenied  *prometheus.CounterVec
 	configVersion prometheus.Gauge
 	heldShards    prometheus.Gauge
 }
@@ -50,13 +53,16 @@
 		stopped:       newCounter("requests_stopped_total", "Requests stopped because they crashed endpoints."),
 		pauses:        newCounter("endpoint_pauses_total", "Pauses that endpoints asked for."),
 		leaving:       newCounter("endpoints_leaving_total", "Endpoints that said that they are about to end."),
+		hedgesSent:    newCounter("hedges_sent_total", "Second attempts beside slow ones."),
+		hedgesWon:     newCounter("hedges_won_total", "Second attempts whose answer came first."),
+		hedgesDenied:  newCounterVec("hedges_denied_total", "Second attempts that were not sent beside slow ones, by cause.", "cause"),
 		configVersion: newGauge("configuration_version", "Version of the configuration in force."),
 		heldShards:    newGauge("held_shards", "Shards whose endpoints take orders from this daemon."),
 	}
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
-	registry.MustRegister(g.requests, g.firstPart, g.duration, g.adapterWait, g.attempts, g.orders, g.reports, g.store, g.retriesDenied, g.termsStarted, g.connections, g.crashes, g.stopped, g.pauses, g.leaving, g.configVersion, g.heldShards, lines)
+	registry.MustRegister(g.requests, g.firstPart, g.duration, g.adapterWait, g.attempts, g.orders, g.reports, g.store, g.retriesDenied, g.termsStarted, g.connections, g.crashes, g.stopped, g.pauses, g.leaving, g.hedgesSent, g.hedgesWon, g.hedgesDenied, g.configVersion, g.heldShards, lines)
 	return g
 }
 
@@ -129,6 +135,17 @@
 // EndpointLeaving implements wick.GatewayObserver.
 func (g *Gateway) EndpointLeaving() { g.leaving.Inc() }
 
+// HedgeSent implements wick.GatewayObserver.
+func (g *Gateway) HedgeSent() { g.hedgesSent.Inc() }
+
+// HedgeWon implements wick.GatewayObserver.
+func (g *Gateway) HedgeWon() { g.hedgesWon.Inc() }
+
+// HedgeDenied implements wick.GatewayObserver.
+func (g *Gateway) HedgeDenied(why wick.HedgeDenial) {
+	g.hedgesDenied.WithLabelValues(string(why)).Inc()
+}
+
 // ConfigApplied implements wick.GatewayObserver.
 func (g *Gateway) ConfigApplied(version uint64) { g.configVersion.Set(float64(version)) }
 
--- a/tally/guard.go
+++ b/tally/guard.go
@@ -61,6 +61,13 @@
 	return s.budget.Spend(daemons)
 }
 
+// SpendSpare implements wick.SharedBudget.
+func (s *LockedSharedBudget) SpendSpare(daemons int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.SpendSpare(daemons)
+}
+
 // LockedHedger is a hedger with a lock, for traffic threads.
 type LockedHedger struct {
 	mu     sync.Mutex
