Hedge slow requests on the gateway's path

A safe request, or a resumable stream that has not begun, waited for the endpoint that it was sent to first, however slow. direct now sends it to a second endpoint after the hedger's delay. Each sending runs in a goroutine that reads the answer up to the point where it may be passed on and shares nothing with the task; the task handles the results one after the other and alone writes to the caller.

With one slow endpoint the 99th percentile first rose from 40 to 70 ms, since cancelled answers made it look fast; the time of a first attempt that lost now counts twice.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -31,13 +31,17 @@
 	maxUrgency  = 9
 )
 
-// attempt sends the request to an endpoint once and passes the response back.
+// attempt sends the request to an endpoint once and passes the response back. If the
+// request may be hedged, a second endpoint may get it too.
 func (t *task) attempt(ctx context.Context, to target) error {
 	s, r := t.server, to.runner
 	remaining := t.remaining()
 	if remaining < minRemaining {
 		return t.refuse(wick.CodeOverload, "no time is left")
 	}
+	if hedger := t.hedgerFor(); hedger != nil {
+		return t.attemptHedged(ctx, to, hedger, remaining)
+	}
 	prompt := t.exchange.PromptTokens
 	r.Meter.Start(t.weights, prompt)
 	prefilling := true
@@ -59,10 +63,20 @@
 	sent := s.cfg.Clock.Now()
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	rec, err := s.cfg.Sender.Send(sendCtx, wick.Attempt{
+	rec, err := s.cfg.Sender.Send(sendCtx, t.newAttempt(to, remaining))
+	if err != nil {
+		return t.handleSendError(ctx, to, wick.AsError(err))
+	}
+	defer rec.Body.Close()
+	return t.handleResponse(ctx, incoming{target: to, response: rec, sent: sent, prefilled: prefilled, ctx: sendCtx, cancel: cancel})
+}
+
+// newAttempt describes the attempt to run the request at an endpoint.
+func (t *task) newAttempt(to target, remaining time.Duration) wick.Attempt {
+	return wick.Attempt{
 		Exchange:        t.exchange,
-		Endpoint:        r.Name,
-		Address:         r.Address,
+		Endpoint:        to.runner.Name,
+		Address:         to.runner.Address,
 		TimeLeft:        wick.Duration(remaining),
 		Revision:        to.revision,
 		Urgency:         t.urgency,
@@ -71,11 +85,12 @@
 		RequireLiveConn: !t.mayRerun(),
 
 		ForwardCredential: t.forwardCredential,
-	})
-	if err != nil {
-		return t.handleSendError(ctx, to, wick.AsError(err))
 	}
-	defer rec.Body.Close()
+}
+
+// handleResponse decides what follows a response, and passes it on if it is final.
+func (t *task) handleResponse(ctx context.Context, from incoming) error {
+	to, rec := from.target, from.response
 	t.applySignal(to, rec.Signal)
 	if rec.NotRun {
 		return t.handleNotRun(ctx, to, rec)
@@ -84,12 +99,13 @@
 	if t.shouldRerun(rec) {
 		t.answered()
 		t.recordFailure(to)
-		return &retryableError{cause: wick.Unknownf(wick.CodeBroken, "%s answered with status %d", r.Name, rec.Status)}
+		return &retryableError{cause: wick.Unknownf(wick.CodeBroken, "%s answered with status %d", to.runner.Name, rec.Status)}
 	}
 	if t.route.Kind != wick.KindStream {
-		return t.passBuffered(ctx, to, rec, sent)
+		return t.passBuffered(ctx, to, rec, from.sent)
 	}
-	return t.passStream(ctx, &incoming{target: to, response: rec, sent: sent, prefilled: prefilled, ctx: sendCtx, cancel: cancel})
+	stream := from // Only streams need it on the heap.
+	return t.passStream(ctx, &stream)
 }
 
 func (t *task) resumeAfter() wick.EventID {
@@ -136,7 +152,9 @@
 	case early && rec.Signal.Pause == 0:
 		want.Reason = wick.AdapterNotReady
 		s.cfg.Control.RequestAdapter(want)
-		pause.For(ctx, earlyPause)
+		if t.besideLeg == nil {
+			pause.For(ctx, earlyPause)
+		}
 	case rec.Misdirected && t.weights.Adapter != "":
 		cause.Code = wick.CodeLoadFailed
 		want.Reason = wick.AdapterMissing
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -58,6 +58,8 @@
 	Pauses   wick.EndpointPauses
 	// AnsweredParts records the parts of prompts that were answered.
 	AnsweredParts wick.AnsweredParts
+	// Hedgers are the hedgers of the routes; nil if no request is hedged.
+	Hedgers wick.Hedgers
 }
 
 // Server implements wick.Gateway.
--- /dev/null
+++ b/direct/hedge.go
@@ -0,0 +1,467 @@
+package direct
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"currantwick"
+	"currantwick/choose"
+	"currantwick/crash"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// A hedged attempt runs each sending in a leg, a goroutine that reads the answer up to
+// the point where it may be passed on: the whole of a buffered answer, the first
+// complete event of a stream. Only the goroutine of the task reads and changes the
+// task and writes to the caller; legs share nothing but the race.
+
+// leg is one sending of a hedged attempt. Its fields from ended on belong to the leg's
+// goroutine until the race has taken its result, then to the task's.
+type leg struct {
+	target   target
+	attempt  wick.Attempt
+	estimate time.Duration
+	// second is set for the hedge.
+	second bool
+	sent   wick.Instant
+	ctx    context.Context
+	cancel context.CancelFunc
+	weight wick.Weights
+	// stream is set if the answer is a stream of events.
+	stream bool
+	// handled is set once the task has handled the result, and so counted the run.
+	handled bool
+
+	// ended is set once the connection was given back, and released once the endpoint's
+	// load was.
+	ended, released bool
+	// prefilling is set until the endpoint has read the prompt.
+	prefilling bool
+	response   *wick.Response
+	err        error
+	// body replays what was read of the answer. complete is set if it ends with a
+	// whole answer, or a whole event of a stream.
+	body     replayBody
+	complete bool
+}
+
+// run sends the request and reads the answer up to the point where it may be passed on.
+func (l *leg) run(send wick.Sender) {
+	l.response, l.err = send.Send(l.ctx, l.attempt)
+	if l.err != nil || l.response.NotRun {
+		return
+	}
+	l.body.rest = l.response.Body
+	if l.stream {
+		l.readEvent()
+	} else {
+		l.readWhole()
+	}
+	l.response.Body = &l.body
+}
+
+// readWhole reads an answer as passBuffered does.
+func (l *leg) readWhole() {
+	n, err := io.Copy(&l.body.read, io.LimitReader(l.body.rest, maxBuffered))
+	l.complete = err == nil
+	switch {
+	case err != nil:
+		l.body.err = err
+	case n < maxBuffered:
+		l.body.err = io.EOF
+	}
+}
+
+// readEvent reads a stream up to the end of its first event.
+func (l *leg) readEvent() {
+	buf := make([]byte, readSize)
+	for !l.complete {
+		n, err := l.body.rest.Read(buf)
+		if n > 0 {
+			l.prefilled()
+		}
+		l.body.read.Write(buf[:n])
+		l.complete = bytes.Contains(l.body.read.Bytes(), eventEnd)
+		if errors.Is(err, io.EOF) && !l.complete {
+			in := eventBuffer{buf: l.body.read.Bytes()}
+			l.complete = l.response.Status != http.StatusOK || in.checkEnd(l.response.Unframed, false) == nil
+		}
+		if l.body.err = err; err != nil || l.body.read.Len() > maxEvent {
+			return
+		}
+	}
+}
+
+// failed reports whether the leg has no answer that beats that of another leg.
+func (l *leg) failed() bool {
+	return l.err != nil || l.response.NotRun || !l.complete || l.hasServerError()
+}
+
+// hasServerError reports whether the endpoint answered with a server error, which is
+// passed on if no other leg has an answer.
+func (l *leg) hasServerError() bool {
+	return l.err == nil && !l.response.NotRun && l.complete && l.response.Status >= http.StatusInternalServerError
+}
+
+// prefilled records that the endpoint has read the prompt.
+func (l *leg) prefilled() {
+	if l.prefilling {
+		l.prefilling = false
+		l.target.runner.Meter.Prefilled(l.attempt.Exchange.PromptTokens)
+	}
+}
+
+// release no longer counts the request as running at the endpoint.
+func (l *leg) release() {
+	if l.released {
+		return
+	}
+	l.released = true
+	l.prefilled()
+	l.target.runner.Meter.Done(l.weight)
+}
+
+// end cancels the sending and gives back what it held.
+func (l *leg) end() {
+	if l.ended {
+		return
+	}
+	l.ended = true
+	l.cancel()
+	if l.response != nil {
+		l.response.Body.Close()
+	}
+	l.release()
+}
+
+// replayBody implements wick.Body. It returns again what was read before.
+type replayBody struct {
+	read bytes.Buffer
+	// err follows what was read before; if it is nil, rest does.
+	err  error
+	rest wick.Body
+}
+
+// Read implements wick.Body.
+func (b *replayBody) Read(p []byte) (int, error) {
+	if b.read.Len() > 0 {
+		return b.read.Read(p)
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
+	return b.rest.Read(p)
+}
+
+// Close implements wick.Body.
+func (b *replayBody) Close() error { return b.rest.Close() }
+
+// race decides between the legs of a hedged attempt.
+type race struct {
+	group errgroup.Group
+	// results receives the legs that failed and the winner; it never blocks them.
+	results chan *leg
+
+	mu   sync.Mutex
+	legs []*leg
+	// over is set once a leg has won, or the attempt has ended without a winner.
+	over bool
+}
+
+// lostFactor is the assumed duration of a first attempt that lost, relative to the time
+// after which it was canceled. With 1, a slow endpoint looks nearly as fast as others once
+// its slow answers are hedged: in the case of one slow endpoint in TestHedgesUnderLoad it
+// then got so many requests that the 99th percentile was 70 ms instead of 40 ms.
+const lostFactor = 2
+
+// maxLegs is the number of sendings that run at once.
+const maxLegs = 2
+
+func newRace() *race { return &race{results: make(chan *leg, maxLegs)} }
+
+// start runs a leg, unless the race is over.
+func (r *race) start(l *leg, send wick.Sender) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.over {
+		return false
+	}
+	r.legs = append(r.legs, l)
+	r.group.Go(func() error {
+		l.run(send)
+		if r.deliver(l) {
+			r.results <- l
+		} else {
+			l.end()
+		}
+		return nil
+	})
+	return true
+}
+
+// deliver reports whether the task receives a leg's result: not if the race is over.
+// The first leg that has an answer wins; the others are canceled at once.
+func (r *race) deliver(l *leg) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.over {
+		return false
+	}
+	if !l.failed() {
+		r.over = true
+		for _, other := range r.legs {
+			if other != l {
+				other.cancel()
+			}
+		}
+	}
+	return true
+}
+
+// isOver reports whether a leg has won.
+func (r *race) isOver() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.over
+}
+
+// close cancels all legs, waits for them, and gives back what they held.
+func (r *race) close() {
+	r.mu.Lock()
+	r.over = true
+	for _, l := range r.legs {
+		l.cancel()
+	}
+	r.mu.Unlock()
+	_ = r.group.Wait() // Legs return no errors.
+	for _, l := range r.legs {
+		l.end()
+	}
+}
+
+// hedgerFor returns the hedger of the next attempt, or nil if the attempt must not be
+// hedged.
+func (t *task) hedgerFor() wick.Hedger {
+	if t.server.cfg.Hedgers == nil || !t.mayRerun() || t.started || t.trial != 0 || t.ran+maxLegs > t.route.Attempts {
+		return nil
+	}
+	return t.server.cfg.Hedgers.Of(wick.HedgeKey{Route: t.route.Name, Pool: t.pool})
+}
+
+// newLeg returns a leg that sends the request to an endpoint, and counts the sending.
+func (t *task) newLeg(ctx context.Context, to target, estimate, remaining time.Duration, second bool) *leg {
+	s := t.server
+	to.runner.Meter.Start(t.weights, t.exchange.PromptTokens)
+	s.cfg.Observer.AttemptSent(t.sends > 0)
+	t.sends++
+	l := &leg{
+		target: to, attempt: t.newAttempt(to, remaining), estimate: estimate, second: second, sent: s.cfg.Clock.Now(),
+		weight: t.weights, stream: t.route.Kind == wick.KindStream, prefilling: true,
+	}
+	l.ctx, l.cancel = context.WithCancel(ctx)
+	return l
+}
+
+// attemptHedged sends the request to an endpoint, and to a second one if the first
+// takes longer than the hedger's delay. It passes on the first answer.
+func (t *task) attemptHedged(ctx context.Context, to target, hedger wick.Hedger, remaining time.Duration) error {
+	if t.sends == 0 {
+		hedger.RequestStarted()
+	}
+	r := newRace()
+	defer r.close()
+	first := t.newLeg(ctx, to, t.estimate, remaining, false)
+	t.last = to.runner.Name
+	r.start(first, t.server.cfg.Sender)
+	delay, ok := hedger.Delay()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	if !ok {
+		timer.Stop()
+	}
+	h := hedged{task: t, race: r, hedger: hedger, first: first, running: 1}
+	for {
+		select {
+		case l := <-r.results:
+			h.running--
+			if !l.failed() {
+				return h.pass(ctx, l)
+			}
+			if ended, err := h.fail(ctx, l); ended {
+				return err
+			}
+		case <-timer.C:
+			h.hedge(ctx)
+		}
+	}
+}
+
+// hedged is a hedged attempt in progress. It belongs to the goroutine of the task.
+type hedged struct {
+	task   *task
+	race   *race
+	hedger wick.Hedger
+	first  *leg
+	// running is the number of legs without a result.
+	running int
+	// failure is the failure of a leg while another was running, and held a leg with a
+	// server error.
+	failure *retryableError
+	held    *leg
+	// judging is closed once it is known whether the failure was a crash; nil if it is
+	// no evidence of one.
+	judging <-chan struct{}
+}
+
+// hedge starts a second leg if that is allowed.
+func (h *hedged) hedge(ctx context.Context) {
+	t, s := h.task, h.task.server
+	if h.race.isOver() {
+		return
+	}
+	to, estimate, denied := t.pickSecond(h.first.target)
+	if denied == "" && !h.hedger.TryHedge() {
+		denied = wick.HedgeLimit
+	}
+	if denied == "" && !s.cfg.Retry.SpendSpare(s.cfg.Control.View().Daemons) {
+		denied = wick.HedgeBudget
+	}
+	if denied != "" {
+		s.cfg.Observer.HedgeDenied(denied)
+		return
+	}
+	l := t.newLeg(ctx, to, estimate, t.remaining(), true)
+	if !h.race.start(l, s.cfg.Sender) {
+		l.end() // The first leg has just won.
+		return
+	}
+	h.running++
+	s.cfg.Observer.HedgeSent()
+	s.cfg.Log.Info("hedge sent", "request", t.exchange.Request, "first", h.first.target.runner.Name, "endpoint", to.runner.Name, "after_ms", l.sent.Sub(h.first.sent).Milliseconds())
+}
+
+// pass passes on the answer of the leg that won.
+func (h *hedged) pass(ctx context.Context, l *leg) error {
+	t := h.task
+	now := t.server.cfg.Clock.Now()
+	// If the second leg won, the first one took at least this long.
+	h.hedger.ObserveLatency(now.Sub(h.first.sent))
+	for _, other := range h.race.legs {
+		if other != l && !other.handled {
+			t.ran++ // It was canceled, but may have run.
+		}
+	}
+	if l.second {
+		t.server.cfg.Observer.HedgeWon()
+		if !h.first.handled {
+			took := time.Duration(lostFactor * float64(now.Sub(h.first.sent)))
+			h.first.target.runner.Meter.Observe(now, took-h.first.estimate, false)
+		}
+	}
+	return h.merge(ctx, t.handleLeg(ctx, l))
+}
+
+// fail handles the failure of a leg. It reports whether the attempt has ended, and with
+// which error.
+func (h *hedged) fail(ctx context.Context, l *leg) (ended bool, err error) {
+	t := h.task
+	if h.running > 0 {
+		if l.hasServerError() {
+			h.held = l
+			l.release()
+			return false, nil
+		}
+		t.besideLeg = h
+		err = t.handleLeg(ctx, l)
+		t.besideLeg = nil
+		l.end()
+		return !errors.As(err, &h.failure), err
+	}
+	if h.held != nil {
+		if l.hasServerError() {
+			t.ran++ // The one that is held; the later one is passed on.
+			h.held.end()
+		} else if err = t.handleLeg(ctx, l); !errors.As(err, &h.failure) {
+			return true, err
+		} else {
+			l = h.held
+		}
+	}
+	return true, h.merge(ctx, t.handleLeg(ctx, l))
+}
+
+// merge returns the result of the attempt: that of the last leg, merged with the failure
+// of the one before if the request may be sent again.
+func (h *hedged) merge(ctx context.Context, err error) error {
+	var last *retryableError
+	if !errors.As(err, &last) {
+		return err
+	}
+	if h.judging != nil {
+		select {
+		case <-h.judging:
+		case <-ctx.Done():
+		}
+	}
+	if h.failure == nil {
+		return err
+	}
+	// The second sending was paid for, so that if only one of the two arrived, the
+	// next one is paid for.
+	merged := &retryableError{cause: last.cause, unsent: last.unsent || h.failure.unsent, paid: last.paid}
+	if merged.cause.Outcome == wick.NotRun {
+		merged.cause = h.failure.cause
+	}
+	return merged
+}
+
+// handleLeg handles the result of a leg as that of an attempt.
+func (t *task) handleLeg(ctx context.Context, l *leg) error {
+	l.handled = true
+	t.last, t.estimate = l.target.runner.Name, l.estimate
+	if l.err != nil {
+		return t.handleSendError(ctx, l.target, wick.AsError(l.err))
+	}
+	return t.handleResponse(ctx, incoming{target: l.target, response: l.response, sent: l.sent, prefilled: l.prefilled, ctx: l.ctx, cancel: l.cancel})
+}
+
+// pickSecond picks an endpoint for a second attempt beside one that is running at
+// first, or returns why there must be none.
+func (t *task) pickSecond(first target) (target, time.Duration, wick.HedgeDenial) {
+	s := t.server
+	v, now := s.cfg.Control.View(), s.cfg.Clock.Now()
+	remaining := t.remaining()
+	if remaining < minRemaining {
+		return target{}, 0, wick.HedgeTime
+	}
+	if verdict, _ := v.Verdicts.Of(t.fingerprint, t.parts); verdict != crash.Clear {
+		return target{}, 0, wick.HedgeSuspect
+	}
+	t.newestReady = t.isNewestReady(v, now)
+	list := v.Pools[t.pool]
+	cands := t.candidates(v, now, list)
+	t.avoidPaused(now, list, cands, rand.Float64())
+	for i, r := range list {
+		if r.Name == first.runner.Name {
+			cands[i].Avoid = true
+		}
+	}
+	i, estimate, denied := choose.PickHedge(t.input(v, now), cands, v.ServingConfig.Pools[t.pool].Engine != nil)
+	switch {
+	case denied != "":
+		return target{}, 0, denied
+	case i < 0:
+		return target{}, 0, wick.HedgeEndpoint
+	case estimate > remaining:
+		return target{}, 0, wick.HedgeTime
+	}
+	res, _ := t.residence(v, list[i], now)
+	return target{list[i], res.Revision, res.Ready}, estimate, ""
+}
--- a/direct/task.go
+++ b/direct/task.go
@@ -66,6 +66,9 @@
 	status  int
 	started bool
 	resume  wick.EventID
+	// besideLeg is set while a failure is handled beside another leg of a hedged
+	// attempt, which may still have the answer: nothing then waits before a retry.
+	besideLeg *hedged
 }
 
 // retryableError is the error of an attempt after which the request may be
--- a/direct/trial.go
+++ b/direct/trial.go
@@ -136,6 +136,10 @@
 	if !t.mayRerun() || t.ran >= t.route.Attempts {
 		return
 	}
+	if h := t.besideLeg; h != nil {
+		h.judging = judged
+		return
+	}
 	select {
 	case <-judged:
 	case <-ctx.Done():
