Flags -hedge-ratio and -hedge-percentile of the gateway verb

Operators had no way to turn hedges on. -hedge-ratio sets the limit in total and for each route, and with ROUTE=RATIO that of one route; without it nothing is hedged.

--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -70,6 +70,8 @@
 	Metrics        http.Handler
 	MetricsAddress wick.Address
 	MetricsPath    string
+	// Hedge are the limits on second attempts beside slow ones; zero for none.
+	Hedge limit.HedgeLimits
 }
 
 // Gateway is the daemon for the platform of package platform, which publishes its
@@ -132,6 +134,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
+	hedgers, err := tally.NewGatewayHedgers(cfg.Hedge)
+	if err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
 	g.server = direct.New(direct.Config{
 		Host:     cfg.Daemon.Host,
 		Domain:   cfg.Daemon.Domain,
@@ -145,6 +151,7 @@
 
 		Pauses:        pauses,
 		AnsweredParts: parts,
+		Hedgers:       hedgers,
 	})
 	return g, nil
 }
--- a/verbs/gateway.go
+++ b/verbs/gateway.go
@@ -12,6 +12,7 @@
 
 	"currantwick"
 	"currantwick/boot"
+	"currantwick/limit"
 	"currantwick/logs"
 	"currantwick/platform"
 	"currantwick/stats"
@@ -33,6 +34,8 @@
 	file := flags.String("settings", os.Getenv(platform.SettingsVariable), "JSON settings file of the platform")
 	metrics := flags.String("metrics", "", "port and path of the metrics, as PORT/PATH; not served if empty")
 	level := flags.String("log", "info", "minimum log level: debug, info, warn or error")
+	hedgeRatio := flags.String("hedge-ratio", "0", hedgeRatioUsage)
+	hedgePercentile := flags.Float64("hedge-percentile", defaultHedgePercentile, hedgePercentileUsage)
 	if err := flags.Parse(args); err != nil {
 		return Usage, err
 	}
@@ -40,23 +43,27 @@
 	if err := minLevel.UnmarshalText([]byte(*level)); err != nil {
 		return Usage, fmt.Errorf("log level: %w", err)
 	}
+	hedge, err := parseHedgeLimits(*hedgeRatio, *hedgePercentile)
+	if err != nil {
+		return Usage, err
+	}
 	daemon, err := platform.LoadSettings(*file)
 	if err != nil {
 		return Usage, err
 	}
-	if err := serveGateway(ctx, env, *file, *metrics, daemon, minLevel); err != nil {
+	if err := serveGateway(ctx, env, *file, *metrics, daemon, minLevel, hedge); err != nil {
 		return Failed, err
 	}
 	return Done, nil
 }
 
 // serveGateway runs a daemon and its log writer.
-func serveGateway(ctx context.Context, env Env, file, metrics string, d wick.DaemonConfig, minLevel slog.Level) error {
+func serveGateway(ctx context.Context, env Env, file, metrics string, d wick.DaemonConfig, minLevel slog.Level, hedge limit.HedgeLimits) error {
 	queue := logs.NewQueue()
 	log := queue.Logger(minLevel).With("host", d.Host)
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
-	cfg := boot.GatewayConfig{Daemon: d, Log: log, Observer: stats.NewGateway(registry, queue.Dropped)}
+	cfg := boot.GatewayConfig{Daemon: d, Log: log, Observer: stats.NewGateway(registry, queue.Dropped), Hedge: hedge}
 	if metrics != "" {
 		address, path, err := parseMetrics(d, metrics)
 		if err != nil {
@@ -73,6 +80,9 @@
 	var group errgroup.Group
 	group.Go(func() error { return queue.Run(writing, env.Out) })
 	log.Info("start", "domain", d.Domain, "callers", d.CallerAddress, "peers", d.PeerAddress, "store", d.StoreAddress, "memory", d.Memory, "fenced", d.Bounds.RequireFencing)
+	if hedge.Enabled() {
+		log.Info("slow requests are hedged", "ratio", hedge.Total, "routes", hedge.Routes, "percentile", hedge.Percentile)
+	}
 	group.Go(func() error {
 		onHangup(writing, func() { reportSettingsChange(log, file, d) })
 		return nil
