--- a/direct/hedge_test.go
+++ b/direct/hedge_test.go
@@ -51,16 +51,21 @@
 type timedSender struct {
 	replies []timedReply
 	start   time.Time
-	list    []*sending
+
+	mu   sync.Mutex
+	list []*sending
 }
 
 func (s *timedSender) Send(ctx context.Context, a wick.Attempt) (*wick.Response, error) {
+	s.mu.Lock()
 	if len(s.list) == len(s.replies) {
+		s.mu.Unlock()
 		return nil, wick.NotRunf(wick.CodeNoEndpoint, "no replies left")
 	}
 	r := s.replies[len(s.list)]
 	b := &sending{timedReply: r, ctx: ctx, sent: time.Now(), endpoint: a.Endpoint}
 	s.list = append(s.list, b)
+	s.mu.Unlock()
 	context.AfterFunc(ctx, func() { b.canceled = time.Since(s.start) })
 	if !sleep(ctx, r.after) {
 		return nil, wick.Unknownf(wick.CodeBroken, "canceled")
