Send no hedge after the first attempt has failed

If the first attempt failed when its hedge was due, the hedge could be sent. It then ran at once, while a retry waits until it is known whether the endpoint crashed. A hedge that was given up since the first attempt had just been answered was counted as an attempt. Hedges now start only while no attempt has a result, and attempts are counted once they start.

--- a/direct/hedge.go
+++ b/direct/hedge.go
@@ -173,6 +173,9 @@
 	legs []*leg
 	// over is set once a leg has won, or the attempt has ended without a winner.
 	over bool
+	// settled is set once a leg has a result. No further leg is then started: a retry
+	// after a failure waits for the judgment of a possible crash.
+	settled bool
 }
 
 // lostFactor is the assumed duration of a first attempt that lost, relative to the time
@@ -186,11 +189,11 @@
 
 func newRace() *race { return &race{results: make(chan *leg, maxLegs)} }
 
-// start runs a leg, unless the race is over.
+// start runs a leg, unless another has a result.
 func (r *race) start(l *leg, send wick.Sender) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.over {
+	if r.settled {
 		return false
 	}
 	r.legs = append(r.legs, l)
@@ -214,6 +217,7 @@
 	if r.over {
 		return false
 	}
+	r.settled = true
 	if !l.failed() {
 		r.over = true
 		for _, other := range r.legs {
@@ -225,11 +229,11 @@
 	return true
 }
 
-// isOver reports whether a leg has won.
-func (r *race) isOver() bool {
+// isSettled reports whether a leg has a result.
+func (r *race) isSettled() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.over
+	return r.settled
 }
 
 // close cancels all legs, waits for them, and gives back what they held.
@@ -255,12 +259,10 @@
 	return t.server.cfg.Hedgers.Of(wick.HedgeKey{Route: t.route.Name, Pool: t.pool})
 }
 
-// newLeg returns a leg that sends the request to an endpoint, and counts the sending.
+// newLeg returns a leg that sends the request to an endpoint.
 func (t *task) newLeg(ctx context.Context, to target, estimate, remaining time.Duration, second bool) *leg {
 	s := t.server
 	to.runner.Meter.Start(t.weights, t.exchange.PromptTokens)
-	s.cfg.Observer.AttemptSent(t.sends > 0)
-	t.sends++
 	l := &leg{
 		target: to, attempt: t.newAttempt(to, remaining), estimate: estimate, second: second, sent: s.cfg.Clock.Now(),
 		weight: t.weights, stream: t.route.Kind == wick.KindStream, prefilling: true,
@@ -279,14 +281,14 @@
 	defer r.close()
 	first := t.newLeg(ctx, to, t.estimate, remaining, false)
 	t.last = to.runner.Name
-	r.start(first, t.server.cfg.Sender)
+	h := hedged{task: t, race: r, hedger: hedger, first: first}
+	h.start(first)
 	delay, ok := hedger.Delay()
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	if !ok {
 		timer.Stop()
 	}
-	h := hedged{task: t, race: r, hedger: hedger, first: first, running: 1}
 	for {
 		select {
 		case l := <-r.results:
@@ -320,10 +322,22 @@
 	judging <-chan struct{}
 }
 
+// start runs a leg and counts the attempt, unless another leg has a result.
+func (h *hedged) start(l *leg) bool {
+	t, s := h.task, h.task.server
+	if !h.race.start(l, s.cfg.Sender) {
+		return false
+	}
+	s.cfg.Observer.AttemptSent(t.sends > 0)
+	t.sends++
+	h.running++
+	return true
+}
+
 // hedge starts a second leg if that is allowed.
 func (h *hedged) hedge(ctx context.Context) {
 	t, s := h.task, h.task.server
-	if h.race.isOver() {
+	if h.race.isSettled() {
 		return
 	}
 	to, estimate, denied := t.pickSecond(h.first.target)
@@ -338,11 +352,10 @@
 		return
 	}
 	l := t.newLeg(ctx, to, estimate, t.remaining(), true)
-	if !h.race.start(l, s.cfg.Sender) {
-		l.end() // The first leg has just won.
+	if !h.start(l) {
+		l.end() // The first leg has just ended.
 		return
 	}
-	h.running++
 	s.cfg.Observer.HedgeSent()
 	s.cfg.Log.Info("hedge sent", "request", t.exchange.Request, "first", h.first.target.runner.Name, "endpoint", to.runner.Name, "after_ms", l.sent.Sub(h.first.sent).Milliseconds())
 }
--- a/direct/hedge_test.go
+++ b/direct/hedge_test.go
@@ -112,21 +112,34 @@
 	fakes.GatewayObserver
 	spent bool
 	delay time.Duration
+	// delayTakes and tryTakes are how long Delay and TryHedge take, so that a test can
+	// have an answer arrive meanwhile.
+	delayTakes, tryTakes time.Duration
 
-	mu        sync.Mutex
-	sent, won int
-	denied    []wick.HedgeDenial
+	mu                  sync.Mutex
+	attempts, sent, won int
+	denied              []wick.HedgeDenial
 }
 
 func (h *hedging) Of(wick.HedgeKey) wick.Hedger   { return h }
 func (h *hedging) RequestStarted()                {}
 func (h *hedging) ObserveLatency(time.Duration)   {}
-func (h *hedging) Delay() (time.Duration, bool)   { return h.delay, true }
-func (h *hedging) TryHedge() bool                 { return !h.spent }
+func (h *hedging) AttemptSent(bool)               { h.count(func() { h.attempts++ }) }
 func (h *hedging) HedgeSent()                     { h.count(func() { h.sent++ }) }
 func (h *hedging) HedgeWon()                      { h.count(func() { h.won++ }) }
 func (h *hedging) HedgeDenied(d wick.HedgeDenial) { h.count(func() { h.denied = append(h.denied, d) }) }
 
+
+func (h *hedging) Delay() (time.Duration, bool) {
+	time.Sleep(h.delayTakes)
+	return h.delay, true
+}
+
+func (h *hedging) TryHedge() bool {
+	time.Sleep(h.tryTakes)
+	return !h.spent
+}
+
 func (h *hedging) count(add func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -285,6 +298,38 @@
 	}
 }
 
+// A hedge that is due when the first attempt has a result must not be sent: after a
+// failure it would run without the judgment of a possible crash. Nor may it count as an
+// attempt.
+func TestHedgeAfterResult(t *testing.T) {
+	tests := []struct {
+		name                 string
+		delayTakes, tryTakes time.Duration
+		first                timedReply
+		sends                int
+	}{
+		{"a failure when the hedge is due", 100 * ms, 0, timedReply{reply: reply{err: wick.Unknownf(wick.CodeBroken, "reset")}, after: 50 * ms}, 2},
+		{"an answer while the limit is checked", 0, 100 * ms, timedReply{reply{status: 200}, 50 * ms, nil}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			// Each run of the first row finds the fault in half of the cases.
+			for range 20 {
+				synctest.Test(t, func(t *testing.T) {
+					send := &timedSender{replies: []timedReply{test.first, {reply: reply{status: 200}}}, start: time.Now()}
+					h := &hedging{delayTakes: test.delayTakes, tryTakes: test.tryTakes}
+					c := &control{view: threeEndpoints(route(wick.KindSafe, "plain", 2, false))}
+					_ = hedgingServer(c, send, budget(t, 1000), h, h).Forward(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: "/"}, &writer{})
+					if len(send.list) != test.sends || h.attempts != test.sends || h.sent != 0 {
+						t.Errorf("%d sends, counted as %d attempts and %d hedges; want %d attempts and no hedge", len(send.list), h.attempts, h.sent, test.sends)
+					}
+					checkRunning(t, c.view, 0)
+				})
+			}
+		})
+	}
+}
+
 // changing is a control whose view changes after 50 ms.
 type changing struct {
 	control
