Record a server error that another attempt of a hedge replaces

A server error that was held while the other attempt ran was forgotten when that one answered: the endpoint did not count as failing, a first attempt counted as slow instead, and what the endpoint said about itself was dropped. It is now recorded like a server error after which a request is retried. TestHedge checks for each row which endpoints count as failing.

--- a/direct/hedge.go
+++ b/direct/hedge.go
@@ -366,6 +366,9 @@
 	now := t.server.cfg.Clock.Now()
 	// If the second leg won, the first one took at least this long.
 	h.hedger.ObserveLatency(now.Sub(h.first.sent))
+	if h.held != nil {
+		h.dropHeld()
+	}
 	for _, other := range h.race.legs {
 		if other != l && !other.handled {
 			t.ran++ // It was canceled, but may have run.
@@ -399,8 +402,7 @@
 	}
 	if h.held != nil {
 		if l.hasServerError() {
-			t.ran++ // The one that is held; the later one is passed on.
-			h.held.end()
+			h.dropHeld()
 		} else if err = t.handleLeg(ctx, l); !errors.As(err, &h.failure) {
 			return true, err
 		} else {
@@ -410,6 +412,18 @@
 	return true, h.merge(ctx, t.handleLeg(ctx, l))
 }
 
+// dropHeld gives up the held server error for the answer of the other leg, and records it
+// as handleResponse does for an answer that is not passed on.
+func (h *hedged) dropHeld() {
+	t, l := h.task, h.held
+	l.handled = true
+	t.ran++
+	t.applySignal(l.target, l.response.Signal)
+	t.answered()
+	t.recordFailure(l.target)
+	l.end()
+}
+
 // merge returns the result of the attempt: that of the last leg, merged with the failure
 // of the one before if the request may be sent again.
 func (h *hedged) merge(ctx context.Context, err error) error {
--- a/direct/hedge_test.go
+++ b/direct/hedge_test.go
@@ -193,6 +193,23 @@
 	}
 }
 
+// checkFailures checks that the endpoints that failed the request are known as failing,
+// and that one whose attempt was canceled since another answered is not.
+func checkFailures(t *testing.T, v *coord.View, list []*sending, answered bool, lost time.Duration) {
+	t.Helper()
+	for _, b := range list {
+		failed := b.err != nil || b.cut || b.status >= 500
+		if !failed && (!answered || lost == 0 || b.canceled != lost) {
+			continue
+		}
+		for _, r := range slices.Concat(slices.Collect(maps.Values(v.Pools))...) {
+			if share := r.Meter.Read(0).FailedShare; r.Name == b.endpoint && (share > 0) != failed {
+				t.Errorf("%s failed the request: %v, but its share of failures is %v", b.endpoint, failed, share)
+			}
+		}
+	}
+}
+
 // The first answer is passed on, whole and once; an attempt that fails does not beat
 // one that is still running; nothing that may run only once is sent twice; and the
 // attempt that lost is canceled at once, gives back what it held, and is no evidence
@@ -290,6 +307,7 @@
 				if test.hedges > 0 && send.list[0].endpoint == send.list[1].endpoint {
 					t.Error("hedged at the same endpoint")
 				}
+				checkFailures(t, c.view, send.list, test.status > 0, test.lost)
 				if test.lost > 0 && min(send.list[0].canceled, send.list[1].canceled) != test.lost {
 					t.Errorf("attempts canceled at %v and %v, want one at %v", send.list[0].canceled, send.list[1].canceled, test.lost)
 				}
