Wait for no judgment after the last attempts of a hedged request

If both attempts of a hedged request broke off and none was left, its error waited for the judgment of a possible crash, which only a retry needs. It is now returned at once.

--- a/direct/hedge.go
+++ b/direct/hedge.go
@@ -431,7 +431,7 @@
 	if !errors.As(err, &last) {
 		return err
 	}
-	if h.judging != nil {
+	if h.judging != nil && h.task.ran < h.task.route.Attempts { // Only a retry needs the judgment.
 		select {
 		case <-h.judging:
 		case <-ctx.Done():
--- a/direct/hedge_test.go
+++ b/direct/hedge_test.go
@@ -348,6 +348,25 @@
 	}
 }
 
+// unjudged is a control that judges no crash.
+type unjudged struct{ control }
+
+func (*unjudged) ReportBroken(wick.BrokenAttempt) {}
+
+// A request without attempts left must fail at once, not wait for the judgment of a
+// crash, which only a retry needs.
+func TestHedgeFailsWithoutJudgment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fails := timedReply{reply: reply{err: wick.Unknownf(wick.CodeBroken, "reset")}, after: 150 * ms}
+		send, h := &timedSender{replies: []timedReply{fails, fails}, start: time.Now()}, &hedging{delay: 100 * ms}
+		c := &unjudged{control{view: threeEndpoints(route(wick.KindSafe, "plain", 2, false))}}
+		err := hedgingServer(c, send, budget(t, 1000), h, h).Forward(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: "/"}, &writer{})
+		if took := time.Since(send.start); took != 250*ms || len(send.list) != 2 {
+			t.Errorf("%d sends, failed after %v: %v; want 2, after 250ms", len(send.list), took, err)
+		}
+	})
+}
+
 // changing is a control whose view changes after 50 ms.
 type changing struct {
 	control
