Test what hedges must keep that no test noticed

With faults planted in the code of hedges, fourteen passed all tests: among them an attempt that was paid for twice or not at all, a request counted twice for the limit, a second attempt at an endpoint that had asked for a pause, a stream that ends inside an event, and a retry without the judgment of a crash. TestHedge now checks for each row what was paid, how often the request counts, and which endpoints get it again; rows were added for the rest.

--- a/direct/hedge_test.go
+++ b/direct/hedge_test.go
@@ -63,6 +63,7 @@
 		return nil, wick.NotRunf(wick.CodeNoEndpoint, "no replies left")
 	}
 	r := s.replies[len(s.list)]
+	r.parts = slices.Clone(r.parts)
 	b := &sending{timedReply: r, ctx: ctx, sent: time.Now(), endpoint: a.Endpoint}
 	s.list = append(s.list, b)
 	s.mu.Unlock()
@@ -74,7 +75,7 @@
 		return nil, r.err
 	}
 	b.open = true
-	return &wick.Response{Status: r.status, NotRun: r.notRun, Body: b}, nil
+	return &wick.Response{Status: r.status, NotRun: r.notRun, Signal: r.signal, Body: b}, nil
 }
 
 func (b *sending) Read(p []byte) (int, error) {
@@ -86,9 +87,12 @@
 	case !sleep(b.ctx, b.parts[0].at-time.Since(b.sent)):
 		return 0, errCut
 	}
-	text := b.parts[0].text
-	b.parts = b.parts[1:]
-	return copy(p, text), nil
+	part := &b.parts[0]
+	n := copy(p, part.text)
+	if part.text = part.text[n:]; part.text == "" {
+		b.parts = b.parts[1:]
+	}
+	return n, nil
 }
 
 func (b *sending) Close() error {
@@ -116,20 +120,19 @@
 	// have an answer arrive meanwhile.
 	delayTakes, tryTakes time.Duration
 
-	mu                  sync.Mutex
-	attempts, sent, won int
-	denied              []wick.HedgeDenial
+	mu                           sync.Mutex
+	started, attempts, sent, won int
+	denied                       []wick.HedgeDenial
 }
 
 func (h *hedging) Of(wick.HedgeKey) wick.Hedger   { return h }
-func (h *hedging) RequestStarted()                {}
+func (h *hedging) RequestStarted()                { h.count(func() { h.started++ }) }
 func (h *hedging) ObserveLatency(time.Duration)   {}
 func (h *hedging) AttemptSent(bool)               { h.count(func() { h.attempts++ }) }
 func (h *hedging) HedgeSent()                     { h.count(func() { h.sent++ }) }
 func (h *hedging) HedgeWon()                      { h.count(func() { h.won++ }) }
 func (h *hedging) HedgeDenied(d wick.HedgeDenial) { h.count(func() { h.denied = append(h.denied, d) }) }
 
-
 func (h *hedging) Delay() (time.Duration, bool) {
 	time.Sleep(h.delayTakes)
 	return h.delay, true
@@ -146,6 +149,22 @@
 	add()
 }
 
+// counted is a retry budget that counts what was spent.
+type counted struct {
+	wick.SharedBudget
+	spent int
+}
+
+func (c *counted) Spend(daemons int) bool      { return c.count(c.SharedBudget.Spend(daemons)) }
+func (c *counted) SpendSpare(daemons int) bool { return c.count(c.SharedBudget.SpendSpare(daemons)) }
+
+func (c *counted) count(paid bool) bool {
+	if paid {
+		c.spent++
+	}
+	return paid
+}
+
 func hedgingServer(c direct.Control, s wick.Sender, retry wick.SharedBudget, hedgers wick.Hedgers, o wick.GatewayObserver) *direct.Server {
 	return direct.New(direct.Config{
 		Bounds: wick.Bounds{RevisionDeadline: wick.Duration(5 * time.Second)}, Control: c, Sender: s, Clock: clock{time.Now()}, Retry: retry, Hedgers: hedgers,
@@ -193,12 +212,18 @@
 	}
 }
 
-// checkFailures checks that the endpoints that failed the request are known as failing,
-// and that one whose attempt was canceled since another answered is not.
+// checkFailures checks that the endpoints that failed the request are known as failing
+// and do not get it again, and that one whose attempt was canceled since another answered
+// is not known as failing.
 func checkFailures(t *testing.T, v *coord.View, list []*sending, answered bool, lost time.Duration) {
 	t.Helper()
+	gone := make(map[wick.EndpointName]bool)
 	for _, b := range list {
-		failed := b.err != nil || b.cut || b.status >= 500
+		if gone[b.endpoint] {
+			t.Errorf("%s, which failed the request or asked for a pause, got it again", b.endpoint)
+		}
+		failed := b.err != nil || b.cut || b.status >= 500 && !b.notRun
+		gone[b.endpoint] = failed || b.signal.Pause > 0
 		if !failed && (!answered || lost == 0 || b.canceled != lost) {
 			continue
 		}
@@ -229,7 +254,11 @@
 	refuses := func(after time.Duration) timedReply {
 		return timedReply{reply: reply{status: 503, notRun: true}, after: after}
 	}
-	unsent := timedReply{reply: reply{err: wick.NotRunf(wick.CodeNoEndpoint, "refused")}, after: 100 * ms}
+	pauses := timedReply{reply{status: 503, notRun: true, signal: wick.EndpointSignal{Pause: wick.Duration(time.Second)}}, 10 * ms, nil}
+	large := strings.Repeat("a", 300<<10)
+	unsent := func(after time.Duration) timedReply {
+		return timedReply{reply: reply{err: wick.NotRunf(wick.CodeNoEndpoint, "refused")}, after: after}
+	}
 	slow, answer := whole(900*ms, 200, "slow"), whole(30*ms, 200, "c")
 	tests := []struct {
 		name      string
@@ -249,6 +278,7 @@
 		lost time.Duration
 	}{
 		{"in time", safe, 2, false, []timedReply{whole(50*ms, 200, "a")}, 200, "a", 50 * ms, 1, 0, 0, 0, 0},
+		{"a large answer", safe, 2, false, []timedReply{whole(50*ms, 200, large)}, 200, large, 50 * ms, 1, 0, 0, 0, 0},
 		{"the second answers first", safe, 2, false, []timedReply{slow, whole(30*ms, 200, "b")}, 200, "b", 130 * ms, 2, 1, 1, 0, 130 * ms},
 		{"the first answers first", safe, 2, false, []timedReply{whole(150*ms, 200, "a"), slow}, 200, "a", 150 * ms, 2, 1, 0, 0, 150 * ms},
 		{"a part is no answer", safe, 2, false, []timedReply{events(timedPart{20 * ms, "a"}, timedPart{900 * ms, "a"}), answer}, 200, "c", 130 * ms, 2, 1, 1, 0, 130 * ms},
@@ -263,13 +293,20 @@
 		{"500 twice", safe, 2, false, []timedReply{whole(150*ms, 500, "a"), whole(100*ms, 500, "b")}, 500, "b", 200 * ms, 2, 1, 0, 0, 0},
 		{"500 and then a refusal", safe, 2, false, []timedReply{whole(150*ms, 500, "a"), refuses(100 * ms), answer}, 200, "c", 230 * ms, 3, 1, 0, 0, 0},
 		{"both refuse", safe, 2, false, []timedReply{refuses(150 * ms), refuses(100 * ms), answer}, 200, "c", 230 * ms, 3, 1, 0, 0, 0},
-		{"one breaks, one is not sent", safe, 2, false, []timedReply{fails(150 * ms), unsent, answer}, 200, "c", 230 * ms, 3, 1, 0, 1, 0},
+		{"one breaks, one is not sent", safe, 2, false, []timedReply{fails(150 * ms), unsent(100 * ms), answer}, 200, "c", 230 * ms, 3, 1, 0, 1, 0},
+		{"one is not sent, one breaks", safe, 2, false, []timedReply{unsent(150 * ms), fails(100 * ms), answer}, 200, "c", 230 * ms, 3, 1, 0, 1, 0},
+		{"one asks for a pause", safe, 2, false, []timedReply{pauses, slow, answer}, 200, "c", 140 * ms, 3, 1, 1, 0, 0},
 		{"the caller leaves", safe, 2, false, []timedReply{events(timedPart{never, "a"}), events(timedPart{never, "a"})}, 0, "", 4 * time.Second, 2, 1, 0, 0, 4 * time.Second},
 		{"unsafe", unsafe, 3, false, []timedReply{slow}, 200, "slow", 900 * ms, 1, 0, 0, 0, 0},
 		{"one attempt", safe, 1, false, []timedReply{slow}, 200, "slow", 900 * ms, 1, 0, 0, 0, 0},
 		{"a retry that is the last attempt", safe, 2, false, []timedReply{fails(50 * ms), slow}, 200, "slow", 950 * ms, 2, 0, 0, 1, 0},
 		{"a stream that is not resumable", stream, 3, false, []timedReply{events(timedPart{400 * ms, one})}, 200, one, 400 * ms, 1, 0, 0, 0, 0},
 		{"a stream that has begun", stream, 2, true, []timedReply{events(timedPart{50 * ms, one}, timedPart{400 * ms, two})}, 200, one + two, 400 * ms, 1, 0, 0, 0, 0},
+		{"a begun stream goes on elsewhere", stream, 3, true, []timedReply{cut(timedPart{50 * ms, one}), events(timedPart{400 * ms, two})}, 200, one + two, 450 * ms, 2, 0, 0, 1, 0},
+		{"404 to a stream is an answer", stream, 2, true, []timedReply{events(timedPart{900 * ms, one}), whole(30*ms, 404, "b")}, 404, "b", 130 * ms, 2, 1, 1, 0, 130 * ms},
+		{"500 to a stream, the other breaks", stream, 3, true, []timedReply{whole(150*ms, 500, "a"), cut(timedPart{100 * ms, one}), events(timedPart{30 * ms, two})}, 200, one + two, 230 * ms, 3, 1, 1, 1, 0},
+		{"the second stream is refused while the adapter is new", stream, 2, true, []timedReply{events(timedPart{130 * ms, one}), refuses(20 * ms)}, 200, one, 130 * ms, 2, 1, 0, 0, 0},
+		{"the second stream ends inside an event", stream, 2, true, []timedReply{events(timedPart{200 * ms, one}), events(timedPart{20 * ms, "id"})}, 200, one, 200 * ms, 2, 1, 0, 1, 0},
 		{"the second stream begins first", stream, 2, true, []timedReply{events(timedPart{50 * ms, "id: 1\n"}, timedPart{900 * ms, "\n"}), events(timedPart{30 * ms, one}, timedPart{300 * ms, two})}, 200, one + two, 400 * ms, 2, 1, 1, 0, 130 * ms},
 		{"the first stream begins first", stream, 2, true, []timedReply{events(timedPart{150 * ms, one}, timedPart{300 * ms, two}), events(timedPart{80 * ms, one})}, 200, one + two, 300 * ms, 2, 1, 0, 0, 150 * ms},
 		{"the second stream breaks before an event", stream, 2, true, []timedReply{events(timedPart{200 * ms, one}), cut(timedPart{20 * ms, "id"})}, 200, one, 200 * ms, 2, 1, 0, 1, 0},
@@ -277,6 +314,7 @@
 		{"the stream that won breaks, one attempt is left", stream, 3, true, []timedReply{events(timedPart{900 * ms, one}), cut(timedPart{20 * ms, one}), events(timedPart{30 * ms, two})}, 200, one + two, 150 * ms, 3, 1, 1, 1, 120 * ms},
 		{"the stream that won stalls", stream, 2, true, []timedReply{events(timedPart{never, one}), events(timedPart{20 * ms, one}, timedPart{never, two})}, 200, one, 4 * time.Second, 2, 1, 1, 0, 120 * ms},
 		{"the stream that won stalls, one attempt is left", stream, 3, true, []timedReply{events(timedPart{never, one}), events(timedPart{20 * ms, one}, timedPart{never, two}), events(timedPart{30 * ms, two})}, 200, one + two, 1850 * ms, 3, 1, 1, 0, 120 * ms},
+		{"the first breaks, the stream that won stalls", stream, 3, true, []timedReply{fails(120 * ms), events(timedPart{30 * ms, one}, timedPart{never, two}), events(timedPart{30 * ms, two})}, 200, one + two, 1860 * ms, 3, 1, 1, 1, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -291,14 +329,24 @@
 				send, to, h := &timedSender{replies: test.replies, start: time.Now()}, &meterWriter{t: t, view: c.view}, &hedging{delay: 100 * ms}
 				ctx, cancel := context.WithCancel(t.Context())
 				defer time.AfterFunc(4*time.Second, cancel).Stop()
-				err := hedgingServer(c, send, budget(t, 1000), h, h).Forward(ctx, x, to)
+				retry := &counted{SharedBudget: budget(t, 1000)}
+				err := hedgingServer(c, send, retry, h, h).Forward(ctx, x, to)
 				took := time.Since(send.start)
 				if to.status != test.status || to.body.String() != test.body || took != test.took {
-					t.Errorf("got %d %q after %v: %v; want %d %q after %v", to.status, to.body.String(), took, err, test.status, test.body, test.took)
+					t.Errorf("got %d %.40q after %v: %v; want %d %.40q after %v", to.status, to.body.String(), took, err, test.status, test.body, test.took)
 				}
 				if len(send.list) != test.sends || h.sent != test.hedges || h.won != test.won || len(c.broken) != test.broken {
 					t.Errorf("%d sends, %d hedges, %d won, %d reported as broken; want %d, %d, %d, %d", len(send.list), h.sent, h.won, len(c.broken), test.sends, test.hedges, test.won, test.broken)
 				}
+				arrived := 0
+				for _, b := range send.list {
+					if b.err == nil || wick.AsError(b.err).Outcome != wick.NotRun {
+						arrived++
+					}
+				}
+				if retry.spent != arrived-1 || h.started > 1 {
+					t.Errorf("%d arrivals, %d of them paid for, of a request that was counted %d times", arrived, retry.spent, h.started)
+				}
 				synctest.Wait()
 				checkRunning(t, c.view, 0)
 				if slices.ContainsFunc(send.list, func(b *sending) bool { return b.open }) {
@@ -348,23 +396,38 @@
 	}
 }
 
-// unjudged is a control that judges no crash.
-type unjudged struct{ control }
-
-func (*unjudged) ReportBroken(wick.BrokenAttempt) {}
-
-// A request without attempts left must fail at once, not wait for the judgment of a
-// crash, which only a retry needs.
-func TestHedgeFailsWithoutJudgment(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		fails := timedReply{reply: reply{err: wick.Unknownf(wick.CodeBroken, "reset")}, after: 150 * ms}
-		send, h := &timedSender{replies: []timedReply{fails, fails}, start: time.Now()}, &hedging{delay: 100 * ms}
-		c := &unjudged{control{view: threeEndpoints(route(wick.KindSafe, "plain", 2, false))}}
-		err := hedgingServer(c, send, budget(t, 1000), h, h).Forward(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: "/"}, &writer{})
-		if took := time.Since(send.start); took != 250*ms || len(send.list) != 2 {
-			t.Errorf("%d sends, failed after %v: %v; want 2, after 250ms", len(send.list), took, err)
-		}
-	})
+// deliberate is a control that takes 200 ms to judge a possible crash.
+type deliberate struct{ control }
+
+func (*deliberate) ReportBroken(b wick.BrokenAttempt) {
+	time.AfterFunc(200*ms, func() { close(b.Judged) })
+}
+
+// A retry after a hedge must wait for the judgment of a possible crash, and a request
+// without attempts left must fail without that wait.
+func TestHedgeAwaitsJudgment(t *testing.T) {
+	broken := timedReply{reply: reply{err: wick.Unknownf(wick.CodeBroken, "reset")}, after: 150 * ms}
+	tests := []struct {
+		name   string
+		second timedReply
+		sends  int
+		took   time.Duration
+	}{
+		{"no attempt is left", broken, 2, 250 * ms},
+		{"one attempt is left", timedReply{reply{status: 503, notRun: true}, 100 * ms, nil}, 3, 350 * ms},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				send, h := &timedSender{replies: []timedReply{broken, test.second, {reply: reply{status: 200}}}, start: time.Now()}, &hedging{delay: 100 * ms}
+				c := &deliberate{control{view: threeEndpoints(route(wick.KindSafe, "plain", 2, false))}}
+				err := hedgingServer(c, send, budget(t, 1000), h, h).Forward(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: "/"}, &writer{})
+				if took := time.Since(send.start); took != test.took || len(send.list) != test.sends {
+					t.Errorf("%d sends, %v: %v; want %d, %v", len(send.list), took, err, test.sends, test.took)
+				}
+			})
+		})
+	}
 }
 
 // changing is a control whose view changes after 50 ms.
@@ -424,6 +487,7 @@
 			r.Adapters[adapter] = coord.Residence{Revision: 1, Ready: wick.Instant(time.Second)}
 		}), false, false, 0, []wick.HedgeDenial{wick.HedgeEndpoint}},
 		{"the request is a suspect", func(v *coord.View) { v.Verdicts = evidence.Verdicts(0) }, false, false, 0, []wick.HedgeDenial{wick.HedgeSuspect}},
+		{"the others would answer too late", each(func(_ int, r *coord.Runner) { r.OtherLoad.Waiting = 1e9 }), false, false, 0, []wick.HedgeDenial{wick.HedgeTime}},
 		{"no time is left", same, false, false, 110 * ms, []wick.HedgeDenial{wick.HedgeTime}},
 	}
 	for _, test := range tests {
