--- a/direct/hedge_test.go
+++ b/direct/hedge_test.go
@@ -364,38 +364,6 @@
 	}
 }
 
-// A hedge that is due when the first attempt has a result must not be sent: after a
-// failure it would run without the judgment of a possible crash. Nor may it count as an
-// attempt.
-func TestHedgeAfterResult(t *testing.T) {
-	tests := []struct {
-		name                 string
-		delayTakes, tryTakes time.Duration
-		first                timedReply
-		sends                int
-	}{
-		{"a failure when the hedge is due", 100 * ms, 0, timedReply{reply: reply{err: wick.Unknownf(wick.CodeBroken, "reset")}, after: 50 * ms}, 2},
-		{"an answer while the limit is checked", 0, 100 * ms, timedReply{reply{status: 200}, 50 * ms, nil}, 1},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			// Each run of the first row finds the fault in half of the cases.
-			for range 20 {
-				synctest.Test(t, func(t *testing.T) {
-					send := &timedSender{replies: []timedReply{test.first, {reply: reply{status: 200}}}, start: time.Now()}
-					h := &hedging{delayTakes: test.delayTakes, tryTakes: test.tryTakes}
-					c := &control{view: threeEndpoints(route(wick.KindSafe, "plain", 2, false))}
-					_ = hedgingServer(c, send, budget(t, 1000), h, h).Forward(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: "/"}, &writer{})
-					if len(send.list) != test.sends || h.attempts != test.sends || h.sent != 0 {
-						t.Errorf("%d sends, counted as %d attempts and %d hedges; want %d attempts and no hedge", len(send.list), h.attempts, h.sent, test.sends)
-					}
-					checkRunning(t, c.view, 0)
-				})
-			}
-		})
-	}
-}
-
 // deliberate is a control that takes 200 ms to judge a possible crash.
 type deliberate struct{ control }
 
@@ -403,29 +371,41 @@
 	time.AfterFunc(200*ms, func() { close(b.Judged) })
 }
 
-// A retry after a hedge must wait for the judgment of a possible crash, and a request
+// A retry must wait for the judgment of a possible crash, so a hedge that is due when the
+// first attempt has a result must not be sent instead, nor count as an attempt. A request
 // without attempts left must fail without that wait.
-func TestHedgeAwaitsJudgment(t *testing.T) {
-	broken := timedReply{reply: reply{err: wick.Unknownf(wick.CodeBroken, "reset")}, after: 150 * ms}
+func TestHedgesAndJudgments(t *testing.T) {
+	breaks := func(after time.Duration) timedReply {
+		return timedReply{reply: reply{err: wick.Unknownf(wick.CodeBroken, "reset")}, after: after}
+	}
+	answers, refuses := timedReply{reply{status: 200}, 50 * ms, nil}, timedReply{reply{status: 503, notRun: true}, 100 * ms, nil}
 	tests := []struct {
-		name   string
-		second timedReply
-		sends  int
-		took   time.Duration
+		name                        string
+		delay, delayTakes, tryTakes time.Duration
+		replies                     []timedReply
+		sends, hedges               int
+		took                        time.Duration
 	}{
-		{"no attempt is left", broken, 2, 250 * ms},
-		{"one attempt is left", timedReply{reply{status: 503, notRun: true}, 100 * ms, nil}, 3, 350 * ms},
+		{"a failure when the hedge is due", 0, 100 * ms, 0, []timedReply{breaks(50 * ms), answers}, 2, 0, 350 * ms},
+		{"an answer while the limit is checked", 0, 0, 100 * ms, []timedReply{answers, answers}, 1, 0, 100 * ms},
+		{"both break, no attempt is left", 100 * ms, 0, 0, []timedReply{breaks(150 * ms), breaks(150 * ms), answers}, 2, 1, 250 * ms},
+		{"one breaks, one attempt is left", 100 * ms, 0, 0, []timedReply{breaks(150 * ms), refuses, answers}, 3, 1, 400 * ms},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				send, h := &timedSender{replies: []timedReply{broken, test.second, {reply: reply{status: 200}}}, start: time.Now()}, &hedging{delay: 100 * ms}
-				c := &deliberate{control{view: threeEndpoints(route(wick.KindSafe, "plain", 2, false))}}
-				err := hedgingServer(c, send, budget(t, 1000), h, h).Forward(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: "/"}, &writer{})
-				if took := time.Since(send.start); took != test.took || len(send.list) != test.sends {
-					t.Errorf("%d sends, %v: %v; want %d, %v", len(send.list), took, err, test.sends, test.took)
-				}
-			})
+			// Where the hedge is due and a result is there, a select chooses at random.
+			for range 20 {
+				synctest.Test(t, func(t *testing.T) {
+					send, start := &timedSender{replies: test.replies}, time.Now()
+					h := &hedging{delay: test.delay, delayTakes: test.delayTakes, tryTakes: test.tryTakes}
+					c := &deliberate{control{view: threeEndpoints(route(wick.KindSafe, "plain", 2, false))}}
+					err := hedgingServer(c, send, budget(t, 1000), h, h).Forward(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: "/"}, &writer{})
+					if took := time.Since(start); len(send.list) != test.sends || h.attempts != test.sends || h.sent != test.hedges || took != test.took {
+						t.Errorf("%d sends, counted as %d attempts, %d hedges, %v: %v; want %d, %d, %v", len(send.list), h.attempts, h.sent, took, err, test.sends, test.hedges, test.took)
+					}
+					checkRunning(t, c.view, 0)
+				})
+			}
 		})
 	}
 }
