--- a/fakes/observer.go
+++ b/fakes/observer.go
@@ -56,5 +56,14 @@
 // CopyRequested implements wick.GatewayObserver.
 func (GatewayObserver) CopyRequested() {}
 
+// HedgeSent implements wick.GatewayObserver.
+func (GatewayObserver) HedgeSent() {}
+
+// HedgeWon implements wick.GatewayObserver.
+func (GatewayObserver) HedgeWon() {}
+
+// HedgeDenied implements wick.GatewayObserver.
+func (GatewayObserver) HedgeDenied(wick.HedgeDenial) {}
+
 // ShardsHeld implements wick.GatewayObserver.
 func (GatewayObserver) ShardsHeld(int) {}
--- a/observer.go
+++ b/observer.go
@@ -83,6 +83,12 @@
 	// CopyRequested records that this daemon, as a holder, asked for a copy of a busy
 	// adapter at another endpoint.
 	CopyRequested()
+
+	// HedgeSent records a second attempt beside a slow one, HedgeWon that its answer
+	// was used, and HedgeDenied that none was sent although the first attempt was slow.
+	HedgeSent()
+	HedgeWon()
+	HedgeDenied(why HedgeDenial)
 	// ShardsHeld records how many shards this daemon holds.
 	ShardsHeld(n int)
 }
