Limit the requests of teams by their allotments

The allotments of a configuration were decoded and not enforced. A holder of each shard now has a token bucket for each team (package share) and grants units to the daemons, which ask ahead for what they expect to use and at once for a request that finds too little.

--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -24,6 +24,7 @@
 	"currantwick/node"
 	"currantwick/pause"
 	"currantwick/platform"
+	"currantwick/share"
 	"currantwick/tally"
 
 	"golang.org/x/sync/errgroup"
@@ -113,6 +114,17 @@
 		Group:   g.group,
 	})
 	parts, pauses := new(tally.Parts), new(tally.Pauses)
+	bounds := cfg.Daemon.Bounds
+	shareLimits := share.Config{
+		Window:    bounds.AllotmentWindow.Std(),
+		Overshoot: bounds.AllotmentOvershoot,
+		Slack:     float64(bounds.AllotmentSlack),
+	}
+	shares := tally.NewShares(tally.SharesConfig{
+		Clock:  bootClock,
+		Limits: shareLimits,
+		Ask:    func() { g.thread.RequestUnits() },
+	})
 	g.thread = coord.New(coord.Config{
 		Self:     self,
 		Seeds:    cfg.Daemon.Seeds,
@@ -125,9 +137,10 @@
 
 		Pauses:        pauses,
 		AnsweredParts: parts,
+		Shares:        shares,
+		ShareLimits:   shareLimits,
 	})
 	g.hub = links.New(links.Config{Self: self, Events: g.thread, Group: g.group})
-	bounds := cfg.Daemon.Bounds
 	retry, err := limit.NewSharedRetries(bounds.RetryRatio, bounds.RetrySlack)
 	if err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
@@ -145,6 +158,7 @@
 
 		Pauses:        pauses,
 		AnsweredParts: parts,
+		Shares:        shares,
 	})
 	return g, nil
 }
--- a/coord/linked.go
+++ b/coord/linked.go
@@ -85,6 +85,7 @@
 	if len(r.TrialRequests) > 0 {
 		s.grantTrials(now, m, r.TrialRequests)
 	}
+	s.applyShareReport(now, m, r.Allotments)
 	for _, id := range r.EndedTrials {
 		s.trials.End(id)
 	}
--- a/coord/report.go
+++ b/coord/report.go
@@ -60,7 +60,8 @@
 			r.EndpointStats = append(r.EndpointStats, o)
 		}
 	}
-	if len(r.Loads) == 0 && len(r.Uses) == 0 && len(r.EndpointStats) == 0 && h.ready == r.Ready && now.Sub(h.sentAt) < heartbeat {
+	r.Allotments = s.shareReport(now, h, false)
+	if len(r.Loads) == 0 && len(r.Uses) == 0 && len(r.EndpointStats) == 0 && !r.Allotments.Asking() && h.ready == r.Ready && now.Sub(h.sentAt) < heartbeat {
 		return
 	}
 	h.sentAt, h.ready = now, r.Ready
--- a/coord/state.go
+++ b/coord/state.go
@@ -64,6 +64,8 @@
 	// lastModelLoad is when this daemon last ordered the load of a base model.
 	lastModelLoad wick.Instant
 
+	shares shareState
+
 	out outgoing
 	// pendingPut is the key of the record that is being appended; empty if none
 	// is.
@@ -120,6 +122,7 @@
 		started:       now,
 		lastTick:      now,
 		roster:        roster{stale: true},
+		shares:        shareState{told: make(map[wick.HostName]toldShares)},
 		probe:         storeProbe{backoff: pause.Backoff{Least: failPause, Most: maxFailPause}},
 	}
 	for i := range s.relayed {
@@ -157,6 +160,7 @@
 	s.clearAnswered(now)
 	s.expireSuspects(now)
 	s.updateLoads(now)
+	s.tickShares(now)
 	s.flush(now, true)
 }
 
@@ -166,6 +170,7 @@
 	s.readTopics(now)
 	s.claimTerms(now)
 	s.startOrders(now)
+	s.refreshShares(now)
 	s.flush(now, false)
 }
 
--- a/coord/thread.go
+++ b/coord/thread.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/share"
 )
 
 const (
@@ -46,6 +47,10 @@
 	Pauses   wick.EndpointPauses
 	// AnsweredParts are the parts of prompts that this daemon saw answered.
 	AnsweredParts wick.AnsweredParts
+	// Shares are the units of allotments that this daemon holds; used only if the
+	// configuration limits teams. ShareLimits are the tolerances of allotments.
+	Shares      wick.ShareSource
+	ShareLimits share.Config
 }
 
 // event is a change of the control state that the control thread applies.
@@ -153,6 +158,9 @@
 // ReportLeaving reports an endpoint that said that it is about to end.
 func (t *Thread) ReportLeaving(id wick.EndpointStart) { t.post(endpointLeaving{id}) }
 
+// RequestUnits makes the thread ask for the units that requests wait for.
+func (t *Thread) RequestUnits() { t.post(unitsNeeded{}) }
+
 // Stop starts the shutdown: callers are sent to other daemons and this daemon's
 // terms are released.
 func (t *Thread) Stop() { t.post(stopping{}) }
--- a/coord/update.go
+++ b/coord/update.go
@@ -87,6 +87,7 @@
 	for _, id := range u.Trials {
 		s.grant(now, id)
 	}
+	s.applyShareReply(now, h, u.Allotments)
 	for _, d := range u.Instances {
 		h.instances[d.Instance.Host] = d
 	}
--- a/daemon.go
+++ b/daemon.go
@@ -52,6 +52,12 @@
 	// RevocationDeadline is the time after which a withdrawn access key must not be
 	// accepted, also by a daemon that can't learn of it; 0 if there is none.
 	RevocationDeadline Duration
+	// AllotmentWindow, AllotmentOvershoot and AllotmentSlack are how far the units of a
+	// team may exceed its allotment: in any window of that length by a part of what is
+	// allotted, plus a number of tokens.
+	AllotmentWindow    Duration
+	AllotmentOvershoot float64
+	AllotmentSlack     Units
 	// EntriesTTL is the longest time for which callers may cache the list of
 	// addresses to use.
 	EntriesTTL Duration
@@ -111,6 +117,9 @@
 	if b.RevocationDeadline < 0 {
 		errs = append(errs, badField("Bounds.RevocationDeadline", "must not be negative"))
 	}
+	if b.AllotmentWindow < 0 || b.AllotmentOvershoot < 0 || b.AllotmentSlack < 0 {
+		errs = append(errs, badField("Bounds.AllotmentWindow, AllotmentOvershoot, AllotmentSlack", "must not be negative"))
+	}
 	if b.RetryRatio < 0 || b.RetrySlack < 0 {
 		errs = append(errs, badField("Bounds.RetryRatio, RetrySlack", "must not be negative"))
 	}
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -231,7 +231,7 @@
 // slogLevel returns the level of the log line about a finished request.
 func slogLevel(code wick.Code) slog.Level {
 	switch code {
-	case "", wick.CodeNoRoute, wick.CodeCanceled:
+	case "", wick.CodeNoRoute, wick.CodeCanceled, wick.CodeAllotment:
 		return slog.LevelInfo
 	}
 	return slog.LevelWarn
--- a/direct/caller.go
+++ b/direct/caller.go
@@ -14,7 +14,7 @@
 func (t *task) identify(v *coord.View, now wick.Instant) error {
 	team, err := v.ServingConfig.Identify(t.route, t.exchange.Credential)
 	if team != nil {
-		t.team = team.Name
+		t.team, t.allotment = team.Name, team.Allotment
 	}
 	age := now.Sub(v.ConfigCurrentAt)
 	if v.ConfigCurrentAt < 0 {
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -58,6 +58,8 @@
 	Pauses   wick.EndpointPauses
 	// AnsweredParts records the parts of prompts that were answered.
 	AnsweredParts wick.AnsweredParts
+	// Shares are the units of teams; used only for teams with a limit.
+	Shares wick.TeamShares
 }
 
 // Server implements wick.Gateway.
@@ -108,17 +110,18 @@
 // Forward implements wick.Gateway.
 func (s *Server) Forward(ctx context.Context, x *wick.Exchange, to wick.ResponseWriter) error {
 	t := &task{server: s, exchange: x, writer: to, start: s.cfg.Clock.Now()}
-	err := t.prepare()
+	err := t.prepare(ctx)
 	if err == nil {
 		err = t.run(ctx)
 	}
+	t.giveUnits()
 	t.report(err)
 	return err
 }
 
-// prepare resolves the route, draws the pool, sets the deadline, and counts the
-// request in the retry budget.
-func (t *task) prepare() error {
+// prepare resolves the route, sets the deadline, takes the units of the team's
+// allotment, draws the pool, and counts the request in the retry budget.
+func (t *task) prepare(ctx context.Context) error {
 	s, x := t.server, t.exchange
 	v := s.cfg.Control.View()
 	if v.ServingConfig == nil {
@@ -136,6 +139,9 @@
 	if err := t.identify(v, t.start); err != nil {
 		return err
 	}
+	if err := t.takeUnits(ctx); err != nil {
+		return err
+	}
 	t.pool = drawPool(route.Split)
 	t.weights = wick.Weights{Model: x.Model, Adapter: x.Adapter}
 	t.fingerprint, t.parts = fingerprintOf(x), partFingerprints(x.Parts)
--- a/direct/state.go
+++ b/direct/state.go
@@ -29,6 +29,9 @@
 	slices.SortFunc(g.Endpoints, func(a, b wick.EndpointState) int {
 		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Name, b.Name))
 	})
+	if s.cfg.Shares != nil {
+		g.Teams = s.cfg.Shares.State()
+	}
 	return g
 }
 
--- a/direct/task.go
+++ b/direct/task.go
@@ -32,6 +32,10 @@
 	// team is the caller's team; empty for none.
 	team    wick.TeamName
 	urgency wick.Urgency
+	// allotment is that of the team, and units what was taken from it at unitsAt.
+	allotment wick.Allotment
+	units     wick.Units
+	unitsAt   wick.Instant
 	// forwardCredential is set if endpoints get the caller's credential.
 	forwardCredential bool
 	weights           wick.Weights
--- a/error.go
+++ b/error.go
@@ -43,6 +43,7 @@
 	CodeStopping     Code = "Stopping"     // the daemon is stopping
 	CodeCanceled     Code = "Canceled"     // the caller disconnected
 	CodeUnauthorized Code = "Unauthorized" // the operator's token, the peer's identity or the caller's key is wrong
+	CodeAllotment    Code = "Allotment"    // the team is over its limit
 	CodeInternal     Code = "Internal"     // an internal error
 )
 
--- a/fakes/observer.go
+++ b/fakes/observer.go
@@ -53,5 +53,8 @@
 // EndpointLeaving implements wick.GatewayObserver.
 func (GatewayObserver) EndpointLeaving() {}
 
+// UnitsTaken implements wick.GatewayObserver.
+func (GatewayObserver) UnitsTaken(wick.TeamName, wick.Units, wick.AllotmentResult) {}
+
 // ShardsHeld implements wick.GatewayObserver.
 func (GatewayObserver) ShardsHeld(int) {}
--- a/instance.go
+++ b/instance.go
@@ -121,6 +121,8 @@
 	EndedTrials   []TrialID      `cbor:"9,keyasint,omitempty"`
 	// Leaving are endpoints that said that they are about to end.
 	Leaving []EndpointStart `cbor:"10,keyasint,omitempty"`
+	// Allotments is nil if the configuration limits no team.
+	Allotments *AllotmentReport `cbor:"11,keyasint,omitempty"`
 }
 
 // AdapterPlacement reports that an endpoint has an adapter, or no longer has it.
@@ -183,6 +185,8 @@
 	Trials []TrialID `cbor:"12,keyasint,omitempty"`
 	// Leaving is as in InstanceReport.
 	Leaving []EndpointStart `cbor:"13,keyasint,omitempty"`
+	// Allotments answers a report of the receiver; only the receiver gets it.
+	Allotments *AllotmentReply `cbor:"14,keyasint,omitempty"`
 }
 
 // LinkMessage is a message between two linked daemons. Exactly one field is
--- a/observer.go
+++ b/observer.go
@@ -82,4 +82,6 @@
 	EndpointLeaving()
 	// ShardsHeld records how many shards this daemon holds.
 	ShardsHeld(n int)
+	// UnitsTaken records a request of a team with a limit, and whether it got its units.
+	UnitsTaken(team TeamName, units Units, result AllotmentResult)
 }
--- a/state.go
+++ b/state.go
@@ -18,6 +18,8 @@
 	Entries   []HostName      `json:"Entries,omitempty"`
 	Shards    []ShardState    `json:"Shards,omitempty"`
 	Endpoints []EndpointState `json:"Endpoints,omitempty"`
+	// Teams are the teams with a limit whose requests the daemon took lately.
+	Teams []TeamShareState `json:"Teams,omitempty"`
 }
 
 // ShardState is the holder of a shard, which gives orders to its endpoints.
--- a/stats/gateway.go
+++ b/stats/gateway.go
@@ -25,6 +25,9 @@
 	stopped       prometheus.Counter
 	pauses        prometheus.Counter
 	leaving       prometheus.Counter
+	teams         teamLabels
+	teamRequests  *prometheus.CounterVec
+	teamUnits     *prometheus.CounterVec
 	configVersion prometheus.Gauge
 	heldShards    prometheus.Gauge
 }
@@ -50,13 +53,15 @@
 		stopped:       newCounter("requests_stopped_total", "Requests stopped because they crashed endpoints."),
 		pauses:        newCounter("endpoint_pauses_total", "Pauses that endpoints asked for."),
 		leaving:       newCounter("endpoints_leaving_total", "Endpoints that said that they are about to end."),
+		teamRequests:  newCounterVec("team_requests_total", "Requests of teams with a limit, by team and whether they got their units.", "team", "result"),
+		teamUnits:     newCounterVec("team_units_total", "Units of the requests of teams with a limit, by team and whether they got them.", "team", "result"),
 		configVersion: newGauge("configuration_version", "Version of the configuration in force."),
 		heldShards:    newGauge("held_shards", "Shards whose endpoints take orders from this daemon."),
 	}
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
-	registry.MustRegister(g.requests, g.firstPart, g.duration, g.adapterWait, g.attempts, g.orders, g.reports, g.store, g.retriesDenied, g.termsStarted, g.connections, g.crashes, g.stopped, g.pauses, g.leaving, g.configVersion, g.heldShards, lines)
+	registry.MustRegister(g.requests, g.firstPart, g.duration, g.adapterWait, g.attempts, g.orders, g.reports, g.store, g.retriesDenied, g.termsStarted, g.connections, g.crashes, g.stopped, g.pauses, g.leaving, g.teamRequests, g.teamUnits, g.configVersion, g.heldShards, lines)
 	return g
 }
 
