--- a/share/bound_test.go
+++ b/share/bound_test.go
@@ -9,7 +9,7 @@
 	"currantwick"
 )
 
-var seeds = flag.Uint64("seeds", 2, "number of random runs for each row of TestUpperBound")
+var seeds = flag.Uint64("seeds", 2, "number of random runs for each row of TestUpperBound and TestNoFalseRefusals")
 
 // teamsOf returns n teams of one shard, with the given limits in turn.
 func teamsOf(n int, rates ...wick.PerSecond) map[wick.TeamName]wick.Allotment {
--- a/share/client.go
+++ b/share/client.go
@@ -16,6 +16,9 @@
 	aheadTime = 300 * time.Millisecond
 	// demandTime is the time over which the demand for units is averaged.
 	demandTime = time.Second
+	// quietTime is the longest time between two checks of a team that needs nothing, and
+	// the time before a daemon asks ahead again if the holder granted less than it asked.
+	quietTime = 500 * time.Millisecond
 	// idleTime is how long a daemon holds units for a team without requests, and
 	// forgetTime how long it remembers the team.
 	idleTime   = 10 * time.Second
@@ -75,6 +78,12 @@
 	asked   uint64
 	askedAt wick.Instant
 	waiting []*Waiter
+	// wanted are the units that the report asked for in all. wantAfter is the earliest
+	// time to ask ahead again after a holder granted less.
+	wanted    wick.Units
+	wantAfter wick.Instant
+	// quietUntil is the time before which there is nothing to ask unless a request comes.
+	quietUntil wick.Instant
 	// room and rate are the holder's statement that the team was over its limit at
 	// exceededAt.
 	room, rate float64
@@ -212,7 +221,6 @@
 		if a.asked != 0 && now.Sub(a.askedAt) > unitsTTL {
 			a.forgetAsk() // The answer would be of no use.
 		}
-		a.expire(now, s.since)
 		if len(a.waiting) > 0 && a.asked == 0 && len(list) < maxAsks {
 			add(team, a)
 		}
@@ -220,10 +228,11 @@
 	if !urgent {
 		for team, a := range s.accounts {
 			switch {
-			case a.asked != 0 || len(list) >= maxAsks:
+			case a.asked != 0 || len(list) >= maxAsks || now < a.quietUntil:
 			case now.Sub(a.usedAt) > forgetTime:
 				delete(s.accounts, team)
 			default:
+				a.expire(now, s.since)
 				add(team, a)
 			}
 		}
@@ -235,16 +244,23 @@
 // ask returns what to ask for the account; false if there is nothing to ask.
 func (a *account) ask(now wick.Instant, number uint64) (wick.AllotmentAsk, bool) {
 	var ask wick.AllotmentAsk
+	a.wanted = 0
 	for _, w := range a.waiting[:min(len(a.waiting), maxNeeds)] {
 		ask.Needs = append(ask.Needs, wick.Units(math.Ceil(w.units)))
+		a.wanted += wick.Units(math.Ceil(w.units))
 		w.asked = number
 	}
 	later := a.heldAt(now.Add(aheadTime))
-	if want := a.wants(now); later < want/2 {
+	if want := a.wants(now); later < want/2 && now >= a.wantAfter {
 		ask.Want = wick.Units(want - later)
+		a.wanted += ask.Want
 	}
 	ask.Returned = wick.Units(a.returned)
 	if len(ask.Needs) == 0 && ask.Want == 0 && ask.Returned == 0 {
+		a.quietUntil = now.Add(quietTime)
+		if len(a.lots) > 0 {
+			a.quietUntil = min(a.quietUntil, a.lots[0].expires.Add(-aheadTime))
+		}
 		return ask, false
 	}
 	ask.Held = wick.Units(a.heldAt(now))
@@ -267,6 +283,9 @@
 			continue
 		}
 		a.asked = 0
+		if g.Units < a.wanted {
+			a.wantAfter = now.Add(quietTime)
+		}
 		if g.Units > 0 {
 			a.lots = append(a.lots, lot{units: float64(g.Units), granted: a.askedAt, expires: a.askedAt.Add(unitsTTL)})
 		}
@@ -365,7 +384,7 @@
 		a.size = units
 	}
 	a.size += (units - a.size) / 8
-	a.usedAt = now
+	a.usedAt, a.quietUntil = now, 0
 }
 
 func (a *account) demandAt(now wick.Instant) float64 {
@@ -397,6 +416,7 @@
 		a.returnedFrom = from
 	}
 	a.returned += units
+	a.quietUntil = 0
 }
 
 // heldAt returns the units that may be used after an instant.
--- a/share/model_test.go
+++ b/share/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -68,6 +69,8 @@
 	cfg     Config
 	daemons []*modelDaemon
 	teams   map[wick.TeamName]wick.Allotment
+	// names has the teams in an order that is the same in each run.
+	names []wick.TeamName
 	// term is the holder of the newest term, since termAt; vacant is since when it was
 	// not heard, -1 if it is.
 	term   *modelDaemon
@@ -85,6 +88,7 @@
 
 func newModel(seed uint64, daemons int, teams map[wick.TeamName]wick.Allotment) *model {
 	m := &model{
+		names:  slices.Sorted(maps.Keys(teams)),
 		random: rand.New(rand.NewPCG(seed, 2)), cfg: modelLimits, teams: teams, vacant: -1,
 		used: make(map[wick.TeamName][]modelUse),
 	}
@@ -177,10 +181,7 @@
 }
 
 func (m *model) shard() wick.Shard {
-	for team := range m.teams {
-		return ShardOf(team)
-	}
-	return 0
+	return ShardOf(m.names[0])
 }
 
 // follow reads the newest term from the store, and gives up a holder that is silent.
--- a/share/refuse_test.go
+++ b/share/refuse_test.go
@@ -63,36 +63,39 @@
 	for _, test := range tests {
 		for _, large := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/large requests %v", test.name, large), func(t *testing.T) {
-				m := newModel(1, 60, teamsOf(test.teams, test.rates...))
-				buckets := make(map[wick.TeamName]*ideal)
-				for team, a := range m.teams {
-					buckets[team] = &ideal{level: a.Burst}
-				}
-				for m.now < wick.Instant(start+20*time.Second) {
-					m.step()
-					at := m.now.Sub(wick.Instant(start))
-					if at < 0 {
-						continue
-					}
+				for seed := range *seeds {
+					m := newModel(seed, 60, teamsOf(test.teams, test.rates...))
+					buckets := make(map[wick.TeamName]*ideal)
 					for team, a := range m.teams {
-						// A step sends requests until their expected sum is reached.
-						for most := test.load(at) * float64(a.Rate) * modelStep.Seconds(); most > 0; {
-							units := 650.0
-							if large {
-								units = m.drawUnits()
-							}
-							if most < units && m.random.Float64() > most/units {
-								break
-							}
-							most -= units
-							if buckets[team].take(m.now, a, units) {
-								m.request(m.daemons[test.where(m, at)], team, units)
+						buckets[team] = &ideal{level: a.Burst}
+					}
+					for m.now < wick.Instant(start+20*time.Second) {
+						m.step()
+						at := m.now.Sub(wick.Instant(start))
+						if at < 0 {
+							continue
+						}
+						for _, team := range m.names {
+							a := m.teams[team]
+							// A step sends requests until their expected sum is reached.
+							for most := test.load(at) * float64(a.Rate) * modelStep.Seconds(); most > 0; {
+								units := 650.0
+								if large {
+									units = m.drawUnits()
+								}
+								if most < units && m.random.Float64() > most/units {
+									break
+								}
+								most -= units
+								if buckets[team].take(m.now, a, units) {
+									m.request(m.daemons[test.where(m, at)], team, units)
+								}
 							}
 						}
 					}
-				}
-				if m.refused != [wick.NumAllotmentResults]int{} || m.taken < 100 {
-					t.Errorf("%d requests got units, %d were refused as over the limit and %d for want of an answer", m.taken, m.refused[wick.UnitsExceeded], m.refused[wick.UnitsUnknown])
+					if m.refused != [wick.NumAllotmentResults]int{} || m.taken < 100 {
+						t.Errorf("seed %d: %d requests got units, %d were refused as over the limit and %d for want of an answer", seed, m.taken, m.refused[wick.UnitsExceeded], m.refused[wick.UnitsUnknown])
+					}
 				}
 			})
 		}
--- a/share/share.go
+++ b/share/share.go
@@ -28,14 +28,15 @@
 	// 0.9 s of the rate and 72,000 tokens.
 
 	// reserveOvershoot and reserveSlack are the parts by which a bucket may go below
-	// zero. They stand for units that other daemons hold and do not use. A change of
-	// holder costs them twice.
-	reserveOvershoot = 0.1
-	reserveSlack     = 0.2
+	// zero. They stand for units that other daemons hold and do not use: with less than
+	// that, a request is refused that fits into one bucket for all daemons.
+	reserveOvershoot = 0.15
+	reserveSlack     = 0.4
 	// stockBurst and stockSlack are the parts of the burst and of the slack that all
-	// daemons together may hold ahead of requests.
-	stockBurst = 0.2
-	stockSlack = 0.4
+	// daemons together may hold ahead of requests. With a burst of one second's worth
+	// and a window of 8 s that is about the reserve.
+	stockBurst = 0.14
+	stockSlack = 0.35
 	// missingOvershoot is the part of the overshoot by which daemons may be missing
 	// before the others get less.
 	missingOvershoot = 0.5
--- a/tally/shares.go
+++ b/tally/shares.go
@@ -20,6 +20,8 @@
 	// Ask makes the control thread ask the holders for what requests wait for. It is
 	// called at most once until Asks is.
 	Ask func()
+	// MaxWait is how long a request waits for the holder's answer; 0 for maxUnitsWait.
+	MaxWait time.Duration
 }
 
 // Shares implements wick.TeamShares for traffic and wick.ShareSource for the control
@@ -40,6 +42,9 @@
 
 // NewShares returns shares without units.
 func NewShares(cfg SharesConfig) *Shares {
+	if cfg.MaxWait == 0 {
+		cfg.MaxWait = maxUnitsWait
+	}
 	return &Shares{cfg: cfg, client: share.NewClient(cfg.Clock.Now(), cfg.Limits)}
 }
 
@@ -56,7 +61,7 @@
 	if signal {
 		s.cfg.Ask()
 	}
-	timer := time.NewTimer(maxUnitsWait)
+	timer := time.NewTimer(s.cfg.MaxWait)
 	defer timer.Stop()
 	select {
 	case <-waiter.Done:
