--- a/direct/allotment.go
+++ b/direct/allotment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -26,6 +27,9 @@
 	s, x := t.server, t.exchange
 	units := wick.Units(math.Ceil(a.Units(x.PromptTokens, x.OutputTokens)))
 	v := s.cfg.Shares.Take(ctx, t.team, a, units)
+	if v.Result == wick.UnitsUnknown && ctx.Err() != nil {
+		return t.contextError(ctx, errors.New("waiting for units of the team"))
+	}
 	s.cfg.Observer.UnitsTaken(t.team, units, v.Result)
 	if v.Result == wick.UnitsTaken {
 		t.units, t.unitsAt = units, s.cfg.Clock.Now()
--- a/share/holder.go
+++ b/share/holder.go
@@ -192,6 +192,9 @@
 	b.giveBack(now, ask, a.Burst*h.part)
 	capacity, reserve, large := a.Burst*h.part, h.reserve(now, a), largeSlack*h.cfg.slack(a)
 	for _, units := range ask.Needs {
+		if units < 0 {
+			continue // A malformed ask must not add to the bucket.
+		}
 		if !fits(float64(units), b.level, capacity, reserve, large) {
 			g.Over = true
 			continue
@@ -199,10 +202,10 @@
 		b.level -= float64(units)
 		g.Units += units
 	}
-	b.setHeld(host, float64(ask.Held))
+	b.setHeld(host, max(float64(ask.Held), 0))
 	ahead := h.ahead(b, ask.Want, capacity)
 	b.level -= ahead
-	b.setHeld(host, float64(ask.Held)+ahead)
+	b.setHeld(host, b.held[host]+ahead)
 	g.Units += wick.Units(ahead)
 	if g.Over {
 		g.Room, g.Rate = b.level+reserve, wick.PerSecond(float64(a.Rate)*h.part)
