--- a/fakes/observer.go
+++ b/fakes/observer.go
@@ -65,5 +65,8 @@
 // HedgeDenied implements wick.GatewayObserver.
 func (GatewayObserver) HedgeDenied(wick.HedgeDenial) {}
 
+// UnitsTaken implements wick.GatewayObserver.
+func (GatewayObserver) UnitsTaken(wick.TeamName, wick.Units, wick.AllotmentResult) {}
+
 // ShardsHeld implements wick.GatewayObserver.
 func (GatewayObserver) ShardsHeld(int) {}
--- a/observer.go
+++ b/observer.go
@@ -91,4 +91,6 @@
 	HedgeDenied(why HedgeDenial)
 	// ShardsHeld records how many shards this daemon holds.
 	ShardsHeld(n int)
+	// UnitsTaken records a request of a team with a limit, and whether it got its units.
+	UnitsTaken(team TeamName, units Units, result AllotmentResult)
 }
--- a/stats/gateway.go
+++ b/stats/gateway.go
@@ -29,6 +29,9 @@
 	hedgesSent    prometheus.Counter
 	hedgesWon     prometheus.Counter
 	hedgesDenied  *prometheus.CounterVec
+	teams         teamLabels
+	teamRequests  *prometheus.CounterVec
+	teamUnits     *prometheus.CounterVec
 	configVersion prometheus.Gauge
 	heldShards    prometheus.Gauge
 }
@@ -58,13 +61,15 @@
 		hedgesSent:    newCounter("hedges_sent_total", "Second attempts beside slow ones."),
 		hedgesWon:     newCounter("hedges_won_total", "Second attempts whose answer came first."),
 		hedgesDenied:  newCounterVec("hedges_denied_total", "Second attempts that were not sent beside slow ones, by cause.", "cause"),
+		teamRequests:  newCounterVec("team_requests_total", "Requests of teams with a limit, by team and whether they got their units.", "team", "result"),
+		teamUnits:     newCounterVec("team_units_total", "Units of the requests of teams with a limit, by team and whether they got them.", "team", "result"),
 		configVersion: newGauge("configuration_version", "Version of the configuration in force."),
 		heldShards:    newGauge("held_shards", "Shards whose endpoints take orders from this daemon."),
 	}
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
-	registry.MustRegister(g.requests, g.firstPart, g.duration, g.adapterWait, g.attempts, g.orders, g.reports, g.store, g.retriesDenied, g.termsStarted, g.connections, g.crashes, g.stopped, g.pauses, g.leaving, g.copies, g.hedgesSent, g.hedgesWon, g.hedgesDenied, g.configVersion, g.heldShards, lines)
+	registry.MustRegister(g.requests, g.firstPart, g.duration, g.adapterWait, g.attempts, g.orders, g.reports, g.store, g.retriesDenied, g.termsStarted, g.connections, g.crashes, g.stopped, g.pauses, g.leaving, g.copies, g.hedgesSent, g.hedgesWon, g.hedgesDenied, g.teamRequests, g.teamUnits, g.configVersion, g.heldShards, lines)
 	return g
 }
 
