Simulate small pools of plain services

The test plays such pools on a clock: many daemons that see each other's load 100 to 400 ms late, endpoints of 6 slots and 24 queue places. It shows the fault and checks nothing yet.

--- /dev/null
+++ b/choose/pool_test.go
@@ -0,0 +1,359 @@
+package choose_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/choose"
+	"currantwick/limit"
+	"currantwick/tally"
+)
+
+// poolCase is one load on a pool of plain services.
+type poolCase struct {
+	daemons, endpoints int
+	// load is the arrival rate relative to the capacity of the endpoints.
+	load float64
+	// leastWork and mostWork bound the time that a request takes at a sound endpoint.
+	leastWork, mostWork time.Duration
+	objective           time.Duration
+	// slow is the number of endpoints that take 2.5 times as long; refuses is set if
+	// one endpoint refuses half of its requests.
+	slow    int
+	refuses bool
+}
+
+func (c poolCase) String() string {
+	kind := "sound"
+	if c.slow > 0 {
+		kind = fmt.Sprintf("%d slow", c.slow)
+	}
+	if c.refuses {
+		kind = "one refuses"
+	}
+	return fmt.Sprintf("%d daemons, %d endpoints, load %.1f, %s", c.daemons, c.endpoints, c.load, kind)
+}
+
+// served counts what callers of one priority got.
+type served struct {
+	inTime, late, refusedByEndpoint, refusedByDaemon int
+}
+
+func (s served) total() int { return s.inTime + s.late + s.refusedByEndpoint + s.refusedByDaemon }
+
+// share returns a part of the requests.
+func (s served) share(n int) float64 { return float64(n) / float64(max(s.total(), 1)) }
+
+func (s served) String() string {
+	return fmt.Sprintf("in time %.3f late %.3f refused by endpoint %.3f by daemon %.3f",
+		s.share(s.inTime), s.share(s.late), s.share(s.refusedByEndpoint), s.share(s.refusedByDaemon))
+}
+
+// poolResult is the result of a simulation.
+type poolResult struct {
+	// low and high are the two priorities.
+	low, high served
+	// arrivals counts what endpoints were sent, refused what they refused, and
+	// misplaced what they refused for being full while another had a free slot.
+	arrivals, refused, misplaced int
+}
+
+const (
+	simSlots, simPlaces = 6, 30
+	simLength           = 4 * time.Second
+	// snapshotEvery is how often the load of the pool is recorded; views show records
+	// that are from minAge to maxAge old.
+	snapshotEvery  = 20 * time.Millisecond
+	viewEvery      = 100 * time.Millisecond
+	minAge, maxAge = 100 * time.Millisecond, 300 * time.Millisecond
+	highShare      = 0.3
+	simDeadline    = time.Second
+)
+
+// simEvent is something that happens at an instant.
+type simEvent struct {
+	at  wick.Instant
+	seq int
+	do  func()
+}
+
+type simEvents []simEvent
+
+func (l simEvents) Len() int { return len(l) }
+
+func (l simEvents) Less(a, b int) bool {
+	return l[a].at < l[b].at || l[a].at == l[b].at && l[a].seq < l[b].seq
+}
+
+func (l simEvents) Swap(a, b int) { l[a], l[b] = l[b], l[a] }
+
+func (l *simEvents) Push(x any) { *l = append(*l, x.(simEvent)) }
+
+func (l *simEvents) Pop() any {
+	old := *l
+	last := old[len(old)-1]
+	*l = old[:len(old)-1]
+	return last
+}
+
+// simEndpoint is an endpoint that runs requests in its slots, queues them in order of
+// arrival, and refuses them when it is full.
+type simEndpoint struct {
+	running int
+	queue   []func()
+	slow    float64
+	refuses float64
+	stats   tally.OutcomeStats
+}
+
+func (e *simEndpoint) load() int { return e.running + len(e.queue) }
+
+// simDaemon is a daemon with its requests at each endpoint and its outdated view of
+// those of the others.
+type simDaemon struct {
+	meters []*tally.Meter
+	others []wick.EndpointLoad
+	budget *limit.SharedRetries
+	domain wick.Domain
+}
+
+// simRequest is a request of a caller.
+type simRequest struct {
+	start wick.Instant
+	high  bool
+	avoid map[int]bool
+}
+
+// simSnapshot is the load of the pool at an instant: by all daemons, and by each.
+type simSnapshot struct {
+	total []wick.EndpointLoad
+	own   [][]int
+}
+
+// poolSim simulates daemons that send requests to one pool.
+type poolSim struct {
+	poolCase
+	rand      *rand.Rand
+	now       wick.Instant
+	events    simEvents
+	seq       int
+	backends  []*simEndpoint
+	clients   []*simDaemon
+	snapshots []simSnapshot
+	result    poolResult
+}
+
+func (s *poolSim) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.events, simEvent{s.now.Add(d), s.seq, do})
+}
+
+func (s *poolSim) draw(from, to time.Duration) time.Duration {
+	return from + time.Duration(s.rand.Float64()*float64(to-from))
+}
+
+// simulate plays a case with a fixed seed.
+func simulate(t *testing.T, c poolCase) poolResult {
+	t.Helper()
+	s := &poolSim{poolCase: c, rand: rand.New(rand.NewPCG(1, 2)), now: wick.Instant(time.Second)}
+	capacity := 0.0
+	for i := range c.endpoints {
+		e := &simEndpoint{slow: 1}
+		if i < c.slow {
+			e.slow = 2.5
+		}
+		if c.refuses && i == c.endpoints-1 {
+			e.refuses = 0.5
+		}
+		s.backends = append(s.backends, e)
+		capacity += simSlots / (c.leastWork + c.mostWork).Seconds() * 2 / e.slow * (1 - e.refuses)
+	}
+	for i := range c.daemons {
+		b, err := limit.NewSharedRetries(0.2, 186)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := &simDaemon{budget: b, others: make([]wick.EndpointLoad, c.endpoints), domain: domainOf(i)}
+		for range c.endpoints {
+			d.meters = append(d.meters, tally.NewMeter())
+		}
+		s.clients = append(s.clients, d)
+		s.after(s.draw(0, viewEvery), func() { s.refreshView(i) })
+	}
+	s.snapshot()
+	s.arrive(capacity * c.load)
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		e.do()
+	}
+	return s.result
+}
+
+func domainOf(i int) wick.Domain { return wick.Domain(rune('a' + i%3)) }
+
+func (s *poolSim) ended() bool { return s.now.Sub(0) > time.Second+simLength }
+
+// arrive lets a request arrive at a random daemon, and then the next one.
+func (s *poolSim) arrive(rate float64) {
+	if s.ended() {
+		return
+	}
+	r := &simRequest{start: s.now, high: s.rand.Float64() < highShare, avoid: make(map[int]bool)}
+	d := s.clients[s.rand.IntN(len(s.clients))]
+	d.budget.Earn(s.daemons)
+	s.send(d, r)
+	s.after(time.Duration(s.rand.ExpFloat64()/rate*float64(time.Second)), func() { s.arrive(rate) })
+}
+
+func (s *poolSim) snapshot() {
+	n := simSnapshot{}
+	for i, e := range s.backends {
+		sum := wick.EndpointLoad{}
+		for _, d := range s.clients {
+			sum.Running += d.meters[i].Read(s.now).Running
+			e.stats.Add(s.now, d.meters[i].TakeOutcomes())
+		}
+		sum.Lag, sum.FailedShare = e.stats.Read(s.now)
+		n.total = append(n.total, sum)
+	}
+	for _, d := range s.clients {
+		own := make([]int, s.endpoints)
+		for i, m := range d.meters {
+			own[i] = m.Read(s.now).Running
+		}
+		n.own = append(n.own, own)
+	}
+	s.snapshots = append(s.snapshots, n)
+	if !s.ended() {
+		s.after(snapshotEvery, s.snapshot)
+	}
+}
+
+// refreshView gives a daemon an outdated snapshot.
+func (s *poolSim) refreshView(daemon int) {
+	age := int(s.draw(minAge, maxAge) / snapshotEvery)
+	n := s.snapshots[max(len(s.snapshots)-age, 0)]
+	for i, load := range n.total {
+		load.Running -= n.own[daemon][i]
+		s.clients[daemon].others[i] = load
+	}
+	if !s.ended() {
+		s.after(viewEvery, func() { s.refreshView(daemon) })
+	}
+}
+
+// send picks an endpoint and sends a request there, as package direct does.
+func (s *poolSim) send(d *simDaemon, r *simRequest) {
+	list := make([]choose.Candidate, s.endpoints)
+	for i, m := range d.meters {
+		own, others := m.Read(s.now), d.others[i]
+		list[i] = choose.Candidate{
+			Domain: domainOf(i), Slots: simSlots, Running: own.Running + others.Running,
+			Lag: max(own.Lag, others.Lag.Std()), FailedShare: max(own.FailedShare, others.FailedShare), Avoid: r.avoid[i],
+		}
+	}
+	i := choose.PickService(choose.Input{Domain: d.domain, Daemons: s.daemons, Random: s.rand.Uint64()}, list)
+	if i < 0 {
+		s.of(r).refusedByEndpoint++
+		return
+	}
+	s.attempt(d, r, i)
+}
+
+func (s *poolSim) of(r *simRequest) *served {
+	if r.high {
+		return &s.result.high
+	}
+	return &s.result.low
+}
+
+// attempt is the arrival of a request at an endpoint.
+func (s *poolSim) attempt(d *simDaemon, r *simRequest, i int) {
+	e := s.backends[i]
+	s.result.arrivals++
+	full := e.load() >= simPlaces
+	if full || s.rand.Float64() < e.refuses {
+		s.result.refused++
+		for _, o := range s.backends {
+			if full && o.load() < simSlots {
+				s.result.misplaced++
+				break
+			}
+		}
+		r.avoid[i] = true
+		d.meters[i].Observe(s.now, 0, true)
+		if !d.budget.Spend(s.daemons) {
+			s.of(r).refusedByEndpoint++
+			return
+		}
+		s.send(d, r)
+		return
+	}
+	sent := s.now
+	d.meters[i].Start(wick.Weights{}, 0)
+	run := func() {
+		s.after(time.Duration(float64(s.draw(s.leastWork, s.mostWork))*e.slow), func() {
+			d.meters[i].Observe(s.now, s.now.Sub(sent), false)
+			d.meters[i].Done(wick.Weights{})
+			s.finish(e)
+			if s.now.Sub(r.start) <= s.objective {
+				s.of(r).inTime++
+			} else {
+				s.of(r).late++
+			}
+		})
+	}
+	if e.running < simSlots {
+		e.running++
+		run()
+		return
+	}
+	e.queue = append(e.queue, run)
+}
+
+// finish frees a slot of an endpoint.
+func (s *poolSim) finish(e *simEndpoint) {
+	if len(e.queue) == 0 {
+		e.running--
+		return
+	}
+	next := e.queue[0]
+	e.queue = e.queue[1:]
+	next()
+}
+
+// smallPools are the loads that TestSmallPools plays.
+func smallPools() []poolCase {
+	usual := poolCase{daemons: 58, endpoints: 7, leastWork: 15 * time.Millisecond, mostWork: 60 * time.Millisecond, objective: 200 * time.Millisecond}
+	var list []poolCase
+	for _, load := range []float64{0.5, 0.9, 1.2, 2.5} {
+		sound := usual
+		sound.load = load
+		slow, refuses := sound, sound
+		slow.slow, refuses.refuses = 2, true
+		list = append(list, sound, slow, refuses)
+	}
+	few := usual
+	few.daemons, few.endpoints, few.load = 7, 3, 0.5
+	tight := usual
+	tight.daemons, tight.endpoints, tight.load, tight.leastWork, tight.mostWork, tight.objective = 60, 3, 0.9, 15*time.Millisecond, 15*time.Millisecond, 120*time.Millisecond
+	return append(list, few, tight)
+}
+
+// Many daemons that see each other's load late sent their requests to the same
+// endpoint of a small pool, which refused them while others had room.
+func TestSmallPools(t *testing.T) {
+	for _, c := range smallPools() {
+		t.Run(c.String(), func(t *testing.T) {
+			t.Parallel()
+			r := simulate(t, c)
+			t.Logf("%v: %d arrivals, refused %.3f, misplaced %.3f; high %v; low %v", c, r.arrivals,
+				float64(r.refused)/float64(r.arrivals), float64(r.misplaced)/float64(r.arrivals), r.high, r.low)
+		})
+	}
+}
