Draw plain services in proportion to their expected room

All daemons see the load of the others 100 to 400 ms late, and each sent its request to the service that looked best: they filled one while others had room. A refusal for lack of room also counted as a failure, which made all daemons avoid the service for seconds, and as an answer after 0 ms, which made it look fast.

PickService now estimates what the other daemons have sent since the loads were observed, fills the services up to the same time to an answer with it, and draws one in proportion. Alone, or with few requests, a daemon still gets the service with the shortest time. A refusal by a service that was seen to be busy is no failure.

--- a/choose/choose.go
+++ b/choose/choose.go
@@ -1,5 +1,6 @@
-// Package choose picks the endpoint with the shortest estimated time to the
-// first token. The estimate for a candidate covers the prompts that wait there,
+// Package choose picks the endpoint for a request: among engines, the one with the
+// shortest estimated time to the first token; among plain services, one drawn at
+// random in proportion to the room that is expected there. The estimate for a candidate covers the prompts that wait there,
 // the load of the adapter, the network distance, and the recent latency and
 // failures of the endpoint.
 package choose
@@ -72,9 +73,6 @@
 	// failurePenalty is added for an endpoint whose recent requests all failed,
 	// and in proportion where some did.
 	failurePenalty = 3 * time.Second
-	// defaultServiceTime is the assumed duration of a plain service call before
-	// any measurement.
-	defaultServiceTime = 15 * time.Millisecond
 )
 
 // Candidate is an endpoint that may take a request.
@@ -94,6 +92,9 @@
 	// observed by this daemon or by all daemons, whichever is worse.
 	Lag         time.Duration
 	FailedShare float64
+	// Work is the time that a request takes at a plain service without waiting there;
+	// 0 if it was not measured.
+	Work time.Duration
 	// Avoid is set when the endpoint must not be picked.
 	Avoid bool
 	// HasAdapter is set when the adapter is loaded or loading there; it is
@@ -127,8 +128,7 @@
 	Daemons int
 	// Trial is set for a request that may crash its endpoint.
 	Trial bool
-	// Random varies the choice among plain services with similar estimates;
-	// PickEngine ignores it.
+	// Random draws a plain service; PickEngine ignores it.
 	Random uint64
 }
 
@@ -240,30 +240,3 @@
 	b = append(b, e...)
 	return xxhash.Sum64(b)
 }
-
-// PickService returns the index of the candidate of a plain service with the
-// shortest estimate, or -1 if none can take the request.
-func PickService(in Input, list []Candidate) int {
-	best, least := -1, math.MaxFloat64
-	for i := range list {
-		c := &list[i]
-		if c.Avoid {
-			continue
-		}
-		work := defaultServiceTime + c.Lag
-		rounds := float64(c.Running+1) / float64(max(c.Slots, 1))
-		d := float64(endpointCost(in.Domain, c)) + float64(work)*rounds
-		// A small random part spreads requests over equal endpoints.
-		d += float64(defaultServiceTime) * float64(mix(in.Random, i)%1024) / 1024
-		if d < least {
-			best, least = i, d
-		}
-	}
-	return best
-}
-
-func mix(r uint64, i int) uint64 {
-	x := r + uint64(i)*0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	return x ^ x>>31
-}
--- a/choose/choose_test.go
+++ b/choose/choose_test.go
@@ -142,3 +142,14 @@
 		choose.PickEngine(in, list)
 	}
 }
+
+// BenchmarkPickService measures the choice for one request in a large pool.
+func BenchmarkPickService(b *testing.B) {
+	list := make([]choose.Candidate, 64)
+	for i := range list {
+		list[i] = choose.Candidate{Domain: "d", Slots: 6, Running: i % 11, Work: 30 * time.Millisecond}
+	}
+	for b.Loop() {
+		choose.PickService(choose.Input{Domain: "d", Daemons: 60, Random: 7}, list)
+	}
+}
--- a/choose/pool_test.go
+++ b/choose/pool_test.go
@@ -25,6 +25,9 @@
 	// one endpoint refuses half of its requests.
 	slow    int
 	refuses bool
+	// mostRefused is the part of the arrivals that endpoints may refuse, leastInTime
+	// that of the requests that must be served within the objective.
+	mostRefused, leastInTime float64
 }
 
 func (c poolCase) String() string {
@@ -254,7 +257,7 @@
 		own, others := m.Read(s.now), d.others[i]
 		list[i] = choose.Candidate{
 			Domain: domainOf(i), Slots: simSlots, Running: own.Running + others.Running,
-			Lag: max(own.Lag, others.Lag.Std()), FailedShare: max(own.FailedShare, others.FailedShare), Avoid: r.avoid[i],
+			Lag: max(own.Lag, others.Lag.Std()), FailedShare: max(own.FailedShare, others.FailedShare), Work: own.Work, Avoid: r.avoid[i],
 		}
 	}
 	i := choose.PickService(choose.Input{Domain: d.domain, Daemons: s.daemons, Random: s.rand.Uint64()}, list)
@@ -286,7 +289,9 @@
 			}
 		}
 		r.avoid[i] = true
-		d.meters[i].Observe(s.now, 0, true)
+		if choose.RefusalIsFailure(simSlots, d.others[i].Running+d.meters[i].Read(s.now).Running) {
+			d.meters[i].Observe(s.now, 0, true)
+		}
 		if !d.budget.Spend(s.daemons) {
 			s.of(r).refusedByEndpoint++
 			return
@@ -299,6 +304,7 @@
 	run := func() {
 		s.after(time.Duration(float64(s.draw(s.leastWork, s.mostWork))*e.slow), func() {
 			d.meters[i].Observe(s.now, s.now.Sub(sent), false)
+			d.meters[i].ObserveWork(s.now, s.now.Sub(sent))
 			d.meters[i].Done(wick.Weights{})
 			s.finish(e)
 			if s.now.Sub(r.start) <= s.objective {
@@ -331,17 +337,22 @@
 func smallPools() []poolCase {
 	usual := poolCase{daemons: 58, endpoints: 7, leastWork: 15 * time.Millisecond, mostWork: 60 * time.Millisecond, objective: 200 * time.Millisecond}
 	var list []poolCase
-	for _, load := range []float64{0.5, 0.9, 1.2, 2.5} {
+	for _, row := range []struct{ load, mostRefused, leastInTime float64 }{{0.5, 0.01, 0.99}, {0.9, 0.03, 0.95}, {1.2, 1, 0}, {2.5, 1, 0}} {
 		sound := usual
-		sound.load = load
+		sound.load, sound.mostRefused, sound.leastInTime = row.load, row.mostRefused, row.leastInTime
 		slow, refuses := sound, sound
 		slow.slow, refuses.refuses = 2, true
+		// The others take the load of the endpoint that refuses, which brings them close
+		// to their capacity.
+		refuses.mostRefused = max(refuses.mostRefused, 0.05)
 		list = append(list, sound, slow, refuses)
 	}
 	few := usual
 	few.daemons, few.endpoints, few.load = 7, 3, 0.5
+	few.mostRefused, few.leastInTime = 0, 0.99
 	tight := usual
 	tight.daemons, tight.endpoints, tight.load, tight.leastWork, tight.mostWork, tight.objective = 60, 3, 0.9, 15*time.Millisecond, 15*time.Millisecond, 120*time.Millisecond
+	tight.mostRefused, tight.leastInTime = 0.01, 0.99
 	return append(list, few, tight)
 }
 
@@ -352,6 +363,14 @@
 		t.Run(c.String(), func(t *testing.T) {
 			t.Parallel()
 			r := simulate(t, c)
+			if n := float64(r.refused) / float64(r.arrivals); n > c.mostRefused {
+				t.Errorf("%.3f of the arrivals were refused, want at most %.3f", n, c.mostRefused)
+			}
+			for _, v := range []served{r.high, r.low} {
+				if n := v.share(v.inTime); n < c.leastInTime {
+					t.Errorf("%.3f were served in time, want at least %.3f", n, c.leastInTime)
+				}
+			}
 			t.Logf("%v: %d arrivals, refused %.3f, misplaced %.3f; high %v; low %v", c, r.arrivals,
 				float64(r.refused)/float64(r.arrivals), float64(r.misplaced)/float64(r.arrivals), r.high, r.low)
 		})
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -144,6 +144,8 @@
 		t.avoid[to.runner.Name] = true
 	case rec.Signal.Pause > 0:
 		// The endpoint is full, not failing.
+	case t.isFull(to, now):
+		t.avoid[to.runner.Name] = true
 	default:
 		t.recordFailure(to)
 	}
@@ -169,6 +171,7 @@
 		return &retryableError{cause: wick.Unknownf(wick.CodeBroken, "answer of %s broke off: %v", to.runner.Name, err)}
 	}
 	t.recordResponse(to, sent, rec)
+	t.recordWork(to, sent, rec)
 	t.answered()
 	if err := t.startAnswer(rec); err != nil {
 		return err
--- a/direct/pick.go
+++ b/direct/pick.go
@@ -216,7 +216,7 @@
 		LoadSlowdown: v.LoadSlowdown,
 		PrefillRate:  t.server.prefillRates.average(t.pool),
 		Daemons:      v.Daemons,
-		Random:       uint64(now),
+		Random:       rand.Uint64(),
 		Trial:        t.onTrial(),
 	}
 }
@@ -238,6 +238,7 @@
 			CachedTokens:    r.Meter.CachedTokens(t.sharedPrefixes),
 			Lag:             max(m.Lag, r.OtherLoad.Lag.Std()),
 			FailedShare:     max(m.FailedShare, r.OtherLoad.FailedShare),
+			Work:            m.Work,
 			Avoid:           t.avoid[r.Name] || !holds && !t.canHold(v, r),
 			HasAdapter:      holds,
 			ReadyIn:         res.Ready.Sub(now),
--- a/tally/meter.go
+++ b/tally/meter.go
@@ -29,6 +29,8 @@
 	// lag, in seconds, and failedShare are averages that have decayed up to at.
 	lag, failedShare float64
 	at               wick.Instant
+	// work is measured at plain services only.
+	work workTime
 	// unreported sums up the outcomes since the last call of TakeOutcomes.
 	unreported wick.EndpointStats
 	// prefixes are the prompt prefixes that the endpoint has prefilled; order
@@ -45,6 +47,9 @@
 	// of EndpointLoad, which are not set.
 	Lag         time.Duration
 	FailedShare float64
+	// Work estimates the time that a request takes at a plain service without waiting
+	// there; 0 if it was not measured lately.
+	Work time.Duration
 }
 
 // NewMeter returns a meter without requests.
@@ -152,6 +157,7 @@
 		EndpointLoad: wick.EndpointLoad{Running: m.running, Waiting: m.waiting},
 		Lag:          time.Duration(m.lag * float64(time.Second)),
 		FailedShare:  m.failedShare,
+		Work:         m.work.read(now),
 	}
 }
 
