Hold requests to small pools of plain services back in the daemon

At more than the capacity of a small pool its endpoints refused a third and more of the arrivals, each of which counts against the retry budget, and did so whatever the priority of the request.

Package gate bounds how many requests a daemon has at a pool without engines, and at each endpoint. The limit follows the load of all daemons towards a target that leaves the endpoints' queues a quarter of the shortest objective, falls when an endpoint refuses, and has a fraction below which requests are spaced in time. Requests wait by priority, then by the time left; one whose turn would come too late is refused at once. While the pool's load is below the target nothing waits.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -56,6 +56,7 @@
 	s.cfg.Observer.AttemptSent(t.sends > 0)
 	t.sends++
 	t.last = r.Name
+	t.markSent(to)
 	sent := s.cfg.Clock.Now()
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -146,6 +147,9 @@
 		// The endpoint is full, not failing.
 	case t.isFull(to, now):
 		t.avoid[to.runner.Name] = true
+		if t.admission != nil {
+			t.admission.full = true
+		}
 	default:
 		t.recordFailure(to)
 	}
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -65,6 +65,7 @@
 	cfg             Config
 	prefillRates    prefillRates
 	versionRequests versionRequests
+	gates           poolGates
 }
 
 var _ wick.Gateway = (*Server)(nil)
--- /dev/null
+++ b/direct/gate_test.go
@@ -0,0 +1,147 @@
+package direct_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/coord"
+	"currantwick/direct"
+	"currantwick/tally"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// heldSender implements wick.Sender. Requests to it run until they are released.
+type heldSender struct {
+	mu      sync.Mutex
+	sent    int
+	release chan struct{}
+}
+
+func (s *heldSender) Send(ctx context.Context, _ wick.Attempt) (*wick.Response, error) {
+	s.mu.Lock()
+	s.sent++
+	s.mu.Unlock()
+	select {
+	case <-s.release:
+	case <-ctx.Done():
+		return nil, wick.Unknownf(wick.CodeBroken, "canceled")
+	}
+	return (&sender{replies: []reply{{status: 200, body: "hi"}}}).Send(ctx, wick.Attempt{})
+}
+
+func (s *heldSender) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
+
+// until waits until a condition holds.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// frozen is a clock that stands still, so that no request waits too long.
+type frozen struct{}
+
+func (frozen) Now() wick.Instant { return wick.Instant(time.Minute) }
+
+func frozenServer(t *testing.T, v *coord.View, send wick.Sender) *direct.Server {
+	t.Helper()
+	return serverAt(t, &control{view: v}, send, tally.NewLockedSharedBudget(budget(t, 1000)), frozen{}, wick.Bounds{ChangeDeadline: wick.Duration(time.Hour)})
+}
+
+// crowd returns a view of a deployment of 60 daemons.
+func crowd(kind wick.Kind, others int) *coord.View {
+	r := route(kind, "plain", 1, false)
+	r.Timeout, r.Objective = wick.Duration(30*time.Second), wick.Duration(20*time.Second)
+	v := view(r)
+	v.Daemons = 60
+	for _, e := range v.Pools["plain"] {
+		e.OtherLoad.Running = others
+	}
+	return v
+}
+
+// Requests to a full pool were sent, and its endpoints refused them. They must wait in
+// the daemon, and stop waiting when their callers leave; with room none may wait.
+func TestPoolGate(t *testing.T) {
+	tests := []struct {
+		name   string
+		kind   wick.Kind
+		others int
+		// waits is set if some of the requests must wait.
+		waits bool
+	}{
+		{"room", wick.KindUnsafe, 2, false},
+		{"full", wick.KindUnsafe, 40, true},
+		{"full, for streams, which no gate bounds", wick.KindStream, 40, false},
+	}
+	const requests = 8
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			send := &heldSender{release: make(chan struct{})}
+			s := frozenServer(t, crowd(test.kind, test.others), send)
+			ctx, cancel := context.WithCancel(t.Context())
+			var group errgroup.Group
+			for range requests {
+				group.Go(func() error {
+					return s.Forward(ctx, &wick.Exchange{Request: "q", Host: "h", Path: "/x"}, &writer{})
+				})
+			}
+			sum := func() int {
+				n := send.count()
+				for _, g := range s.State().Gates {
+					n += g.Waiting
+				}
+				return n
+			}
+			until(t, "all requests are sent or wait", func() bool { return sum() == requests })
+			if waits := send.count() < requests; waits != test.waits {
+				t.Errorf("%d of %d requests were sent", send.count(), requests)
+			}
+			cancel()
+			if err := group.Wait(); err == nil {
+				t.Error("no request ended with its caller")
+			}
+			for _, g := range s.State().Gates {
+				if g.Waiting != 0 || g.Sent != 0 {
+					t.Errorf("%d wait and %d are at the pool after their callers left", g.Waiting, g.Sent)
+				}
+			}
+		})
+	}
+}
+
+// A request that can't be sent in time must be refused at once, as not run.
+func TestPoolGateRefusal(t *testing.T) {
+	v := crowd(wick.KindUnsafe, 40)
+	send := &heldSender{release: make(chan struct{})}
+	s := frozenServer(t, v, send)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	for range 8 {
+		group.Go(func() error {
+			return s.Forward(ctx, &wick.Exchange{Request: "q", Host: "h", Path: "/x"}, &writer{})
+		})
+	}
+	until(t, "a request waits", func() bool { return len(s.State().Gates) > 0 && s.State().Gates[0].Waiting > 0 })
+	err := s.Forward(t.Context(), &wick.Exchange{Request: "r", Host: "h", Path: "/x", TimeLeft: wick.Duration(55 * time.Millisecond)}, &writer{})
+	e := wick.AsError(err)
+	if err == nil || e.Outcome != wick.NotRun || e.RetryAfter <= 0 {
+		t.Errorf("got %v, want a refusal with a time to come back", err)
+	}
+	cancel()
+	if err := group.Wait(); err == nil || errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("requests ended with %v", err)
+	}
+}
--- a/direct/pick.go
+++ b/direct/pick.go
@@ -182,7 +182,13 @@
 	}
 	cands := t.candidates(v, now, list)
 	paused := t.avoidPaused(now, list, cands, rand.Float64())
+	closed := t.avoidClosed(now, list, cands)
 	i := t.choose(v, now, cands)
+	if i < 0 && closed {
+		cands = t.candidates(v, now, list)
+		paused = t.avoidPaused(now, list, cands, rand.Float64())
+		i = t.choose(v, now, cands)
+	}
 	if i < 0 && paused {
 		// An endpoint whose pause has ended is better than none.
 		cands = t.candidates(v, now, list)
--- a/direct/service.go
+++ b/direct/service.go
@@ -21,10 +21,15 @@
 	return t.isPlain() && !choose.RefusalIsFailure(r.Slots, r.OtherLoad.Running+r.Meter.Read(now).Running)
 }
 
-// recordWork records how long a plain service took for the request.
+// recordWork records how long a plain service took for the request, and makes room for
+// the next one: a caller may read its answer slowly.
 func (t *task) recordWork(to target, sent wick.Instant, rec *wick.Response) {
 	if rec.Status < http.StatusInternalServerError && t.isPlain() {
 		now := t.server.cfg.Clock.Now()
 		to.runner.Meter.ObserveWork(now, now.Sub(sent))
+		if t.admission != nil {
+			t.admission.took = now.Sub(sent)
+			t.leaveGate()
+		}
 	}
 }
--- a/direct/state.go
+++ b/direct/state.go
@@ -13,7 +13,7 @@
 	v, now := s.cfg.Control.View(), s.cfg.Clock.Now()
 	g := wick.GatewayState{
 		Host: s.cfg.Host, Domain: s.cfg.Domain, Ready: v.Ready, Stopping: v.Stopping,
-		Daemons: v.Daemons, Shards: v.Shards,
+		Daemons: v.Daemons, Shards: v.Shards, Gates: s.gates.states(),
 	}
 	if v.ServingConfig != nil {
 		g.Config, g.ConfigAge = v.ServingConfig.Version, wick.Duration(now.Sub(v.ConfigCurrentAt))
--- a/direct/task.go
+++ b/direct/task.go
@@ -66,6 +66,8 @@
 	status  int
 	started bool
 	resume  wick.EventID
+	// admission is that by the pool's gate; nil if there is none.
+	admission *admission
 }
 
 // retryableError is the error of an attempt after which the request may be
@@ -93,10 +95,15 @@
 	ctx, cancel := context.WithTimeout(ctx, t.remaining())
 	defer cancel()
 	defer t.endTrial()
+	defer t.leaveGate()
 	for {
+		t.leaveGate()
 		if err := t.checkStopped(); err != nil {
 			return err
 		}
+		if err := t.passGate(ctx); err != nil {
+			return err
+		}
 		to, err := t.pick(ctx)
 		if err != nil {
 			return err
--- a/fakes/observer.go
+++ b/fakes/observer.go
@@ -53,5 +53,11 @@
 // EndpointLeaving implements wick.GatewayObserver.
 func (GatewayObserver) EndpointLeaving() {}
 
+// PoolWaited implements wick.GatewayObserver.
+func (GatewayObserver) PoolWaited(time.Duration) {}
+
+// PoolRefused implements wick.GatewayObserver.
+func (GatewayObserver) PoolRefused() {}
+
 // ShardsHeld implements wick.GatewayObserver.
 func (GatewayObserver) ShardsHeld(int) {}
--- a/observer.go
+++ b/observer.go
@@ -80,6 +80,10 @@
 	// that one said that it is about to end.
 	EndpointPaused()
 	EndpointLeaving()
+	// PoolWaited records how long a request waited for room in a pool of plain services,
+	// and PoolRefused one that was refused since there would be none in time.
+	PoolWaited(d time.Duration)
+	PoolRefused()
 	// ShardsHeld records how many shards this daemon holds.
 	ShardsHeld(n int)
 }
--- a/state.go
+++ b/state.go
@@ -18,6 +18,20 @@
 	Entries   []HostName      `json:"Entries,omitempty"`
 	Shards    []ShardState    `json:"Shards,omitempty"`
 	Endpoints []EndpointState `json:"Endpoints,omitempty"`
+	// Gates are those of the pools of plain services, by name.
+	Gates []PoolGateState `json:"Gates,omitempty"`
+}
+
+// PoolGateState is the state of a gateway's gate to a pool of plain services.
+type PoolGateState struct {
+	Pool PoolName `json:"Pool"`
+	// Sent counts the requests of this gateway at the pool, Waiting those that wait in
+	// the gateway.
+	Sent    int `json:"Sent"`
+	Waiting int `json:"Waiting"`
+	// Limit is how many requests of the lowest priority may be at the pool; 0 for no
+	// limit.
+	Limit float64 `json:"Limit,omitempty"`
 }
 
 // ShardState is the holder of a shard, which gives orders to its endpoints.
--- a/stats/gateway.go
+++ b/stats/gateway.go
@@ -27,6 +27,8 @@
 	leaving       prometheus.Counter
 	configVersion prometheus.Gauge
 	heldShards    prometheus.Gauge
+	poolWait      prometheus.Histogram
+	poolRefused   prometheus.Counter
 }
 
 var _ wick.GatewayObserver = (*Gateway)(nil)
@@ -53,6 +55,9 @@
 		configVersion: newGauge("configuration_version", "Version of the configuration in force."),
 		heldShards:    newGauge("held_shards", "Shards whose endpoints take orders from this daemon."),
 	}
+	g.poolWait = newHistogram("pool_wait_seconds", "Time that requests waited for room in a pool of plain services.")
+	g.poolRefused = newCounter("pool_refused_total", "Requests refused because a pool of plain services would have no room in time.")
+	registry.MustRegister(g.poolWait, g.poolRefused)
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
@@ -132,6 +137,12 @@
 // ConfigApplied implements wick.GatewayObserver.
 func (g *Gateway) ConfigApplied(version uint64) { g.configVersion.Set(float64(version)) }
 
+// PoolWaited implements wick.GatewayObserver.
+func (g *Gateway) PoolWaited(d time.Duration) { g.poolWait.Observe(d.Seconds()) }
+
+// PoolRefused implements wick.GatewayObserver.
+func (g *Gateway) PoolRefused() { g.poolRefused.Inc() }
+
 // ShardsHeld implements wick.GatewayObserver.
 func (g *Gateway) ShardsHeld(n int) { g.heldShards.Set(float64(n)) }
 
