Keep to the limit of connections to an endpoint

services.connectionLimit was not read: each daemon bounded its idle connections by itself, and nothing bounded those of all daemons together.

A daemon now has at most connectionLimit / daemons connections to an endpoint open, and at least 3. Without a limit nothing changes.

--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -101,7 +101,7 @@
 	}
 	g := &Gateway{cfg: cfg}
 	g.group, g.groupCtx = errgroup.WithContext(context.Background())
-	traffic := conns.New(conns.Config{OnOpen: cfg.Observer.ConnectionOpened})
+	traffic := conns.New(conns.Config{OnOpen: cfg.Observer.ConnectionOpened, OnLimited: cfg.Observer.ConnectionLimited})
 	orders := conns.New(conns.Config{PerAddress: 1})
 	calls := conns.New(conns.Config{PerAddress: int(wick.NumTopics)})
 	g.pools = []*conns.Pool{traffic, orders, calls}
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +30,10 @@
 	lastUsed, expiresAt time.Time
 	// reused is set once the connection has carried an exchange.
 	reused bool
+	// maxOpen is the MaxOpen of the last request.
+	maxOpen int
+	// closed is set once the connection was closed.
+	closed atomic.Bool
 	// echoed is set once a response had the echoed field.
 	echoed bool
 	// carried has the identifiers of all exchanges that the connection has carried.
@@ -89,7 +94,12 @@
 
 // close closes the connection. A failure to close is ignored, since nothing can
 // be done about it.
-func (c *conn) close() { c.net.Close() }
+func (c *conn) close() {
+	c.net.Close()
+	if !c.closed.Swap(true) {
+		c.pool.bounds.closed(c.addr)
+	}
+}
 
 // release returns a connection to the pool after a complete response, or closes it if
 // it can't remember more identifiers.
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -44,8 +44,14 @@
 type Config struct {
 	// PerAddress bounds the idle connections to one address; 16 by default.
 	PerAddress int
+	// ConnWait is how long a request waits for a connection to an address that has as
+	// many as it may have; 50 ms by default.
+	ConnWait time.Duration
 	// OnOpen is called for each new connection; it may be nil.
 	OnOpen func()
+	// OnLimited is called for each request that waits for a connection because of its
+	// MaxOpen, and again, with over set, if it opens one beyond that; it may be nil.
+	OnLimited func(over bool)
 }
 
 // Pool keeps idle connections. It is safe for concurrent use.
@@ -54,7 +60,8 @@
 	dialer net.Dialer
 	// group runs writes of long bodies, concurrently with the reading of their
 	// responses.
-	group errgroup.Group
+	group  errgroup.Group
+	bounds bounds
 
 	mu sync.Mutex
 	// idle lists connections by address, the most recently used last.
@@ -66,10 +73,14 @@
 	if cfg.PerAddress <= 0 {
 		cfg.PerAddress = defaultPerAddress
 	}
+	if cfg.ConnWait <= 0 {
+		cfg.ConnWait = defaultConnWait
+	}
 	return &Pool{
 		cfg:    cfg,
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: KeepAlive(), Control: SetSocketOptions},
 		idle:   make(map[wick.Address][]*conn),
+		bounds: bounds{byAddress: make(map[wick.Address]*bound)},
 	}
 }
 
@@ -125,12 +136,16 @@
 	return nil
 }
 
-// put adds an idle connection, or closes it if there are enough.
+// put adds an idle connection, gives it to a request that waits for it, or closes it if
+// there are enough.
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.bounds.hand(c) {
+		return
+	}
 	list := p.idle[c.addr]
-	if len(list) >= p.cfg.PerAddress {
+	if len(list) >= p.cfg.PerAddress || p.bounds.excess(c.addr, c.maxOpen) {
 		c.close()
 		return
 	}
@@ -179,8 +194,14 @@
 	return nc.Close()
 }
 
-// dial opens a new connection.
+// dial opens a new connection, which p.bounds has counted.
 func (p *Pool) dial(ctx context.Context, addr wick.Address) (*conn, error) {
+	c, err := p.open(ctx, addr)
+	p.bounds.dialed(addr, err == nil)
+	return c, err
+}
+
+func (p *Pool) open(ctx context.Context, addr wick.Address) (*conn, error) {
 	nc, err := p.dialer.DialContext(ctx, "tcp", string(addr))
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -49,6 +49,10 @@
 	// MaxIdle is the maximum time for which a reused connection may have been
 	// idle.
 	MaxIdle time.Duration
+	// MaxOpen is the number of connections to the address that the pool may have open;
+	// 0 for no limit. A request waits for a free one for a short time, and then exceeds
+	// it.
+	MaxOpen int
 	// MaxBody bounds the body that Fetch reads, in bytes; 1 MiB by default.
 	MaxBody int64
 	// OnHeader, if set, is called with the header of the response to Fetch.
@@ -91,13 +95,11 @@
 // Do sends a request and reads the header of the response. Canceling ctx closes
 // the connection, also while the body is read. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, addr wick.Address, req *Request) (*Reply, error) {
-	c := p.takeIdle(addr, req)
-	if c == nil {
-		var err error
-		if c, err = p.dial(ctx, addr); err != nil {
-			return nil, &Error{Err: err}
-		}
+	c, err := p.connect(ctx, addr, req)
+	if err != nil {
+		return nil, &Error{Err: err}
 	}
+	c.maxOpen = req.MaxOpen
 	if req.Echo.Name != "" {
 		c.carried.add(req.Echo.Value)
 	}
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -70,6 +70,7 @@
 		Team:            t.team,
 		ResumeAfter:     t.resumeAfter(),
 		RequireLiveConn: !t.mayRerun(),
+		MaxConnections:  t.maxConnections(),
 
 		ForwardCredential: t.forwardCredential,
 	})
--- a/direct/service.go
+++ b/direct/service.go
@@ -7,6 +7,20 @@
 	"currantwick/choose"
 )
 
+// minConnections is the least number of connections to an endpoint that a daemon may
+// have, however many daemons there are: one for each request of a usual burst.
+const minConnections = 3
+
+// maxConnections returns this daemon's part of the connections to an endpoint of the
+// request's pool; 0 for no limit.
+func (t *task) maxConnections() int {
+	v := t.server.cfg.Control.View()
+	if v.ServingConfig == nil || v.ServingConfig.Pools[t.pool].ConnectionLimit <= 0 {
+		return 0
+	}
+	return max(v.ServingConfig.Pools[t.pool].ConnectionLimit/max(v.Daemons, 1), minConnections)
+}
+
 // isPlain reports whether the request's pool is one of plain services.
 func (t *task) isPlain() bool {
 	config := t.server.cfg.Control.View().ServingConfig
--- a/exchange.go
+++ b/exchange.go
@@ -130,6 +130,9 @@
 	// new connection, or one on which the endpoint responded a moment ago, since
 	// a request that may have been lost on a dead connection can't be sent again.
 	RequireLiveConn bool
+	// MaxConnections is how many connections to the endpoint this daemon should have
+	// open; 0 for no limit.
+	MaxConnections int
 }
 
 // Response is an endpoint's response to an attempt.
--- a/fakes/observer.go
+++ b/fakes/observer.go
@@ -38,6 +38,9 @@
 // ConnectionOpened implements wick.GatewayObserver.
 func (GatewayObserver) ConnectionOpened() {}
 
+// ConnectionLimited implements wick.GatewayObserver.
+func (GatewayObserver) ConnectionLimited(bool) {}
+
 // ConfigApplied implements wick.GatewayObserver.
 func (GatewayObserver) ConfigApplied(uint64) {}
 
--- a/fleet.go
+++ b/fleet.go
@@ -119,6 +119,9 @@
 	Name PoolName
 	// Engine is nil for a plain service.
 	Engine *PoolEngine
+	// ConnectionLimit is how many connections to one endpoint all daemons together may
+	// have; 0 for no limit.
+	ConnectionLimit int
 }
 
 // PoolEngine is the configuration of the model engines of a pool.
--- a/observer.go
+++ b/observer.go
@@ -68,6 +68,10 @@
 	TermStarted(own bool)
 	// ConnectionOpened records a new connection to an endpoint.
 	ConnectionOpened()
+	// ConnectionLimited records a request that waited for a connection to an endpoint
+	// that has as many as it may have; over is set, at a second call, if the request
+	// opened one beyond the limit.
+	ConnectionLimited(over bool)
 	// ConfigApplied records the version of the current configuration.
 	ConfigApplied(version uint64)
 	// EndpointCrashed records that an endpoint crashed under requests of this
--- a/stats/gateway.go
+++ b/stats/gateway.go
@@ -29,6 +29,7 @@
 	heldShards    prometheus.Gauge
 	poolWait      prometheus.Histogram
 	poolRefused   prometheus.Counter
+	limited       *prometheus.CounterVec
 }
 
 var _ wick.GatewayObserver = (*Gateway)(nil)
@@ -57,7 +58,8 @@
 	}
 	g.poolWait = newHistogram("pool_wait_seconds", "Time that requests waited for room in a pool of plain services.")
 	g.poolRefused = newCounter("pool_refused_total", "Requests refused because a pool of plain services would have no room in time.")
-	registry.MustRegister(g.poolWait, g.poolRefused)
+	g.limited = newCounterVec("connections_limited_total", "Requests that waited for a connection because of the limit of their endpoint; over tells those that then exceeded it.", "over")
+	registry.MustRegister(g.poolWait, g.poolRefused, g.limited)
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
@@ -122,6 +124,9 @@
 // ConnectionOpened implements wick.GatewayObserver.
 func (g *Gateway) ConnectionOpened() { g.connections.Inc() }
 
+// ConnectionLimited implements wick.GatewayObserver.
+func (g *Gateway) ConnectionLimited(over bool) { g.limited.WithLabelValues(yesNo(over)).Inc() }
+
 // EndpointCrashed implements wick.GatewayObserver.
 func (g *Gateway) EndpointCrashed() { g.crashes.Inc() }
 
