Measure the work of services over seconds

With 7 daemons and 30 endpoints at 0.9 of the capacity the choice had 0.055 of the arrivals refused, and the gate refused 0.05 of the requests of low priority: each daemon measures an endpoint 20 times a second there, and the average followed the endpoint's queue. With 300 daemons 0.02 were refused: services that a daemon had not measured counted as taking 15 ms, less than most. The weight of a measurement now depends on the time since the last one, and a service without one counts as the average of the others.

A cut after a refusal no longer goes below one request, which held back daemons of large deployments for seconds; a refusal with a pause counts as one for lack of room, too; and of more than 64 services the usable ones are considered, wherever they stand.

--- a/choose/choose_test.go
+++ b/choose/choose_test.go
@@ -50,6 +50,10 @@
 }
 
 func TestPickService(t *testing.T) {
+	avoided := make([]choose.Candidate, 200)
+	for i := range avoided {
+		avoided[i] = choose.Candidate{Slots: 6, Avoid: true}
+	}
 	idle := choose.Candidate{Name: "idle", Domain: "d", Slots: 6}
 	tests := []struct {
 		name string
@@ -59,6 +63,7 @@
 		{"none", nil, -1},
 		{"the idle one", []choose.Candidate{{Name: "busy", Domain: "d", Slots: 6, Running: 30}, idle}, 1},
 		{"not where it failed", []choose.Candidate{{Name: "bad", Domain: "d", Slots: 6, Avoid: true}, idle}, 1},
+		{"the only usable one of many", append(avoided, idle), 200},
 		{"not the slow one", []choose.Candidate{{Name: "slow", Domain: "d", Slots: 6, Lag: 300 * time.Millisecond}, idle}, 1},
 	}
 	for _, test := range tests {
--- a/choose/pool_test.go
+++ b/choose/pool_test.go
@@ -466,10 +466,16 @@
 	few := usual
 	few.daemons, few.endpoints, few.load = 7, 3, 0.5
 	few.mostRefused, few.leastHigh, few.leastLow = 0, 0.99, 0.99
+	// Daemons that measure an endpoint often, and daemons that hardly do, chose alike.
+	often, seldom := usual, usual
+	often.daemons, often.endpoints, often.load = 7, 30, 0.9
+	often.mostRefused, often.leastHigh, often.leastLow = 0.001, 0.99, 0.99
+	seldom.daemons, seldom.load = 300, 0.9
+	seldom.mostRefused, seldom.leastHigh, seldom.leastLow = 0.005, 0.98, 0.98
 	tight := usual
 	tight.daemons, tight.endpoints, tight.load, tight.leastWork, tight.mostWork, tight.objective = 60, 3, 0.9, 15*time.Millisecond, 15*time.Millisecond, 120*time.Millisecond
 	tight.mostRefused, tight.leastHigh, tight.leastLow = 0.01, 0.99, 0.99
-	return append(list, few, tight)
+	return append(list, few, often, seldom, tight)
 }
 
 // Many daemons that see each other's load late sent their requests to the same
--- a/choose/service.go
+++ b/choose/service.go
@@ -47,10 +47,11 @@
 	if len(list) > maxServices {
 		first = int(mix(in.Random, 1) % uint64(len(list)))
 	}
-	for n := range min(len(list), maxServices) {
+	usual := usualWork(list)
+	for n := range list {
 		i := (first + n) % len(list)
-		if c := &list[i]; !c.Avoid {
-			f, rate := observed(in, c)
+		if c := &list[i]; !c.Avoid && len(services) < maxServices {
+			f, rate := observed(in, c, usual)
 			f.index = i
 			services, arrivals = append(services, f), arrivals+rate
 		}
@@ -65,16 +66,32 @@
 	return draw(services, level(services, unseen+1), float64(mix(in.Random, 0)>>11)/(1<<53))
 }
 
+// usualWork returns the average measured work, in seconds; 0 if there is none.
+func usualWork(list []Candidate) float64 {
+	sum, n := 0.0, 0
+	for i := range list {
+		if w := list[i].Work; w > 0 {
+			sum += w.Seconds()
+			n++
+		}
+	}
+	return sum / float64(max(n, 1))
+}
+
 // RefusalIsFailure reports whether a refusal shows that a plain service fails: one that
 // was seen to run so few requests has room.
 func RefusalIsFailure(slots wick.Slots, running int) bool { return running < fullPart*int(slots) }
 
 // observed returns the state of a service, and the rate at which requests arrive
 // there, from the number of running ones and their duration.
-func observed(in Input, c *Candidate) (f filling, arrivals float64) {
+func observed(in Input, c *Candidate, usual float64) (f filling, arrivals float64) {
 	slots, work := float64(max(c.Slots, 1)), c.Work.Seconds()
 	rounds := max(float64(c.Running)/slots, 1)
-	if work <= 0 {
+	switch {
+	case work > 0:
+	case usual > 0:
+		work = usual
+	default:
 		work = (defaultServiceTime + c.Lag).Seconds()
 	}
 	f.rate = slots / work
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -146,11 +146,10 @@
 		t.avoid[to.runner.Name] = true
 	case rec.Signal.Pause > 0:
 		// The endpoint is full, not failing.
+		t.markFull()
 	case t.isFull(to, now):
 		t.avoid[to.runner.Name] = true
-		if t.admission != nil {
-			t.admission.full = true
-		}
+		t.markFull()
 	default:
 		t.recordFailure(to)
 	}
--- a/direct/gate.go
+++ b/direct/gate.go
@@ -257,6 +257,13 @@
 	return marked
 }
 
+// markFull records that the endpoint refused the request for lack of room.
+func (t *task) markFull() {
+	if t.admission != nil {
+		t.admission.full = true
+	}
+}
+
 // markSent tells the gate where the request is sent.
 func (t *task) markSent(to target) {
 	if a := t.admission; a != nil {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -213,7 +213,8 @@
 	}
 	if full && now.Sub(g.cutAt) > g.answerTime() {
 		g.cutAt = now
-		g.limit = max(min(g.limit, float64(g.atLeast(0)+1))*refusalCut, g.least())
+		// One refusal must not hold back a daemon that has hardly a request at a time.
+		g.limit = max(min(g.limit, float64(g.atLeast(0)+1))*refusalCut, min(g.limit, 1))
 	}
 	return g.settle(now)
 }
--- a/tally/work.go
+++ b/tally/work.go
@@ -12,6 +12,10 @@
 	// service, and daemons then leave and refill it together.
 	workRise = 0.1
 	workFall = 0.3
+	// workRiseTime and workFallTime bound the weights of measurements that come often, as
+	// in daemons of a small deployment, which would follow the queue in the same way.
+	workRiseTime = 4 * time.Second
+	workFallTime = 1200 * time.Millisecond
 	// workTTL is how long a measurement is used. A service that is avoided is tried
 	// again afterwards.
 	workTTL = 10 * time.Second
@@ -29,10 +33,11 @@
 	if w.read(now) == 0 {
 		w.average = d
 	}
-	weight := workRise
+	weight, span := workRise, workRiseTime
 	if d < w.average {
-		weight = workFall
+		weight, span = workFall, workFallTime
 	}
+	weight = min(weight, now.Sub(w.at).Seconds()/span.Seconds())
 	w.average += time.Duration(weight * float64(d-w.average))
 	w.at = now
 }
