--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -60,6 +60,7 @@
 	s.cfg.Observer.AttemptSent(t.sends > 0)
 	t.sends++
 	t.last = r.Name
+	t.markSent(to)
 	sent := s.cfg.Clock.Now()
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -83,6 +84,7 @@
 		Team:            t.team,
 		ResumeAfter:     t.resumeAfter(),
 		RequireLiveConn: !t.mayRerun(),
+		MaxConnections:  t.maxConnections(),
 
 		ForwardCredential: t.forwardCredential,
 	}
@@ -162,6 +164,10 @@
 		t.avoid[to.runner.Name] = true
 	case rec.Signal.Pause > 0:
 		// The endpoint is full, not failing.
+		t.markFull()
+	case t.isFull(to, now):
+		t.avoid[to.runner.Name] = true
+		t.markFull()
 	default:
 		t.recordFailure(to)
 	}
@@ -187,6 +193,7 @@
 		return &retryableError{cause: wick.Unknownf(wick.CodeBroken, "answer of %s broke off: %v", to.runner.Name, err)}
 	}
 	t.recordResponse(to, sent, rec)
+	t.recordWork(to, sent, rec)
 	t.answered()
 	if err := t.startAnswer(rec); err != nil {
 		return err
--- a/direct/hedge.go
+++ b/direct/hedge.go
@@ -28,12 +28,14 @@
 	target   target
 	attempt  wick.Attempt
 	estimate time.Duration
-	// second is set for the hedge.
-	second bool
-	sent   wick.Instant
-	ctx    context.Context
-	cancel context.CancelFunc
-	weight wick.Weights
+	// second is set for the hedge, and admission is that of the hedge by the pool's gate,
+	// given back by end; nil if there is none.
+	second    bool
+	admission *admission
+	sent      wick.Instant
+	ctx       context.Context
+	cancel    context.CancelFunc
+	weight    wick.Weights
 	// stream is set if the answer is a stream of events.
 	stream bool
 	// handled is set once the task has handled the result, and so counted the run.
@@ -139,6 +141,9 @@
 		l.response.Body.Close()
 	}
 	l.release()
+	if l.admission != nil {
+		l.admission.leave(l.admission.gate.server.cfg.Clock.Now())
+	}
 }
 
 // replayBody implements wick.Body. It returns again what was read before.
@@ -281,6 +286,7 @@
 	defer r.close()
 	first := t.newLeg(ctx, to, t.estimate, remaining, false)
 	t.last = to.runner.Name
+	t.markSent(to)
 	h := hedged{task: t, race: r, hedger: hedger, first: first}
 	h.start(first)
 	delay, ok := hedger.Delay()
@@ -300,7 +306,12 @@
 				return err
 			}
 		case <-timer.C:
-			h.hedge(ctx)
+			if h.hedge(ctx) == wick.HedgeLimit {
+				// The limit is mostly used up by answers that come soon after the delay. The
+				// slowest ones are tried again, later each time.
+				timer.Reset(delay)
+				delay *= 2
+			}
 		}
 	}
 }
@@ -334,13 +345,20 @@
 	return true
 }
 
-// hedge starts a second leg if that is allowed.
-func (h *hedged) hedge(ctx context.Context) {
+// hedge starts a second leg if that is allowed, and returns why it is not.
+func (h *hedged) hedge(ctx context.Context) wick.HedgeDenial {
 	t, s := h.task, h.task.server
 	if h.race.isSettled() {
-		return
+		return ""
 	}
 	to, estimate, denied := t.pickSecond(h.first.target)
+	var admission *admission
+	if denied == "" {
+		var admitted bool
+		if admission, admitted = t.admitHedge(to); !admitted {
+			denied = wick.HedgeRoom
+		}
+	}
 	if denied == "" && !h.hedger.TryHedge() {
 		denied = wick.HedgeLimit
 	}
@@ -349,15 +367,20 @@
 	}
 	if denied != "" {
 		s.cfg.Observer.HedgeDenied(denied)
-		return
+		admission.leave(s.cfg.Clock.Now())
+		return denied
 	}
 	l := t.newLeg(ctx, to, estimate, t.remaining(), true)
+	if l.admission = admission; admission != nil {
+		admission.sent(to)
+	}
 	if !h.start(l) {
 		l.end() // The first leg has just ended.
-		return
+		return ""
 	}
 	s.cfg.Observer.HedgeSent()
 	s.cfg.Log.Info("hedge sent", "request", t.exchange.Request, "first", h.first.target.runner.Name, "endpoint", to.runner.Name, "after_ms", l.sent.Sub(h.first.sent).Milliseconds())
+	return ""
 }
 
 // pass passes on the answer of the leg that won.
@@ -379,6 +402,11 @@
 		if !h.first.handled {
 			took := time.Duration(lostFactor * float64(now.Sub(h.first.sent)))
 			h.first.target.runner.Meter.Observe(now, took-h.first.estimate, false)
+			if t.isPlain() {
+				// A plain service is chosen by its work. What was given up as slow counts as
+				// late, or an endpoint that is slow at times gets as much as the others.
+				h.first.target.runner.Meter.ObserveWork(now, max(took, t.route.Objective.Std()))
+			}
 		}
 	}
 	return h.merge(ctx, t.handleLeg(ctx, l))
@@ -453,6 +481,15 @@
 func (t *task) handleLeg(ctx context.Context, l *leg) error {
 	l.handled = true
 	t.last, t.estimate = l.target.runner.Name, l.estimate
+	if l.admission != nil {
+		// What is recorded about the answer belongs to the admission of this leg.
+		first := t.admission
+		t.admission, l.admission = l.admission, nil
+		defer func() {
+			t.leaveGate()
+			t.admission = first
+		}()
+	}
 	if l.err != nil {
 		return t.handleSendError(ctx, l.target, wick.AsError(l.err))
 	}
--- a/direct/pick.go
+++ b/direct/pick.go
@@ -182,7 +182,13 @@
 	}
 	cands := t.candidates(v, now, list)
 	paused := t.avoidPaused(now, list, cands, rand.Float64())
+	closed := t.avoidClosed(now, list, cands)
 	i := t.choose(v, now, cands)
+	if i < 0 && closed {
+		cands = t.candidates(v, now, list)
+		paused = t.avoidPaused(now, list, cands, rand.Float64())
+		i = t.choose(v, now, cands)
+	}
 	if i < 0 && paused {
 		// An endpoint whose pause has ended is better than none.
 		cands = t.candidates(v, now, list)
@@ -216,7 +222,7 @@
 		LoadSlowdown: v.LoadSlowdown,
 		PrefillRate:  t.server.prefillRates.average(t.pool),
 		Daemons:      v.Daemons,
-		Random:       uint64(now),
+		Random:       rand.Uint64(),
 		Trial:        t.onTrial(),
 	}
 }
@@ -238,6 +244,7 @@
 			CachedTokens:    r.Meter.CachedTokens(t.sharedPrefixes),
 			Lag:             max(m.Lag, r.OtherLoad.Lag.Std()),
 			FailedShare:     max(m.FailedShare, r.OtherLoad.FailedShare),
+			Work:            m.Work,
 			Avoid:           t.avoid[r.Name] || !holds && !t.canHold(v, r),
 			HasAdapter:      holds,
 			ReadyIn:         res.Ready.Sub(now),
--- a/direct/task.go
+++ b/direct/task.go
@@ -73,6 +73,9 @@
 	// besideLeg is set while a failure is handled beside another leg of a hedged
 	// attempt, which may still have the answer: nothing then waits before a retry.
 	besideLeg *hedged
+
+	// admission is that by the pool's gate; nil if there is none.
+	admission *admission
 }
 
 // retryableError is the error of an attempt after which the request may be
@@ -100,10 +103,15 @@
 	ctx, cancel := context.WithTimeout(ctx, t.remaining())
 	defer cancel()
 	defer t.endTrial()
+	defer t.leaveGate()
 	for {
+		t.leaveGate()
 		if err := t.checkStopped(); err != nil {
 			return err
 		}
+		if err := t.passGate(ctx); err != nil {
+			return err
+		}
 		to, err := t.pick(ctx)
 		if err != nil {
 			return err
--- a/fakes/observer.go
+++ b/fakes/observer.go
@@ -38,6 +38,9 @@
 // ConnectionOpened implements wick.GatewayObserver.
 func (GatewayObserver) ConnectionOpened() {}
 
+// ConnectionLimited implements wick.GatewayObserver.
+func (GatewayObserver) ConnectionLimited(bool) {}
+
 // ConfigApplied implements wick.GatewayObserver.
 func (GatewayObserver) ConfigApplied(uint64) {}
 
@@ -68,5 +71,11 @@
 // UnitsTaken implements wick.GatewayObserver.
 func (GatewayObserver) UnitsTaken(wick.TeamName, wick.Units, wick.AllotmentResult) {}
 
+// PoolWaited implements wick.GatewayObserver.
+func (GatewayObserver) PoolWaited(time.Duration) {}
+
+// PoolRefused implements wick.GatewayObserver.
+func (GatewayObserver) PoolRefused() {}
+
 // ShardsHeld implements wick.GatewayObserver.
 func (GatewayObserver) ShardsHeld(int) {}
--- a/observer.go
+++ b/observer.go
@@ -68,6 +68,10 @@
 	TermStarted(own bool)
 	// ConnectionOpened records a new connection to an endpoint.
 	ConnectionOpened()
+	// ConnectionLimited records a request that waited for a connection to an endpoint
+	// that has as many as it may have; over is set, at a second call, if the request
+	// opened one beyond the limit.
+	ConnectionLimited(over bool)
 	// ConfigApplied records the version of the current configuration.
 	ConfigApplied(version uint64)
 	// EndpointCrashed records that an endpoint crashed under requests of this
@@ -89,6 +93,11 @@
 	HedgeSent()
 	HedgeWon()
 	HedgeDenied(why HedgeDenial)
+
+	// PoolWaited records how long a request waited for room in a pool of plain services,
+	// and PoolRefused one that was refused since there would be none in time.
+	PoolWaited(d time.Duration)
+	PoolRefused()
 	// ShardsHeld records how many shards this daemon holds.
 	ShardsHeld(n int)
 	// UnitsTaken records a request of a team with a limit, and whether it got its units.
--- a/stats/gateway.go
+++ b/stats/gateway.go
@@ -34,6 +34,9 @@
 	teamUnits     *prometheus.CounterVec
 	configVersion prometheus.Gauge
 	heldShards    prometheus.Gauge
+	poolWait      prometheus.Histogram
+	poolRefused   prometheus.Counter
+	limited       *prometheus.CounterVec
 }
 
 var _ wick.GatewayObserver = (*Gateway)(nil)
@@ -66,6 +69,10 @@
 		configVersion: newGauge("configuration_version", "Version of the configuration in force."),
 		heldShards:    newGauge("held_shards", "Shards whose endpoints take orders from this daemon."),
 	}
+	g.poolWait = newHistogram("pool_wait_seconds", "Time that requests waited for room in a pool of plain services.")
+	g.poolRefused = newCounter("pool_refused_total", "Requests refused because a pool of plain services would have no room in time.")
+	g.limited = newCounterVec("connections_limited_total", "Requests that waited for a connection because of the limit of their endpoint; over tells those that then exceeded it.", "over")
+	registry.MustRegister(g.poolWait, g.poolRefused, g.limited)
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
@@ -130,6 +137,9 @@
 // ConnectionOpened implements wick.GatewayObserver.
 func (g *Gateway) ConnectionOpened() { g.connections.Inc() }
 
+// ConnectionLimited implements wick.GatewayObserver.
+func (g *Gateway) ConnectionLimited(over bool) { g.limited.WithLabelValues(yesNo(over)).Inc() }
+
 // EndpointCrashed implements wick.GatewayObserver.
 func (g *Gateway) EndpointCrashed() { g.crashes.Inc() }
 
@@ -159,6 +169,12 @@
 // ConfigApplied implements wick.GatewayObserver.
 func (g *Gateway) ConfigApplied(version uint64) { g.configVersion.Set(float64(version)) }
 
+// PoolWaited implements wick.GatewayObserver.
+func (g *Gateway) PoolWaited(d time.Duration) { g.poolWait.Observe(d.Seconds()) }
+
+// PoolRefused implements wick.GatewayObserver.
+func (g *Gateway) PoolRefused() { g.poolRefused.Inc() }
+
 // ShardsHeld implements wick.GatewayObserver.
 func (g *Gateway) ShardsHeld(n int) { g.heldShards.Set(float64(n)) }
 
