share: a new holder does not call a team over its limit

Buckets start empty, and a team at half of its limit got 429 after a change of holder (1 of 4,873 requests in the model, 2 of 8,479 near the limit). A holder now leaves a request undecided that a full bucket would have had room for, and the daemon asks again until its wait ends.

--- a/allotment.go
+++ b/allotment.go
@@ -37,7 +37,8 @@
 	Team TeamName `cbor:"1,keyasint"`
 	// Units covers the first of the needs that fit, in order, and some of what is wanted.
 	Units Units `cbor:"2,keyasint,omitempty"`
-	// Over is set if some of the needs did not fit.
+	// Over is set if some of the needs did not fit. A new holder that does not know
+	// whether they do neither grants them nor sets it, and the daemon asks again.
 	Over bool `cbor:"3,keyasint,omitempty"`
 	// Room and Rate are the units that are left if Over is set, and how many become
 	// free per second. Room may be negative.
--- a/coord/shares.go
+++ b/coord/shares.go
@@ -106,6 +106,7 @@
 			s.log.Info("part of allotments changed", "shard", sh, "part", part, "daemons", s.roster.daemons)
 		}
 	}
+	s.askUnits(now) // For requests that a new holder did not decide on.
 }
 
 // refreshShares starts and ends holders with this daemon's terms, and tells the traffic
--- a/share/client.go
+++ b/share/client.go
@@ -19,6 +19,9 @@
 	// quietTime is the longest time between two checks of a team that needs nothing, and
 	// the time before a daemon asks ahead again if the holder granted less than it asked.
 	quietTime = 500 * time.Millisecond
+	// askPause is the time before a daemon asks again for requests that the holder did
+	// not decide on.
+	askPause = 20 * time.Millisecond
 	// idleTime is how long a daemon holds units for a team without requests, and
 	// forgetTime how long it remembers the team.
 	idleTime   = 10 * time.Second
@@ -56,6 +59,8 @@
 	present  bool
 	since    wick.Instant
 	accounts map[wick.TeamName]*account
+	// urgent are the accounts for which requests wait.
+	urgent map[wick.TeamName]*account
 }
 
 // account is what a daemon may use of a team's allotment.
@@ -78,6 +83,9 @@
 	asked   uint64
 	askedAt wick.Instant
 	waiting []*Waiter
+	// askAfter is the earliest time to ask again for requests that the holder did not
+	// decide on.
+	askAfter wick.Instant
 	// wanted are the units that the report asked for in all. wantAfter is the earliest
 	// time to ask ahead again after a holder granted less.
 	wanted    wick.Units
@@ -119,7 +127,7 @@
 func NewClient(now wick.Instant, cfg Config) *Client {
 	c := &Client{cfg: cfg}
 	for i := range c.shards {
-		c.shards[i] = shard{since: now, accounts: make(map[wick.TeamName]*account)}
+		c.shards[i] = shard{since: now, accounts: make(map[wick.TeamName]*account), urgent: make(map[wick.TeamName]*account)}
 	}
 	return c
 }
@@ -145,6 +153,9 @@
 		}
 		a.waiting = nil
 	}
+	if !present {
+		clear(s.urgent)
+	}
 }
 
 // Take takes units for a request. If the verdict depends on the holder's answer, it
@@ -170,7 +181,7 @@
 		return v, nil
 	}
 	w := &Waiter{units: units, Done: make(chan struct{})}
-	a.waiting = append(a.waiting, w)
+	a.waiting, s.urgent[team] = append(a.waiting, w), a
 	return wick.AllotmentVerdict{}, w
 }
 
@@ -182,9 +193,12 @@
 		return w.Verdict
 	default:
 	}
-	a := c.shards[ShardOf(team)].accounts[team]
+	s := &c.shards[ShardOf(team)]
+	a := s.urgent[team]
 	i := slices.Index(a.waiting, w)
-	a.waiting = slices.Delete(a.waiting, i, i+1)
+	if a.waiting = slices.Delete(a.waiting, i, i+1); len(a.waiting) == 0 {
+		delete(s.urgent, team)
+	}
 	w.decide(wick.AllotmentVerdict{Result: wick.UnitsUnknown, RetryAfter: wick.Duration(aheadTime), Notable: c.isNotable(now, a)})
 	return w.Verdict
 }
@@ -217,19 +231,18 @@
 			list = append(list, ask)
 		}
 	}
-	for team, a := range s.accounts {
-		if a.asked != 0 && now.Sub(a.askedAt) > unitsTTL {
-			a.forgetAsk() // The answer would be of no use.
-		}
-		if len(a.waiting) > 0 && a.asked == 0 && len(list) < maxAsks {
+	for team, a := range s.urgent {
+		a.forgetLostAsk(now)
+		if a.asked == 0 && now >= a.askAfter && len(list) < maxAsks {
 			add(team, a)
 		}
 	}
 	if !urgent {
 		for team, a := range s.accounts {
+			a.forgetLostAsk(now)
 			switch {
 			case a.asked != 0 || len(list) >= maxAsks || now < a.quietUntil:
-			case now.Sub(a.usedAt) > forgetTime:
+			case len(a.waiting) == 0 && now.Sub(a.usedAt) > forgetTime:
 				delete(s.accounts, team)
 			default:
 				a.expire(now, s.since)
@@ -294,7 +307,10 @@
 			a.room, a.rate, a.exceededAt, a.exceeded = g.Room, float64(g.Rate), now, true
 		}
 		c.serve(now, a, number, g.Over)
-		more = more || len(a.waiting) > 0
+		if len(a.waiting) == 0 {
+			delete(s.urgent, g.Team)
+		}
+		more = more || len(a.waiting) > 0 && now >= a.askAfter
 	}
 	return more
 }
@@ -313,7 +329,11 @@
 				Notable:    c.isNotable(now, a),
 			})
 		default:
-			w.asked = 0 // It came after the report, or the answer was too late.
+			if w.asked == number {
+				// The answer was too late, or a new holder does not know.
+				a.askAfter = now.Add(askPause)
+			}
+			w.asked = 0
 			return false
 		}
 		return true
@@ -468,8 +488,11 @@
 	return wick.AllotmentVerdict{Result: wick.UnitsExceeded, RetryAfter: wick.Duration(untilRoom(units, room, a.rate))}
 }
 
-// forgetAsk drops the report that was not answered.
-func (a *account) forgetAsk() {
+// forgetLostAsk drops a report whose answer would be of no use any more.
+func (a *account) forgetLostAsk(now wick.Instant) {
+	if a.asked == 0 || now.Sub(a.askedAt) <= unitsTTL {
+		return
+	}
 	a.asked = 0
 	for _, w := range a.waiting {
 		w.asked = 0
--- a/share/holder.go
+++ b/share/holder.go
@@ -191,12 +191,15 @@
 	b := h.bucketOf(now, ask.Team, a)
 	b.giveBack(now, ask, a.Burst*h.part)
 	capacity, reserve, large := a.Burst*h.part, h.reserve(now, a), largeSlack*h.cfg.slack(a)
+	// missing is what the bucket lacks since it started empty. It does not show that the
+	// team is over its limit.
+	missing := max(capacity-float64(a.Rate)*h.credit, 0)
 	for _, units := range ask.Needs {
 		if units < 0 {
 			continue // A malformed ask must not add to the bucket.
 		}
 		if !fits(float64(units), b.level, capacity, reserve, large) {
-			g.Over = true
+			g.Over = g.Over || !fits(float64(units), b.level+missing, capacity, reserve, large)
 			continue
 		}
 		b.level -= float64(units)
--- a/share/refuse_test.go
+++ b/share/refuse_test.go
@@ -101,3 +101,37 @@
 		}
 	}
 }
+
+// The empty buckets of a new holder do not show that a team is over its limit.
+func TestNewHolder(t *testing.T) {
+	tests := []struct {
+		name string
+		rate wick.PerSecond
+		load float64
+	}{
+		{"small team", 29_000, 0.5},
+		{"large team", 504_000, 0.5},
+		{"large team near its limit", 504_000, 0.9},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newModel(1, 60, teamsOf(1, test.rate))
+			due := 0.0
+			for m.now < ms(16_000) {
+				if m.step(); m.now == ms(4000) || m.now == ms(9000) {
+					m.restart(m.term)
+				}
+				if m.now < ms(2000) {
+					continue
+				}
+				for due += test.load * float64(test.rate) * modelStep.Seconds(); due > 650; due -= 650 {
+					m.request(m.daemons[m.random.IntN(60)], m.names[0], 650)
+				}
+			}
+			if m.refused[wick.UnitsExceeded] > 0 {
+				t.Errorf("%d of %d requests were refused as over the limit", m.refused[wick.UnitsExceeded], m.taken)
+			}
+			t.Logf("%d requests got units, %d found no holder that granted them in time", m.taken, m.refused[wick.UnitsUnknown])
+		})
+	}
+}
