Move the process and store scaffolding of the soak test into package procs

Tests of untrusted callers need the same process and store. The fake store speaks the platform's protocol, so the architecture test lets procs have the platform's names and forbids the product to import it.

--- a/arch_test.go
+++ b/arch_test.go
@@ -178,9 +178,27 @@
 	"Currantwick-", "Kv-", "/currantwick/", "keyed.", "fencingToken", "pathPrefix", "sessionAffinity", "CURRANTWICK_BOOT",
 }
 
+// scaffolding lists the packages that speak the platform's protocol from the other
+// side. Only tests import them.
+var scaffolding = []string{"procs"}
+
+func TestScaffoldingStaysOutside(t *testing.T) {
+	for _, s := range parseSources(t) {
+		if s.isTest() || slices.Contains(scaffolding, s.dir) {
+			continue
+		}
+		for _, imp := range s.file.Imports {
+			name := strings.TrimPrefix(strings.Trim(imp.Path.Value, `"`), "currantwick/")
+			if slices.Contains(scaffolding, name) {
+				t.Errorf("%s: the product imports %s", s.pos(imp), name)
+			}
+		}
+	}
+}
+
 func TestPlatformNamesStayInside(t *testing.T) {
 	for _, s := range parseSources(t) {
-		if s.isTest() || s.dir == "platform" {
+		if s.isTest() || s.dir == "platform" || slices.Contains(scaffolding, s.dir) {
 			continue
 		}
 		ast.Inspect(s.file, func(n ast.Node) bool {
--- a/soak/store_test.go
+++ b/procs/store.go
@@ -1,6 +1,7 @@
-package soak
+package procs
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
@@ -14,6 +15,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/pause"
 )
 
 // Topics of the store.
@@ -28,71 +30,71 @@
 	value []byte
 }
 
-// storeMode is how the store handles calls.
-type storeMode string
+// StoreMode is how the store handles calls.
+type StoreMode string
 
 // The modes of the store.
 const (
-	storeServes storeMode = "Serves"
-	// storeFails answers every call with an error.
-	storeFails storeMode = "Fails"
-	// storeDropsAnswers executes calls and drops their answers.
-	storeDropsAnswers storeMode = "Forgets"
-	// storeLags executes calls late.
-	storeLags storeMode = "Lags"
+	StoreServes StoreMode = "Serves"
+	// StoreFails answers every call with an error.
+	StoreFails StoreMode = "Fails"
+	// StoreDropsAnswers executes calls and drops their answers.
+	StoreDropsAnswers StoreMode = "Forgets"
+	// StoreLags executes calls late.
+	StoreLags StoreMode = "Lags"
 )
 
-// storeLag is how late storeLags executes a call. It is longer than the time that
+// storeLag is how late StoreLags executes a call. It is longer than the time that
 // daemons allow beyond the wait that they request, so all calls without a wait
 // time out.
 const storeLag = time.Second
 
-// store is a fake of the platform's store.
-type store struct {
+// Store is a fake of the platform's store.
+type Store struct {
 	// alias maps the addresses that daemons publish to those at which others
 	// reach them, which may be a proxy's.
 	alias map[wick.Address]wick.Address
 
 	mu     sync.Mutex
-	mode   storeMode
+	mode   StoreMode
 	topics map[string][]record
 	// appended is closed and replaced when a record is appended.
 	appended chan struct{}
 }
 
-// newStore returns an empty store that replaces the keys of alias by their
+// NewStore returns an empty store that replaces the keys of alias by their
 // values in the records that daemons append.
-func newStore(alias map[wick.Address]wick.Address) *store {
-	return &store{alias: alias, mode: storeServes, topics: make(map[string][]record), appended: make(chan struct{})}
+func NewStore(alias map[wick.Address]wick.Address) *Store {
+	return &Store{alias: alias, mode: StoreServes, topics: make(map[string][]record), appended: make(chan struct{})}
 }
 
-// setMode sets how the store handles calls from now on.
-func (s *store) setMode(m storeMode) {
+// SetMode sets how the store handles calls from now on.
+func (s *Store) SetMode(m StoreMode) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mode = m
 }
 
-// putConfig publishes a configuration.
-func (s *store) putConfig(configuration string) {
+// PutConfig publishes a configuration.
+func (s *Store) PutConfig(configuration string) {
 	s.put(topicConfig, -1, record{"config", []byte(configuration)})
 }
 
-// putRevision publishes a version of an adapter.
-func (s *store) putRevision(l wick.Loaded) {
+// PutRevision publishes a version of an adapter.
+func (s *Store) PutRevision(l wick.Loaded) {
 	w := l.Weights
 	value := fmt.Sprintf(`{"model":%q,"adapter":%q,"version":%d}`, w.Model, w.Adapter, l.Revision)
 	s.put(topicConfig, -1, record{fmt.Sprintf("version/%s.%s", w.Model, w.Adapter), []byte(value)})
 }
 
-// putRunner publishes the record of a runner; an empty value removes it.
-func (s *store) putRunner(name wick.EndpointName, value string) {
+// PutRunner publishes the record of a runner; an empty value removes it.
+func (s *Store) PutRunner(name wick.EndpointName, value string) {
 	s.put(topicRunners, -1, record{string(name), []byte(value)})
 }
 
 // put appends a record if the topic ends at the offset at, or if at is negative.
 // It returns the end of the topic before the append and whether it appended.
-func (s *store) put(topic string, at int, r record) (int, bool) {
+func (s *Store) put(topic string, at int, r record) (int, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	end := len(s.topics[topic])
@@ -105,7 +107,7 @@
 	return end, true
 }
 
-func (s *store) recordsFrom(topic string, from int) ([]record, chan struct{}) {
+func (s *Store) recordsFrom(topic string, from int) ([]record, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.topics[topic]
@@ -113,22 +115,22 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	mode := s.mode
 	s.mu.Unlock()
 	switch mode {
-	case storeServes:
+	case StoreServes:
 		s.serve(w, r)
-	case storeFails:
+	case StoreFails:
 		w.WriteHeader(http.StatusServiceUnavailable)
-	case storeDropsAnswers:
+	case StoreDropsAnswers:
 		s.serve(discard{}, r)
 		panic(http.ErrAbortHandler)
-	case storeLags:
+	case StoreLags:
 		// Read the body before the caller times out and closes the connection.
 		data, _ := io.ReadAll(r.Body)
-		sleep(storeLag)
+		pause.For(context.Background(), storeLag) // The call is executed after its sender has timed out.
 		r.Body = io.NopCloser(strings.NewReader(string(data)))
 		s.serve(w, r)
 	}
@@ -141,7 +143,7 @@
 func (discard) Write(p []byte) (int, error) { return len(p), nil }
 func (discard) WriteHeader(int)             {}
 
-func (s *store) serve(w http.ResponseWriter, r *http.Request) {
+func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	topic := q.Get("topic")
 	switch r.URL.Path {
@@ -166,7 +168,7 @@
 // and 1 for the key's length.
 const headerBytes = 5
 
-func (s *store) append(w http.ResponseWriter, topic, at string, body io.Reader) {
+func (s *Store) append(w http.ResponseWriter, topic, at string, body io.Reader) {
 	data, err := io.ReadAll(body)
 	if err != nil || len(data) < headerBytes || len(data) < headerBytes+int(data[headerBytes-1]) {
 		w.WriteHeader(http.StatusBadRequest)
@@ -187,7 +189,7 @@
 	fmt.Fprintf(w, `{"offset":%d,"end":%d}`, offset, offset)
 }
 
-func (s *store) replaceAliases(value []byte) []byte {
+func (s *Store) replaceAliases(value []byte) []byte {
 	text := string(value)
 	for from, to := range s.alias {
 		text = strings.ReplaceAll(text, `"`+string(from)+`"`, `"`+string(to)+`"`)
@@ -195,7 +197,7 @@
 	return []byte(text)
 }
 
-func (s *store) newest(w http.ResponseWriter, topic string) {
+func (s *Store) newest(w http.ResponseWriter, topic string) {
 	list, _ := s.recordsFrom(topic, 0)
 	last := make(map[string]int)
 	for i, r := range list {
@@ -209,7 +211,7 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "more": false, "end": len(list)})
 }
 
-func (s *store) read(w http.ResponseWriter, topic string, from int, wait time.Duration) {
+func (s *Store) read(w http.ResponseWriter, topic string, from int, wait time.Duration) {
 	list, appended := s.recordsFrom(topic, from)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -126,7 +126,7 @@
 func (c *caller) resolve() {
 	d := pick(c.rand, c.system.daemons)
 	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + string(d.settings.DirectoryAddress) + "/currantwick/resolution?zone=" + string(d.settings.Domain))
+	resp, err := client.Get("http://" + string(d.Settings.DirectoryAddress) + "/currantwick/resolution?zone=" + string(d.Settings.Domain))
 	if err != nil {
 		return
 	}
@@ -265,7 +265,7 @@
 		for i, d := range s.daemons {
 			for _, k := range append(kinds, kind{fmt.Sprintf("/safe/new%d/x", s.version), false, 1}) {
 				sent++
-				q := request{id: wick.RequestID(fmt.Sprintf("calm-%d", sent)), to: string(d.settings.CallerAddress), kind: k, adapter: i % adapters, timeout: timeout}
+				q := request{id: wick.RequestID(fmt.Sprintf("calm-%d", sent)), to: string(d.Settings.CallerAddress), kind: k, adapter: i % adapters, timeout: timeout}
 				errs = append(errs, s.probe(q))
 			}
 		}
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -47,7 +47,7 @@
 		go func() {
 			defer group.Done()
 			q := b.request(n)
-			q.id, q.to = wick.RequestID(fmt.Sprintf("deadly-%d", n)), string(s.daemons[n%len(s.daemons)].settings.CallerAddress)
+			q.id, q.to = wick.RequestID(fmt.Sprintf("deadly-%d", n)), string(s.daemons[n%len(s.daemons)].Settings.CallerAddress)
 			q.kind, q.timeout = kinds[0], timeout
 			res := q.send(http.DefaultClient)
 			b.mu.Lock()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"syscall"
@@ -9,6 +10,8 @@
 
 	"currantwick"
 	"currantwick/fault"
+	"currantwick/pause"
+	"currantwick/procs"
 )
 
 // injector is one kind of fault.
@@ -24,41 +27,41 @@
 var injectors = []injector{
 	{"kill a daemon", 3, func(t *testing.T, s *system, r *rand.Rand) func() {
 		d := pick(r, s.daemons)
-		s.logEvent("%s", d.settings.Host)
-		d.kill()
-		return func() { d.start(t) }
+		s.logEvent("%s", d.Settings.Host)
+		d.Kill()
+		return func() { d.Start(t) }
 	}},
 	{"kill all daemons", 1, func(t *testing.T, s *system, _ *rand.Rand) func() {
 		for _, d := range s.daemons {
-			d.signal(syscall.SIGKILL)
+			d.Signal(syscall.SIGKILL)
 		}
 		for _, d := range s.daemons {
-			<-d.done()
-			d.start(t)
+			<-d.Done()
+			d.Start(t)
 		}
 		return nil
 	}},
 	{"stop a daemon", 3, func(t *testing.T, s *system, r *rand.Rand) func() {
 		d := pick(r, s.daemons)
-		s.logEvent("%s", d.settings.Host)
+		s.logEvent("%s", d.Settings.Host)
 		// An overlapping fault may have frozen the daemon, and a frozen process
 		// doesn't handle SIGTERM.
-		d.signal(syscall.SIGCONT)
-		d.stop(t)
-		d.start(t)
+		d.Signal(syscall.SIGCONT)
+		d.Stop(t)
+		d.Start(t)
 		return nil
 	}},
 	{"freeze a daemon", 3, func(_ *testing.T, s *system, r *rand.Rand) func() {
 		d := pick(r, s.daemons)
-		s.logEvent("%s", d.settings.Host)
-		d.signal(syscall.SIGSTOP)
-		return func() { d.signal(syscall.SIGCONT) }
+		s.logEvent("%s", d.Settings.Host)
+		d.Signal(syscall.SIGSTOP)
+		return func() { d.Signal(syscall.SIGCONT) }
 	}},
 	{"change the mode of the store", 3, func(_ *testing.T, s *system, r *rand.Rand) func() {
-		mode := pick(r, []storeMode{storeFails, storeDropsAnswers, storeLags})
+		mode := pick(r, []procs.StoreMode{procs.StoreFails, procs.StoreDropsAnswers, procs.StoreLags})
 		s.logEvent("store %s", mode)
-		s.store.setMode(mode)
-		return func() { s.store.setMode(storeServes) }
+		s.store.SetMode(mode)
+		return func() { s.store.SetMode(procs.StoreServes) }
 	}},
 	{"change a link to the store", 4, func(t *testing.T, s *system, r *rand.Rand) func() {
 		return s.faultLink(t, r, storeLink(r.IntN(*daemonsFlag)))
@@ -96,7 +99,7 @@
 	{"drop a runner's entry", 2, func(_ *testing.T, s *system, r *rand.Rand) func() {
 		run := pick(r, s.runners)
 		s.logEvent("%s", run.current().cfg.Name)
-		s.store.putRunner(run.current().cfg.Name, "")
+		s.store.PutRunner(run.current().cfg.Name, "")
 		return func() { s.publishRunner(run, "ready") }
 	}},
 	{"drain a runner", 2, func(_ *testing.T, s *system, r *rand.Rand) func() {
@@ -210,13 +213,13 @@
 
 func (s *system) publishConfig() {
 	s.version++
-	s.store.putConfig(s.config())
+	s.store.PutConfig(s.config())
 }
 
 func (s *system) publishRevision() {
 	s.revision++
 	for i := range adapters {
-		s.store.putRevision(wick.Loaded{Weights: weights(i), Revision: wick.Revision(s.revision)})
+		s.store.PutRevision(wick.Loaded{Weights: weights(i), Revision: wick.Revision(s.revision)})
 	}
 }
 
@@ -232,3 +235,6 @@
 	s.publishConfig()
 	s.publishRevision()
 }
+
+// sleep pauses the calling goroutine for d.
+func sleep(d time.Duration) { pause.For(context.Background(), d) }
--- a/soak/gateway_test.go
+++ b/soak/gateway_test.go
@@ -16,6 +16,7 @@
 	"currantwick"
 	"currantwick/boot"
 	"currantwick/fakes"
+	"currantwick/procs"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -37,19 +38,19 @@
 
 func startInProcess(t *testing.T) *inProcess {
 	t.Helper()
-	store := newStore(nil)
+	store := procs.NewStore(nil)
 	run := newRunner(runnerConfig{Name: "i-1", Model: "m", Adapters: 2, Fenced: true, Ledger: new(ledger)}, true)
 	atStore, atRunner := httptest.NewServer(store), httptest.NewServer(run)
 	t.Cleanup(atStore.Close)
 	t.Cleanup(atRunner.Close)
-	store.putConfig(configuration)
-	store.putRunner("i-1", run.storeRecord("s", wick.Address(atRunner.Listener.Addr().String()), "a", 8, "ready"))
+	store.PutConfig(configuration)
+	store.PutRunner("i-1", run.storeRecord("s", wick.Address(atRunner.Listener.Addr().String()), "a", 8, "ready"))
 	// A malformed record must be ignored.
-	store.putRunner("i-2", `{"service":"s","address":17}`)
-	at := freeAddresses(t, loopback())
+	store.PutRunner("i-2", `{"service":"s","address":17}`)
+	at := procs.FreeAddresses(t, procs.Loopback())
 	s := &inProcess{runner: run, daemon: wick.DaemonConfig{
 		Host: "front-a-1", Domain: "a",
-		CallerAddress: at.callers, ReadyAddress: at.ready, DirectoryAddress: at.directory, PeerAddress: at.peers,
+		CallerAddress: at.Callers, ReadyAddress: at.Ready, DirectoryAddress: at.Directory, PeerAddress: at.Peers,
 		StoreAddress: wick.Address(atStore.Listener.Addr().String()),
 		Cores:        runtime.NumCPU(), Memory: 8 << 30, Capacity: 1,
 		Bounds: wick.Bounds{
@@ -74,7 +75,7 @@
 	t.Helper()
 	deadline := time.Now().Add(10 * time.Second)
 	for time.Now().Before(deadline) {
-		if ready(s.daemon) == nil {
+		if procs.Ready(s.daemon) == nil {
 			return
 		}
 		sleep(20 * time.Millisecond)
@@ -177,12 +178,12 @@
 	defer resp.Body.Close()
 	s.stop()
 	sleep(200 * time.Millisecond)
-	unready := ready(s.daemon)
+	unready := procs.Ready(s.daemon)
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		t.Errorf("the stream was cut off: %v", err)
 	}
-	if !errors.Is(unready, errUnready) || !strings.HasSuffix(string(body), event("q1", eventsPerStream)) {
+	if !errors.Is(unready, procs.ErrUnready) || !strings.HasSuffix(string(body), event("q1", eventsPerStream)) {
 		t.Errorf("readiness %v, stream %q", unready, body)
 	}
 	if err := s.group.Wait(); err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,12 +7,12 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"currantwick/procs"
 )
 
 var (
@@ -43,26 +43,9 @@
 // maxSeed keeps random seeds short enough to type.
 const maxSeed = 1_000_000
 
-// program is the path of the daemon's executable, built by TestMain.
-var program string
-
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(func() int {
-		dir, err := os.MkdirTemp("", "soak")
-		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return 1
-		}
-		defer os.RemoveAll(dir)
-		program = filepath.Join(dir, "currantwick")
-		build := exec.Command("go", "build", "-o", program, "currantwick/cmd/currantwick")
-		if out, err := build.CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
-			return 1
-		}
-		return m.Run()
-	}())
+	os.Exit(procs.Main(m))
 }
 
 func TestSoak(t *testing.T) {
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -11,6 +11,7 @@
 
 	"currantwick"
 	"currantwick/fault"
+	"currantwick/procs"
 )
 
 // Sizes of the system that no flag sets.
@@ -88,9 +89,9 @@
 // and the proxy between them.
 type system struct {
 	ledger  *ledger
-	store   *store
+	store   *procs.Store
 	proxy   *fault.Proxy
-	daemons []*daemon
+	daemons []*procs.Daemon
 	runners []*restartableRunner
 	fenced  bool
 	// adapterSize is the size of each adapter.
@@ -126,19 +127,19 @@
 	s := &system{deadly: deadly, ledger: new(ledger), fenced: seed%2 == 0, version: 1, revision: 1, startTime: time.Now()}
 	s.adapterSize = []wick.Megabytes{smallAdapter, largeAdapter}[seed/2%2]
 	alias := make(map[wick.Address]wick.Address)
-	s.store = newStore(alias)
+	s.store = procs.NewStore(alias)
 	atStore := httptest.NewServer(s.store)
 	t.Cleanup(atStore.Close)
 	// A cut link closes its listener and so gives up its port, which another run
 	// could take. Each run therefore has its own loopback address for its links.
-	links, ip := fault.Config{Seed: seed}, loopback()
+	links, ip := fault.Config{Seed: seed}, procs.Loopback()
 	add := func(name fault.LinkName, target wick.Address) {
 		links.Links = append(links.Links, fault.Link{Name: name, Network: fault.TCP, Listen: wick.Address(ip + ":0"), Target: target})
 	}
 	for i := range *daemonsFlag {
-		s.daemons = append(s.daemons, newDaemon(t, i, bounds(s.fenced)))
+		s.daemons = append(s.daemons, procs.NewDaemon(t, i, domainOf(i), bounds(s.fenced), *logsFlag))
 		add(storeLink(i), wick.Address(atStore.Listener.Addr().String()))
-		add(peerLink(i), s.daemons[i].settings.PeerAddress)
+		add(peerLink(i), s.daemons[i].Settings.PeerAddress)
 	}
 	for i := range *runnersFlag {
 		r := &restartableRunner{link: fault.LinkName(fmt.Sprintf("runner %d", i)), domain: domainOf(i)}
@@ -156,20 +157,20 @@
 		}
 	})
 	s.proxy = proxy
-	s.store.putConfig(s.config())
+	s.store.PutConfig(s.config())
 	for _, r := range s.runners {
 		s.publishRunner(r, "ready")
 	}
 	for i, d := range s.daemons {
-		alias[d.settings.PeerAddress] = proxy.Address(peerLink(i))
+		alias[d.Settings.PeerAddress] = proxy.Address(peerLink(i))
 	}
 	for i, d := range s.daemons {
-		d.settings.StoreAddress = proxy.Address(storeLink(i))
-		if err := writeSettings(d.file, d.settings); err != nil {
+		d.Settings.StoreAddress = proxy.Address(storeLink(i))
+		if err := procs.WriteSettings(d.File, d.Settings, 0); err != nil {
 			t.Fatal(err)
 		}
-		d.start(t)
-		t.Cleanup(d.kill)
+		d.Start(t)
+		t.Cleanup(d.Kill)
 	}
 	return s
 }
@@ -203,14 +204,14 @@
 // publishRunner writes a runner's record to the store.
 func (s *system) publishRunner(r *restartableRunner, state string) {
 	run := r.current()
-	s.store.putRunner(run.cfg.Name, run.storeRecord(pool, s.proxy.Address(r.link), r.domain, 8, state))
+	s.store.PutRunner(run.cfg.Name, run.storeRecord(pool, s.proxy.Address(r.link), r.domain, 8, state))
 }
 
 // restartRunner replaces a runner by a new incarnation at the same address, with
 // neither model nor adapters loaded.
 func (s *system) restartRunner(r *restartableRunner) error {
 	r.stop()
-	s.store.putRunner(r.current().cfg.Name, "")
+	s.store.PutRunner(r.current().cfg.Name, "")
 	s.startRunner(r, false)
 	r.mu.Lock()
 	target := wick.Address(r.server.Listener.Addr().String())
@@ -251,7 +252,7 @@
 	s.poll(t, within, func() error {
 		var errs []error
 		for _, d := range s.daemons {
-			errs = append(errs, ready(d.settings))
+			errs = append(errs, procs.Ready(d.Settings))
 		}
 		return errors.Join(errs...)
 	})
