Bound the memory of messages on links

100 connections that sent 32 MB each as their first message took 566 MB. The first message may now have 16 KiB, and larger ones take their memory, also unpacked, from a budget that a caller of links may set. tally.Memory can leave a part to other uses.

--- a/links/link.go
+++ b/links/link.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
@@ -22,6 +23,8 @@
 	// messages.
 	input  idleReader
 	outbox chan []byte
+	// memory is the budget for large messages; it may be nil.
+	memory wick.MemoryBudget
 	cancel context.CancelFunc
 	// failure is the error for which this end closed the link; nil if there was
 	// none.
@@ -68,7 +71,7 @@
 	if err := l.writeFrame(hello); err != nil {
 		return wick.Instance{}, err
 	}
-	msg, err := l.readMessage()
+	msg, err := l.readMessage(maxHello)
 	if err != nil {
 		return wick.Instance{}, err
 	}
@@ -108,7 +111,12 @@
 	l.input.timeout = idleTimeout
 	for {
 		l.input.until = time.Now().Add(messageTimeout)
-		msg, err := l.readMessage()
+		size, err := l.takeMemory()
+		if err != nil {
+			return err
+		}
+		msg, err := l.readMessage(maxMessage)
+		l.giveMemory(size)
 		if err != nil {
 			return err
 		}
@@ -116,12 +124,37 @@
 	}
 }
 
-func (l *link) readMessage() (wick.LinkMessage, error) {
+// errNoMemory ends a link with a message that there is no memory for.
+var errNoMemory = errors.New("link: no memory for a message")
+
+// takeMemory waits for a message and takes the memory for one that is not small.
+func (l *link) takeMemory() (wick.Bytes, error) {
+	length, err := l.reader.Peek(4)
+	if err != nil {
+		return 0, fmt.Errorf("link: read length: %w", err)
+	}
+	size := wick.Bytes(binary.BigEndian.Uint32(length))
+	if l.memory == nil || size <= smallMessage || size > maxMessage {
+		return 0, nil
+	}
+	if !l.memory.Take(size) {
+		return 0, errNoMemory
+	}
+	return size, nil
+}
+
+func (l *link) giveMemory(n wick.Bytes) {
+	if n > 0 {
+		l.memory.Give(n)
+	}
+}
+
+func (l *link) readMessage(limit wick.Bytes) (wick.LinkMessage, error) {
 	var msg wick.LinkMessage
-	if _, err := codec.DecodeFrame(l.reader, maxMessage, &msg); err != nil {
+	if _, err := codec.DecodeFrame(l.reader, limit, &msg); err != nil {
 		return wick.LinkMessage{}, fmt.Errorf("link: %w", err)
 	}
-	return unpack(msg)
+	return unpack(msg, l.memory)
 }
 
 // idleReader reads from a connection and fails when no byte arrives within a
--- a/links/links.go
+++ b/links/links.go
@@ -32,6 +32,10 @@
 	// maxMessage bounds one message, also once it is unpacked; the full state of a
 	// large deployment takes a few MiB.
 	maxMessage = 32 << 20
+	// maxHello bounds the first message of whatever has connected.
+	maxHello = 16 << 10
+	// smallMessage is the size up to which a message takes nothing of the memory.
+	smallMessage = 64 << 10
 	// minPacked is the size from which messages are sent compressed.
 	minPacked = 1 << 10
 )
@@ -40,6 +44,8 @@
 type Config struct {
 	Self   wick.Instance
 	Events wick.LinkHandler
+	// Memory is the budget for large messages; nil if they are not bounded together.
+	Memory wick.MemoryBudget
 	// Group runs the goroutines of the hub and its links.
 	Group *errgroup.Group
 }
@@ -95,6 +101,7 @@
 	stop := context.AfterFunc(ctx, func() { nc.Close() })
 	defer stop()
 	l := &link{net: nc, input: idleReader{net: nc}, encoder: &h.encoder, outbox: make(chan []byte, outboxSize), cancel: cancel}
+	l.memory = h.cfg.Memory
 	l.reader = bufio.NewReader(&l.input)
 	remote, err := l.handshake(h.cfg.Self)
 	if err != nil {
@@ -104,6 +111,9 @@
 		}
 		return
 	}
+	if c, ok := nc.(interface{ Established() }); ok {
+		c.Established()
+	}
 	h.cfg.Events.LinkUp(l, remote, dialed)
 	h.cfg.Group.Go(func() error {
 		l.writeLoop(ctx)
--- a/links/pack.go
+++ b/links/pack.go
@@ -40,13 +40,43 @@
 	return data, nil
 }
 
+// budgetReader takes memory for what it reads, in steps of smallMessage.
+type budgetReader struct {
+	from io.Reader
+	// memory may be nil.
+	memory      wick.MemoryBudget
+	read, taken wick.Bytes
+}
+
+// Read implements io.Reader.
+func (r *budgetReader) Read(p []byte) (int, error) {
+	n, err := r.from.Read(p)
+	r.read += wick.Bytes(n)
+	if r.memory != nil && r.read > r.taken+smallMessage {
+		if !r.memory.Take(smallMessage) {
+			return n, errNoMemory
+		}
+		r.taken += smallMessage
+	}
+	return n, err
+}
+
+func (r *budgetReader) give() {
+	if r.taken > 0 {
+		r.memory.Give(r.taken)
+	}
+}
+
 // unpack returns the message that a packed message holds, or msg itself if it is
-// not packed.
-func unpack(msg wick.LinkMessage) (wick.LinkMessage, error) {
+// not packed. It takes the memory for a large one out of the budget, which may be nil,
+// until it is decoded.
+func unpack(msg wick.LinkMessage, memory wick.MemoryBudget) (wick.LinkMessage, error) {
 	if msg.Packed == nil {
 		return msg, nil
 	}
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(msg.Packed)), maxMessage+1))
+	from := &budgetReader{from: io.LimitReader(flate.NewReader(bytes.NewReader(msg.Packed)), maxMessage+1), memory: memory}
+	defer from.give()
+	plain, err := io.ReadAll(from)
 	if err != nil {
 		return wick.LinkMessage{}, fmt.Errorf("link: unpack message: %w", err)
 	}
--- a/links/pack_test.go
+++ b/links/pack_test.go
@@ -11,6 +11,7 @@
 
 	"currantwick"
 	"currantwick/codec"
+	"currantwick/tally"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -46,7 +47,7 @@
 		if _, err := codec.DecodeFrame(bytes.NewReader(frame), maxMessage, &msg); err != nil {
 			t.Fatalf("%s: %v", test.name, err)
 		}
-		got, err := unpack(msg)
+		got, err := unpack(msg, nil)
 		if err != nil || got.Update == nil || !bytes.Equal(got.Update.Records[0].Value, test.update.Records[0].Value) {
 			t.Errorf("%s: read back differently: %v", test.name, err)
 		}
@@ -75,7 +76,7 @@
 		{"cut off", wick.LinkMessage{Packed: twice.Packed[:len(twice.Packed)/2]}},
 	}
 	for _, test := range tests {
-		if got, err := unpack(test.msg); err == nil {
+		if got, err := unpack(test.msg, nil); err == nil {
 			t.Errorf("%s: unpacked to %+v", test.name, got)
 		}
 	}
@@ -133,3 +134,32 @@
 		far.Close()
 	}
 }
+
+// A few kilobytes could unpack to 32 MB on each link.
+func TestUnpackKeepsToMemory(t *testing.T) {
+	packed, err := encode(wick.LinkMessage{Update: manyRoutes(1400)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var msg wick.LinkMessage
+	if _, err := codec.DecodeFrame(bytes.NewReader(packed), maxMessage, &msg); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name   string
+		memory wick.Bytes
+		err    error
+	}{
+		{"enough", maxMessage, nil},
+		{"too little", smallMessage, errNoMemory},
+	}
+	for _, test := range tests {
+		budget := tally.NewMemory(test.memory)
+		if _, err := unpack(msg, budget); !errors.Is(err, test.err) {
+			t.Errorf("%s: got %v, want %v", test.name, err, test.err)
+		}
+		if n := budget.Taken(); n != 0 {
+			t.Errorf("%s: %d bytes were not given back", test.name, n)
+		}
+	}
+}
--- a/tally/memory.go
+++ b/tally/memory.go
@@ -1,23 +1,52 @@
 package tally
 
 import (
-	"currantwick"
+	"sync/atomic"
 
-	"golang.org/x/sync/semaphore"
+	"currantwick"
 )
 
 // Memory is a memory budget of fixed size. It is safe for concurrent use.
 type Memory struct {
-	left *semaphore.Weighted
+	size  int64
+	taken atomic.Int64
 }
 
 var _ wick.MemoryBudget = (*Memory)(nil)
 
 // NewMemory returns a budget of the given size.
-func NewMemory(size wick.Bytes) *Memory { return &Memory{semaphore.NewWeighted(int64(size))} }
+func NewMemory(size wick.Bytes) *Memory { return &Memory{size: int64(size)} }
 
 // Take implements wick.MemoryBudget.
-func (m *Memory) Take(n wick.Bytes) bool { return m.left.TryAcquire(int64(n)) }
+func (m *Memory) Take(n wick.Bytes) bool { return m.take(int64(n), 0) }
+
+func (m *Memory) take(n, leave int64) bool {
+	for {
+		taken := m.taken.Load()
+		if taken+n > m.size-leave {
+			return false
+		}
+		if m.taken.CompareAndSwap(taken, taken+n) {
+			return true
+		}
+	}
+}
 
 // Give implements wick.MemoryBudget.
-func (m *Memory) Give(n wick.Bytes) { m.left.Release(int64(n)) }
+func (m *Memory) Give(n wick.Bytes) { m.taken.Add(-int64(n)) }
+
+// Taken returns how much is taken.
+func (m *Memory) Taken() wick.Bytes { return wick.Bytes(m.taken.Load()) }
+
+// Leaving returns a view of the budget that takes nothing of its last bytes, which are
+// left to uses that matter more.
+func (m *Memory) Leaving(n wick.Bytes) wick.MemoryBudget { return &memoryPart{m, int64(n)} }
+
+// memoryPart is a view of a budget.
+type memoryPart struct {
+	*Memory
+	leave int64
+}
+
+// Take implements wick.MemoryBudget.
+func (p *memoryPart) Take(n wick.Bytes) bool { return p.take(int64(n), p.leave) }
