--- a/direct/direct.go
+++ b/direct/direct.go
@@ -58,6 +58,9 @@
 	Pauses   wick.EndpointPauses
 	// AnsweredParts records the parts of prompts that were answered.
 	AnsweredParts wick.AnsweredParts
+
+	// Answers is the budget for what is buffered of answers; nil if it has no bound.
+	Answers wick.MemoryBudget
 }
 
 // Server implements wick.Gateway.
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -28,6 +28,37 @@
 // eventBuffer splits a stream into complete events.
 type eventBuffer struct {
 	buf []byte
+	// memory is the budget for buffers that are not small, and taken what was taken out
+	// of it; memory may be nil.
+	memory wick.MemoryBudget
+	taken  wick.Bytes
+}
+
+// smallBuffer is the capacity up to which a buffer takes nothing of the memory.
+const smallBuffer = 16 << 10
+
+// errNoMemory is the error of an answer that there is no memory for.
+var errNoMemory = errors.New("no memory for the answer")
+
+// take takes the memory for the present buffer, and for the one that it is copied to when
+// it grows.
+func (e *eventBuffer) take() error {
+	need := 2 * wick.Bytes(cap(e.buf))
+	if e.memory == nil || need <= 2*smallBuffer || need <= e.taken {
+		return nil
+	}
+	if !e.memory.Take(need - e.taken) {
+		return errNoMemory
+	}
+	e.taken = need
+	return nil
+}
+
+// release returns the memory.
+func (e *eventBuffer) release() {
+	if e.taken > 0 {
+		e.memory.Give(e.taken)
+	}
 }
 
 // add appends bytes of the stream and returns the complete events buffered so far.
@@ -36,6 +67,9 @@
 	// The end of an event may begin with the last byte that was added before.
 	from := max(len(e.buf)-len(eventEnd)+1, 0)
 	e.buf = append(e.buf, p...)
+	if err := e.take(); err != nil {
+		return nil, err
+	}
 	at := bytes.LastIndex(e.buf[from:], eventEnd)
 	if at < 0 {
 		if len(e.buf) > maxEvent {
@@ -104,7 +138,8 @@
 		t.recordFailure(to)
 		return &retryableError{cause: wick.Unknownf(wick.CodeBroken, "%s resumed with status %d", to.runner.Name, rec.Status)}
 	}
-	var in eventBuffer
+	in := eventBuffer{memory: t.server.cfg.Answers}
+	defer in.release()
 	buf := make([]byte, readSize)
 	from.stall = t.watchStall(from)
 	defer from.stall.stop()
@@ -118,6 +153,9 @@
 			}
 			t.measureGap()
 			complete, lerr := in.add(buf[:n])
+			if errors.Is(lerr, errNoMemory) {
+				return wick.Unknownf(wick.CodeOverload, "%v", lerr)
+			}
 			if lerr != nil {
 				return t.handleStreamError(ctx, from, lerr)
 			}
