Bound connections, heads and idle times of all listeners together

Nothing bounded the sum of what connections take: 400 heads of short lines took 409 MB, idle connections all descriptors, and a link that could not be accepted ended the process. Package accept counts connections and the cost of heads below net/http, takes them from one budget with bodies, answers and links, and closes what matters least. headerMs, idleMs and fileDescriptors are read.

--- /dev/null
+++ b/accept/accept.go
@@ -0,0 +1,424 @@
+// Package accept bounds what accepted connections take of a process: their number, the
+// time and the memory of the heads of requests, the time without a request, and the time
+// of a write. It works below net/http, which bounds only single heads.
+package accept
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"currantwick"
+)
+
+const (
+	// connMemory is what an idle connection of net/http takes: two buffers of 4 KiB,
+	// the stack of its goroutine, and the structures of the connection.
+	connMemory = 16 << 10
+	// servingMemory is what a request takes beyond this while it is served: a connection
+	// to an endpoint with its buffer, a buffer for the answer, and two goroutines.
+	servingMemory = 24 << 10
+	// smallHead is the cost of a head up to which it takes no memory of the budget. It
+	// is part of connMemory and servingMemory.
+	smallHead = 8 << 10
+	// byteCost and lineCost are what a head takes for each of its bytes, which are copied
+	// for the endpoint, and for each of its lines: entries of maps, strings and slices.
+	// 400 heads of 60 KiB in lines of 7 bytes took 360 MB.
+	byteCost = 4
+	lineCost = 256
+	// blockedTime is how long a write waits before its connection may be closed to make
+	// room for others.
+	blockedTime = time.Second
+	// minWriteRate is the rate in bytes per second below which nobody reads an answer, in
+	// addition to the idle time.
+	minWriteRate = 64 << 10
+	// acceptPause is the wait after a failed accept.
+	acceptPause = 20 * time.Millisecond
+	// logInterval is the time between two log lines with one cause.
+	logInterval = 10 * time.Second
+)
+
+var newline = []byte("\n")
+
+// Times are the times that callers are given.
+type Times struct {
+	// Head is the time from the first to the last byte of a request's head, and Idle
+	// that without a request; positive.
+	Head, Idle time.Duration
+}
+
+// Config configures a Listener.
+type Config struct {
+	// Name names the listener in metrics and log lines.
+	Name string
+	// Forwards is set if requests are forwarded: one that is served counts as one more
+	// connection, for that to its endpoint, and its handler sets the deadlines of the
+	// body. Connections bounds the open connections.
+	Connections int
+	Forwards    bool
+	// Memory is the budget for connections, and Heads that for heads that are not small.
+	Memory, Heads wick.MemoryBudget
+	// Times returns the present times; nil for a listener whose protocol has its own.
+	Times    func() Times
+	Observer wick.ConnObserver
+	Log      *slog.Logger
+}
+
+// Listener is a net.Listener whose connections are bounded.
+type Listener struct {
+	net.Listener
+	cfg  Config
+	base time.Time
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+	// serving is the number of connections that are served.
+	serving int
+	// logged is when each cause was logged last, and since how many connections were
+	// closed for it after that.
+	logged map[wick.CloseCause]time.Time
+	since  map[wick.CloseCause]int
+}
+
+// New returns a listener that bounds the connections of l.
+func New(l net.Listener, cfg Config) *Listener {
+	return &Listener{
+		Listener: l, cfg: cfg, base: time.Now(), conns: make(map[*Conn]struct{}),
+		logged: make(map[wick.CloseCause]time.Time), since: make(map[wick.CloseCause]int),
+	}
+}
+
+// Accept implements net.Listener. It waits while descriptors are short.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
+			if !errors.Is(err, syscall.ECONNABORTED) {
+				l.closeOne(wick.CloseFull)
+			}
+			time.Sleep(acceptPause)
+			continue
+		}
+		if err != nil {
+			return nil, fmt.Errorf("accept: %w", err)
+		}
+		tcp, ok := nc.(*net.TCPConn)
+		if !ok {
+			return nc, nil
+		}
+		if c := l.admit(tcp); c != nil {
+			return c, nil
+		}
+	}
+}
+
+// admit returns a connection with its share of the bounds, or nil after it was refused.
+func (l *Listener) admit(tcp *net.TCPConn) *Conn {
+	c := &Conn{TCPConn: tcp, listener: l}
+	if at, ok := tcp.RemoteAddr().(*net.TCPAddr); ok {
+		c.remote = at.AddrPort().Addr().Unmap()
+	}
+	if !l.reserve(connMemory, 1) {
+		tcp.Close()
+		l.closed(wick.CloseMemory)
+		return nil
+	}
+	l.mu.Lock()
+	c.enter(waiting)
+	l.conns[c] = struct{}{}
+	l.mu.Unlock()
+	return c
+}
+
+// reserve takes memory and makes room for a number of connections. It closes others if
+// need be, and returns false if there are none that may be closed.
+func (l *Listener) reserve(memory wick.Bytes, connections int) bool {
+	for l.isFull(connections) {
+		if !l.closeOne(wick.CloseFull) {
+			return false
+		}
+	}
+	for !l.cfg.Memory.Take(memory) {
+		if !l.closeOne(wick.CloseMemory) {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Listener) isFull(more int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)+l.serving+more > l.cfg.Connections
+}
+
+// closeOne closes the connection that matters least, and reports whether there was one.
+func (l *Listener) closeOne(cause wick.CloseCause) bool {
+	l.mu.Lock()
+	victim := leastImportant(l.conns, l.now())
+	l.mu.Unlock()
+	if victim == nil {
+		return false
+	}
+	victim.discard()
+	l.closed(cause)
+	return true
+}
+
+func (l *Listener) now() int64 { return int64(time.Since(l.base)) }
+
+// closed counts a closed connection, and logs the first of a cause in logInterval.
+func (l *Listener) closed(cause wick.CloseCause) {
+	l.cfg.Observer.ConnectionClosed(l.cfg.Name, cause)
+	l.mu.Lock()
+	l.since[cause]++
+	count, open := l.since[cause], len(l.conns)
+	// Ordinary connections become idle.
+	isDue := cause != wick.CloseIdle && time.Since(l.logged[cause]) >= logInterval
+	if isDue {
+		l.logged[cause], l.since[cause] = time.Now(), 0
+	}
+	l.mu.Unlock()
+	if isDue {
+		l.cfg.Log.Warn("connections closed", "listener", l.cfg.Name, "cause", cause, "count", count, "open", open)
+	}
+}
+
+// State follows the states of connections; it is for http.Server.ConnState.
+func State(nc net.Conn, s http.ConnState) {
+	c, ok := nc.(*Conn)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateActive: // The head is complete, or was refused.
+		c.serve()
+	case http.StateIdle:
+		c.wait()
+	}
+}
+
+// phase is what happens on a connection.
+type phase int32
+
+const (
+	// waiting is a connection that has not carried a request.
+	waiting phase = iota
+	// inHead is one on which a head arrives.
+	inHead
+	// idle is one between requests.
+	idle
+	// serving is one with a request.
+	serving
+)
+
+// Conn is an accepted connection.
+type Conn struct {
+	*net.TCPConn
+	listener *Listener
+	remote   netip.Addr
+	phase    atomic.Int32
+	// since is when the phase began, and blocked when the write began that has not
+	// ended; 0 if there is none. Both count from the listener's base.
+	since, blocked atomic.Int64
+	// head is the cost of the present head, and taken the part of it that was taken out
+	// of the budget. Only the reading goroutine writes head.
+	head  int64
+	taken atomic.Int64
+	// isServing is set while servingMemory is taken, and isClosed once all was returned;
+	// the listener's mu guards both.
+	isServing, isClosed bool
+}
+
+func (c *Conn) enter(p phase) {
+	c.since.Store(c.listener.now())
+	c.phase.Store(int32(p))
+	if times := c.listener.cfg.Times; times != nil {
+		t := times()
+		var err error
+		switch p {
+		case waiting, idle:
+			err = c.TCPConn.SetReadDeadline(time.Now().Add(t.Idle))
+		case inHead:
+			err = c.TCPConn.SetReadDeadline(time.Now().Add(t.Head))
+		case serving:
+			deadline := time.Time{}
+			if !c.listener.cfg.Forwards {
+				deadline = time.Now().Add(t.Head) // Bodies are discarded.
+			}
+			err = c.TCPConn.SetReadDeadline(deadline)
+		}
+		_ = err // It fails only on a closed connection, as does the next read.
+	}
+}
+
+func (c *Conn) is(p phase) bool { return phase(c.phase.Load()) == p }
+
+// SetReadDeadline implements net.Conn. net/http removes the deadline before each head,
+// where this package sets it.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() && !c.is(serving) && c.listener.cfg.Times != nil {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// Read implements net.Conn. It counts the bytes of heads.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if c.is(serving) || c.listener.cfg.Times == nil {
+		return n, err
+	}
+	if n > 0 {
+		if !c.is(inHead) {
+			c.enter(inHead)
+		}
+		if !c.count(p[:n]) {
+			c.discard()
+			c.listener.closed(wick.CloseMemory)
+			return 0, net.ErrClosed
+		}
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		cause := wick.CloseIdle
+		if c.is(inHead) {
+			cause = wick.CloseHead
+		}
+		c.listener.closed(cause)
+	}
+	return n, err
+}
+
+// count adds the cost of bytes of a head, and returns false if there is no memory for it.
+func (c *Conn) count(p []byte) bool {
+	lines := bytes.Count(p, newline)
+	c.head += int64(byteCost*len(p) + lineCost*lines)
+	more := c.head - smallHead - c.taken.Load()
+	if more <= 0 {
+		return true
+	}
+	for !c.listener.cfg.Heads.Take(wick.Bytes(more)) {
+		if !c.listener.closeHead(c) {
+			return false
+		}
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.isClosed {
+		c.listener.cfg.Heads.Give(wick.Bytes(more))
+		return false
+	}
+	c.taken.Add(more)
+	return true
+}
+
+// closeHead closes the connection that largestHead returns, and reports whether this was
+// another one than c.
+func (l *Listener) closeHead(c *Conn) bool {
+	l.mu.Lock()
+	victim := largestHead(l.conns)
+	l.mu.Unlock()
+	if victim == nil || victim == c {
+		return false
+	}
+	victim.discard()
+	l.closed(wick.CloseMemory)
+	return true
+}
+
+// serve begins a request. The connection is closed if there is no room for it.
+func (c *Conn) serve() {
+	l := c.listener
+	c.enter(serving)
+	if !l.cfg.Forwards {
+		return
+	}
+	if !l.reserve(servingMemory, 1) {
+		c.discard()
+		l.closed(wick.CloseFull)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.isClosed {
+		l.cfg.Memory.Give(servingMemory)
+		return
+	}
+	c.isServing = true
+	l.serving++
+}
+
+// wait ends a request.
+func (c *Conn) wait() {
+	c.listener.mu.Lock()
+	c.endServing()
+	c.listener.mu.Unlock()
+	c.head = 0
+	c.listener.cfg.Heads.Give(wick.Bytes(c.taken.Swap(0)))
+	c.enter(idle)
+}
+
+// endServing returns what a request has taken; the listener's mu is held.
+func (c *Conn) endServing() {
+	if c.isServing {
+		c.isServing = false
+		c.listener.serving--
+		c.listener.cfg.Memory.Give(servingMemory)
+	}
+}
+
+// Established marks a connection whose remote end has shown what it is, for protocols
+// without heads. It is not closed to make room for others.
+func (c *Conn) Established() { c.enter(serving) }
+
+// Write implements net.Conn. A write fails if the remote end does not read.
+func (c *Conn) Write(p []byte) (int, error) {
+	times := c.listener.cfg.Times
+	if times == nil {
+		return c.TCPConn.Write(p)
+	}
+	limit := times().Idle + time.Duration(len(p))*time.Second/minWriteRate
+	if err := c.TCPConn.SetWriteDeadline(time.Now().Add(limit)); err != nil {
+		return 0, err
+	}
+	c.blocked.Store(c.listener.now())
+	n, err := c.TCPConn.Write(p)
+	c.blocked.Store(0)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.listener.closed(wick.CloseAnswer)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	l := c.listener
+	l.mu.Lock()
+	if c.isClosed {
+		l.mu.Unlock()
+		return nil
+	}
+	c.isClosed = true
+	c.endServing()
+	delete(l.conns, c)
+	l.mu.Unlock()
+	l.cfg.Memory.Give(connMemory)
+	l.cfg.Heads.Give(wick.Bytes(c.taken.Swap(0)))
+	return c.TCPConn.Close()
+}
+
+// discard closes a connection at once, also with unsent bytes, which the kernel would
+// keep otherwise.
+func (c *Conn) discard() {
+	_ = c.SetLinger(0) // Without it, the close takes longer.
+	_ = c.Close()      // Nothing can be done about a failure.
+}
--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/accept"
 	"currantwick/clock"
 	"currantwick/codec"
 	"currantwick/conns"
@@ -30,20 +31,11 @@
 )
 
 const (
-	// readHeaderTimeout bounds the read of a request's header, for which callers
-	// need much less.
-	readHeaderTimeout = 10 * time.Second
-	// callerIdleTimeout is how long a caller's connection may be idle, longer
-	// than callers keep an idle connection for reuse in any deployment.
-	callerIdleTimeout = time.Minute
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
 	// memoryLimitShare is the share of the process's memory that is set as the
 	// soft limit, above which the garbage collector runs more often.
 	memoryLimitShare = 0.7
-	// bodyMemoryShare is the share of the process's memory that bodies of requests may
-	// take, so that they stay below the soft limit with everything else.
-	bodyMemoryShare = 0.4
 	// gcPercent lets the heap, which is small, grow threefold between
 	// collections.
 	gcPercent = 200
@@ -65,6 +57,8 @@
 	Daemon   wick.DaemonConfig
 	Log      *slog.Logger
 	Observer wick.GatewayObserver
+	// Conns observes the connections that the daemon accepts; nil if nobody does.
+	Conns wick.ConnObserver
 	// Metrics is served at MetricsAddress and MetricsPath if it is not nil,
 	// with the state at StatePath of the same address.
 	Metrics        http.Handler
@@ -81,6 +75,7 @@
 	io     *gateio.IO
 	hub    *links.Hub
 	pools  []*conns.Pool
+	bounds *bounds
 	group  *errgroup.Group
 	// groupCtx ends when a goroutine of the group fails.
 	groupCtx context.Context
@@ -99,7 +94,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
+	if cfg.Conns == nil {
+		cfg.Conns = unobserved{}
+	}
 	g := &Gateway{cfg: cfg}
+	if g.bounds, err = newBounds(cfg.Daemon); err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
 	g.group, g.groupCtx = errgroup.WithContext(context.Background())
 	traffic := conns.New(conns.Config{OnOpen: cfg.Observer.ConnectionOpened})
 	orders := conns.New(conns.Config{PerAddress: 1})
@@ -126,7 +127,7 @@
 		Pauses:        pauses,
 		AnsweredParts: parts,
 	})
-	g.hub = links.New(links.Config{Self: self, Events: g.thread, Group: g.group})
+	g.hub = links.New(links.Config{Self: self, Events: g.thread, Memory: g.bounds.memory, Group: g.group})
 	bounds := cfg.Daemon.Bounds
 	retry, err := limit.NewSharedRetries(bounds.RetryRatio, bounds.RetrySlack)
 	if err != nil {
@@ -145,6 +146,7 @@
 
 		Pauses:        pauses,
 		AnsweredParts: parts,
+		Answers:       g.bounds.bodies(),
 	})
 	return g, nil
 }
@@ -220,7 +222,7 @@
 // listen opens all addresses and starts serving them.
 func (g *Gateway) listen(ctx context.Context) ([]httpServer, error) {
 	d := g.cfg.Daemon
-	lc := net.ListenConfig{Control: conns.SetSocketOptions, KeepAliveConfig: conns.KeepAlive()}
+	lc := net.ListenConfig{Control: setListenerOptions, KeepAliveConfig: conns.KeepAlive()}
 	var list []httpServer
 	open := func(name string, at wick.Address, h http.Handler) error {
 		if at == "" || h == nil {
@@ -232,12 +234,12 @@
 		}
 		handler := &stopHandler{next: h}
 		srv := &http.Server{
-			Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Handler: handler, ConnState: accept.State, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: slog.NewLogLogger(g.cfg.Log.Handler(), slog.LevelDebug),
 		}
-		list = append(list, httpServer{name, srv, handler, name == "callers"})
+		list = append(list, httpServer{name, srv, handler, name == callerListener})
 		g.group.Go(func() error {
-			if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := srv.Serve(g.bound(l, name)); !errors.Is(err, http.ErrServerClosed) {
 				return fmt.Errorf("serve %s: %w", name, err)
 			}
 			return nil
@@ -250,10 +252,12 @@
 		mux.HandleFunc("GET "+StatePath, g.serveState)
 	}
 	err := errors.Join(
-		open("callers", d.CallerAddress, platform.NewHandler(platform.HandlerConfig{
+		open(callerListener, d.CallerAddress, platform.NewHandler(platform.HandlerConfig{
 			Gateway: g.server,
-			Memory:  tally.NewMemory(wick.Bytes(float64(d.Memory) * bodyMemoryShare)),
+			Memory:  g.bounds.bodies(),
 			Log:     g.cfg.Log,
+
+			OnLateBody: func() { g.cfg.Conns.ConnectionClosed(callerListener, wick.CloseBody) },
 		})),
 		open("directory", d.DirectoryAddress, platform.NewDirectory(g.server)),
 		open("readiness", d.ReadyAddress, platform.NewReadiness(g.server)),
@@ -266,7 +270,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for daemons: %w", err)
 	}
-	g.group.Go(func() error { return g.hub.Serve(ctx, l) })
+	g.group.Go(func() error { return g.hub.Serve(ctx, g.bound(l, linkListener)) })
 	return list, nil
 }
 
--- a/daemon.go
+++ b/daemon.go
@@ -25,6 +25,9 @@
 	// Cores and Memory limit the resources of the process.
 	Cores  int
 	Memory Bytes
+	// Descriptors is the number of descriptors that the process may open; 0 if only the
+	// limit of the operating system holds.
+	Descriptors int
 	// Capacity is the relative capacity of the machine; positive.
 	Capacity Capacity
 	Bounds   Bounds
--- a/exchange.go
+++ b/exchange.go
@@ -94,7 +94,7 @@
 	// WriteHeader was not called, an error is of type *Error; otherwise the
 	// answer ended early and must not look complete.
 	Forward(ctx Context, x *Exchange, to ResponseWriter) error
-	// Limits returns the size limits on requests of callers.
+	// Limits returns the limits on requests of callers.
 	Limits() CallerLimits
 	// EntryPoints returns the addresses that callers should use, ordered for a
 	// caller in the domain near.
@@ -103,9 +103,12 @@
 	Ready() bool
 }
 
-// CallerLimits are the size limits on a request of a caller.
+// CallerLimits are the limits on a request of a caller.
 type CallerLimits struct {
 	Header, Body Bytes
+	// HeaderTime is how long a request's header may take to arrive, and IdleTime how
+	// long a connection may be without a request; 0 if the configuration has none.
+	HeaderTime, IdleTime Duration
 }
 
 // Attempt is one attempt to run an exchange at an endpoint.
--- a/soak/gateway_test.go
+++ b/soak/gateway_test.go
@@ -58,7 +58,7 @@
 			RetryRatio: 0.2, RetrySlack: 50, EntriesTTL: wick.Duration(5 * time.Second), ChangeDeadline: wick.Duration(2 * time.Second),
 		},
 	}}
-	g, err := boot.NewGateway(boot.GatewayConfig{Daemon: s.daemon, Log: slog.New(slog.DiscardHandler), Observer: fakes.GatewayObserver{}})
+	g, err := boot.NewGateway(boot.GatewayConfig{Daemon: s.daemon, Log: slog.New(slog.DiscardHandler), Observer: fakes.GatewayObserver{}, Conns: fakes.ConnObserver{}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/verbs/gateway.go
+++ b/verbs/gateway.go
@@ -56,7 +56,7 @@
 	log := queue.Logger(minLevel).With("host", d.Host)
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
-	cfg := boot.GatewayConfig{Daemon: d, Log: log, Observer: stats.NewGateway(registry, queue.Dropped)}
+	cfg := boot.GatewayConfig{Daemon: d, Log: log, Observer: stats.NewGateway(registry, queue.Dropped), Conns: stats.NewConns(registry)}
 	if metrics != "" {
 		address, path, err := parseMetrics(d, metrics)
 		if err != nil {
