--- a/accept/accept.go
+++ b/accept/accept.go
@@ -129,7 +129,7 @@
 	}
 	if !l.reserve(connMemory, 1) {
 		tcp.Close()
-		l.closed(wick.CloseMemory)
+		l.Report(wick.CloseMemory)
 		return nil
 	}
 	l.mu.Lock()
@@ -170,14 +170,15 @@
 		return false
 	}
 	victim.discard()
-	l.closed(cause)
+	l.Report(cause)
 	return true
 }
 
 func (l *Listener) now() int64 { return int64(time.Since(l.base)) }
 
-// closed counts a closed connection, and logs the first of a cause in logInterval.
-func (l *Listener) closed(cause wick.CloseCause) {
+// Report counts a connection that was closed, and logs the first of a cause in
+// logInterval.
+func (l *Listener) Report(cause wick.CloseCause) {
 	l.cfg.Observer.ConnectionClosed(l.cfg.Name, cause)
 	l.mu.Lock()
 	l.since[cause]++
@@ -284,7 +285,7 @@
 		}
 		if !c.count(p[:n]) {
 			c.discard()
-			c.listener.closed(wick.CloseMemory)
+			c.listener.Report(wick.CloseMemory)
 			return 0, net.ErrClosed
 		}
 	}
@@ -293,7 +294,7 @@
 		if c.is(inHead) {
 			cause = wick.CloseHead
 		}
-		c.listener.closed(cause)
+		c.listener.Report(cause)
 	}
 	return n, err
 }
@@ -331,7 +332,7 @@
 		return false
 	}
 	victim.discard()
-	l.closed(wick.CloseMemory)
+	l.Report(wick.CloseMemory)
 	return true
 }
 
@@ -344,7 +345,7 @@
 	}
 	if !l.reserve(servingMemory, 1) {
 		c.discard()
-		l.closed(wick.CloseFull)
+		l.Report(wick.CloseFull)
 		return
 	}
 	l.mu.Lock()
@@ -394,7 +395,7 @@
 	n, err := c.TCPConn.Write(p)
 	c.blocked.Store(0)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.listener.closed(wick.CloseAnswer)
+		c.listener.Report(wick.CloseAnswer)
 	}
 	return n, err
 }
--- a/boot/bounds.go
+++ b/boot/bounds.go
@@ -121,7 +121,11 @@
 	if name == linkListener {
 		cfg.Times = nil
 	}
-	return accept.New(l, cfg)
+	bounded := accept.New(l, cfg)
+	if name == callerListener {
+		g.callers = bounded
+	}
+	return bounded
 }
 
 // times returns the times of the present configuration.
--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -76,7 +76,9 @@
 	hub    *links.Hub
 	pools  []*conns.Pool
 	bounds *bounds
-	group  *errgroup.Group
+	// callers is the listener for callers, set before it is served.
+	callers *accept.Listener
+	group   *errgroup.Group
 	// groupCtx ends when a goroutine of the group fails.
 	groupCtx context.Context
 }
@@ -257,7 +259,7 @@
 			Memory:  g.bounds.bodies(),
 			Log:     g.cfg.Log,
 
-			OnLateBody: func() { g.cfg.Conns.ConnectionClosed(callerListener, wick.CloseBody) },
+			OnLateBody: func() { g.callers.Report(wick.CloseBody) },
 		})),
 		open("directory", d.DirectoryAddress, platform.NewDirectory(g.server)),
 		open("readiness", d.ReadyAddress, platform.NewReadiness(g.server)),
