--- a/accept/accept.go
+++ b/accept/accept.go
@@ -127,9 +127,9 @@
 	if at, ok := tcp.RemoteAddr().(*net.TCPAddr); ok {
 		c.remote = at.AddrPort().Addr().Unmap()
 	}
-	if !l.reserve(connMemory, 1) {
+	if cause := l.reserve(connMemory); cause != "" {
 		tcp.Close()
-		l.Report(wick.CloseMemory)
+		l.Report(cause)
 		return nil
 	}
 	l.mu.Lock()
@@ -139,26 +139,26 @@
 	return c
 }
 
-// reserve takes memory and makes room for a number of connections. It closes others if
-// need be, and returns false if there are none that may be closed.
-func (l *Listener) reserve(memory wick.Bytes, connections int) bool {
-	for l.isFull(connections) {
+// reserve takes memory and makes room for one more connection. It closes others if need
+// be, and returns what is short if there are none that may be closed.
+func (l *Listener) reserve(memory wick.Bytes) wick.CloseCause {
+	for l.isFull() {
 		if !l.closeOne(wick.CloseFull) {
-			return false
+			return wick.CloseFull
 		}
 	}
 	for !l.cfg.Memory.Take(memory) {
 		if !l.closeOne(wick.CloseMemory) {
-			return false
+			return wick.CloseMemory
 		}
 	}
-	return true
+	return ""
 }
 
-func (l *Listener) isFull(more int) bool {
+func (l *Listener) isFull() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.conns)+l.serving+more > l.cfg.Connections
+	return len(l.conns)+l.serving >= l.cfg.Connections
 }
 
 // closeOne closes the connection that matters least, and reports whether there was one.
@@ -343,9 +343,9 @@
 	if !l.cfg.Forwards {
 		return
 	}
-	if !l.reserve(servingMemory, 1) {
+	if cause := l.reserve(servingMemory); cause != "" {
 		c.discard()
-		l.Report(wick.CloseFull)
+		l.Report(cause)
 		return
 	}
 	l.mu.Lock()
@@ -417,9 +417,11 @@
 	return c.TCPConn.Close()
 }
 
-// discard closes a connection at once, also with unsent bytes, which the kernel would
-// keep otherwise.
+// discard closes a connection at once. Unsent bytes of an answer, which the kernel would
+// keep otherwise, are dropped.
 func (c *Conn) discard() {
-	_ = c.SetLinger(0) // Without it, the close takes longer.
-	_ = c.Close()      // Nothing can be done about a failure.
+	if c.is(serving) {
+		_ = c.SetLinger(0) // Without it, the close takes longer.
+	}
+	_ = c.Close() // Nothing can be done about a failure.
 }
