--- a/accept/accept.go
+++ b/accept/accept.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -43,6 +44,8 @@
 	minWriteRate = 64 << 10
 	// acceptPause is the wait after a failed accept.
 	acceptPause = 20 * time.Millisecond
+	// refusalTime bounds the read of what is left of a refused request.
+	refusalTime = 500 * time.Millisecond
 	// logInterval is the time between two log lines with one cause.
 	logInterval = 10 * time.Second
 )
@@ -208,6 +211,22 @@
 	}
 }
 
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// Context adds a connection to the context of its requests; it is for
+// http.Server.ConnContext.
+func Context(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// IsRefused reports whether there is no room for the request of a context. It must be
+// answered at once, and its connection closed.
+func IsRefused(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	return ok && c.refused.Load()
+}
+
 // phase is what happens on a connection.
 type phase int32
 
@@ -238,6 +257,9 @@
 	// isServing is set while servingMemory is taken, and isClosed once all was returned;
 	// the listener's mu guards both.
 	isServing, isClosed bool
+	// refused is set if there is no room for the present request, after which the
+	// connection is closed.
+	refused atomic.Bool
 }
 
 func (c *Conn) enter(p phase) {
@@ -336,7 +358,7 @@
 	return true
 }
 
-// serve begins a request. The connection is closed if there is no room for it.
+// serve begins a request. It is marked as refused if there is no room for it.
 func (c *Conn) serve() {
 	l := c.listener
 	c.enter(serving)
@@ -344,7 +366,8 @@
 		return
 	}
 	if cause := l.reserve(servingMemory); cause != "" {
-		c.discard()
+		c.refused.Store(true)
+		_ = c.TCPConn.SetReadDeadline(time.Now().Add(refusalTime)) // What is left of the request is discarded.
 		l.Report(cause)
 		return
 	}
--- a/accept/serve_test.go
+++ b/accept/serve_test.go
@@ -31,9 +31,13 @@
 	budget := tally.NewMemory(memory)
 	srv := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if accept.IsRefused(r.Context()) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
 			_, _ = io.Copy(w, r.Body) // A failure shows to the client.
 		}),
-		ConnState: accept.State, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+		ConnState: accept.State, ConnContext: accept.Context, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}
 	bounded := accept.New(l, accept.Config{
 		Name: "test", Connections: connections, Forwards: true, Memory: budget, Heads: budget,
@@ -131,6 +135,34 @@
 	resp.Body.Close()
 }
 
+// Requests beyond the bounds were closed without an answer.
+func TestRefuses(t *testing.T) {
+	const places = 5
+	addr, _ := serve(t, places, 4<<20, accept.Times{Head: time.Minute, Idle: time.Minute})
+	for range places / 2 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, strings.Replace(request, "\r\nok", "\r\no", 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// A request counts twice, so these leave a place for a connection and none for its
+	// request, once their heads have arrived.
+	time.Sleep(200 * time.Millisecond)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, request) // A failure shows in the read.
+	if answer, err := io.ReadAll(c); err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 503 ") {
+		t.Errorf("got %q and %v, want 503", answer, err)
+	}
+}
+
 // BenchmarkConnections measures a connection with one request, and BenchmarkRequests one
 // request on a connection, with bounds and without.
 func BenchmarkConnections(b *testing.B) { bench(b, true) }
--- a/boot/bounds.go
+++ b/boot/bounds.go
@@ -47,6 +47,9 @@
 	defaultHeaderTime = 10 * time.Second
 	defaultIdleTime   = time.Minute
 	headerMargin      = 500 * time.Millisecond
+	// refusedRetryAfter is when callers may come back whose request there was no room
+	// for, in seconds: a few times the duration of a short request.
+	refusedRetryAfter = "0.5"
 )
 
 // maxUnsent bounds what the kernel keeps of an answer that it can't send yet, of each
--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -205,7 +205,8 @@
 	callers bool
 }
 
-// stopHandler asks callers to close their connections once the daemon stops.
+// stopHandler refuses requests that there is no room for, and asks callers to close
+// their connections once the daemon stops.
 // http.Server.SetKeepAlivesEnabled would close the idle ones at once, also those
 // on which a request is arriving.
 type stopHandler struct {
@@ -218,6 +219,12 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if accept.IsRefused(r.Context()) {
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Retry-After", refusedRetryAfter)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	h.next.ServeHTTP(w, r)
 }
 
@@ -236,7 +243,7 @@
 		}
 		handler := &stopHandler{next: h}
 		srv := &http.Server{
-			Handler: handler, ConnState: accept.State, MaxHeaderBytes: maxHeaderBytes,
+			Handler: handler, ConnState: accept.State, ConnContext: accept.Context, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: slog.NewLogLogger(g.cfg.Log.Handler(), slog.LevelDebug),
 		}
 		list = append(list, httpServer{name, srv, handler, name == callerListener})
