--- a/accept/serve_test.go
+++ b/accept/serve_test.go
@@ -32,6 +32,7 @@
 	srv := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if accept.IsRefused(r.Context()) {
+				w.Header().Set("Connection", "close")
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
