--- a/direct/direct.go
+++ b/direct/direct.go
@@ -63,6 +63,9 @@
 
 	// Shares are the units of teams; used only for teams with a limit.
 	Shares wick.TeamShares
+
+	// Answers is the budget for what is buffered of answers; nil if it has no bound.
+	Answers wick.MemoryBudget
 }
 
 // Server implements wick.Gateway.
--- a/soak/allotments_test.go
+++ b/soak/allotments_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/procs"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -24,9 +25,9 @@
 	s := startSystem(t, 2)
 	s.waitReady(t, startTimeout)
 	s.version++
-	s.store.putConfig(strings.Replace(s.config(), `"routes":`, tenants+`"routes":`, 1))
-	send := func(id, key string, d *daemon) int {
-		r, err := http.NewRequest(http.MethodPost, "http://"+string(d.settings.CallerAddress)+"/unsafe/x", strings.NewReader(id))
+	s.store.PutConfig(strings.Replace(s.config(), `"routes":`, tenants+`"routes":`, 1))
+	send := func(id, key string, d *procs.Daemon) int {
+		r, err := http.NewRequest(http.MethodPost, "http://"+string(d.Settings.CallerAddress)+"/unsafe/x", strings.NewReader(id))
 		if err != nil {
 			t.Error(err)
 			return 0
@@ -50,7 +51,7 @@
 		for _, d := range s.daemons {
 			probes++
 			if status := send(fmt.Sprintf("probe-%d", probes), "key-under", d); status != http.StatusOK {
-				return fmt.Errorf("%s answers %d", d.settings.Host, status)
+				return fmt.Errorf("%s answers %d", d.Settings.Host, status)
 			}
 		}
 		return nil
