Don't close a connection whose head has just become complete

The connection to close was chosen under the lock and closed after it, and its phase changed without it. A request whose head became complete in between was run and cut, or run on a connection that was already closed.

The connection is now marked as closed while the lock is held, and a request on a closed connection is refused before it runs. The new test failed at its first trial before.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -166,13 +166,21 @@
 
 // closeOne closes the connection that matters least, and reports whether there was one.
 func (l *Listener) closeOne(cause wick.CloseCause) bool {
+	return l.closeVictim(cause, func() *Conn { return leastImportant(l.conns, l.now()) })
+}
+
+// closeVictim closes the connection that choose returns, and reports whether there was
+// one. The connection is marked as closed while mu is still held, so that a request that
+// is complete before is not cut, and one that is complete after is not run.
+func (l *Listener) closeVictim(cause wick.CloseCause, choose func() *Conn) bool {
 	l.mu.Lock()
-	victim := leastImportant(l.conns, l.now())
-	l.mu.Unlock()
-	if victim == nil {
+	victim := choose()
+	if victim == nil || !victim.release() {
+		l.mu.Unlock()
 		return false
 	}
-	victim.discard()
+	l.mu.Unlock()
+	_ = victim.closeReleased(true) // Nothing can be done about a failure.
 	l.Report(cause)
 	return true
 }
@@ -263,8 +271,16 @@
 }
 
 func (c *Conn) enter(p phase) {
+	c.setPhase(p)
+	c.setPhaseDeadline(p)
+}
+
+func (c *Conn) setPhase(p phase) {
 	c.since.Store(c.listener.now())
 	c.phase.Store(int32(p))
+}
+
+func (c *Conn) setPhaseDeadline(p phase) {
 	if times := c.listener.cfg.Times; times != nil {
 		t := times()
 		var err error
@@ -306,7 +322,7 @@
 			c.enter(inHead)
 		}
 		if !c.count(p[:n]) {
-			c.discard()
+			_ = c.Close() // Nothing can be done about a failure.
 			c.listener.Report(wick.CloseMemory)
 			return 0, net.ErrClosed
 		}
@@ -347,21 +363,27 @@
 // closeHead closes the connection that largestHead returns, and reports whether this was
 // another one than c.
 func (l *Listener) closeHead(c *Conn) bool {
-	l.mu.Lock()
-	victim := largestHead(l.conns)
-	l.mu.Unlock()
-	if victim == nil || victim == c {
-		return false
-	}
-	victim.discard()
-	l.Report(wick.CloseMemory)
-	return true
+	return l.closeVictim(wick.CloseMemory, func() *Conn {
+		if victim := largestHead(l.conns); victim != c {
+			return victim
+		}
+		return nil
+	})
 }
 
-// serve begins a request. It is marked as refused if there is no room for it.
+// serve begins a request. It is marked as refused if there is no room for it, or if the
+// connection was closed for another one while the head arrived.
 func (c *Conn) serve() {
 	l := c.listener
-	c.enter(serving)
+	l.mu.Lock()
+	if c.isClosed {
+		l.mu.Unlock()
+		c.refused.Store(true)
+		return
+	}
+	c.setPhase(serving)
+	l.mu.Unlock()
+	c.setPhaseDeadline(serving)
 	if !l.cfg.Forwards {
 		return
 	}
@@ -425,26 +447,34 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	l := c.listener
-	l.mu.Lock()
-	if c.isClosed {
-		l.mu.Unlock()
+	c.listener.mu.Lock()
+	isFirst := c.release()
+	c.listener.mu.Unlock()
+	if !isFirst {
 		return nil
 	}
+	return c.closeReleased(false)
+}
+
+// release marks the connection as closed and returns its place. It returns false if this
+// was done before. The listener's mu is held.
+func (c *Conn) release() bool {
+	if c.isClosed {
+		return false
+	}
 	c.isClosed = true
 	c.endServing()
-	delete(l.conns, c)
-	l.mu.Unlock()
-	l.cfg.Memory.Give(connMemory)
-	l.cfg.Heads.Give(wick.Bytes(c.taken.Swap(0)))
-	return c.TCPConn.Close()
+	delete(c.listener.conns, c)
+	return true
 }
 
-// discard closes a connection at once. Unsent bytes of an answer, which the kernel would
-// keep otherwise, are dropped.
-func (c *Conn) discard() {
-	if c.is(serving) {
+// closeReleased closes a connection after release and returns its memory. Unsent bytes of
+// an answer, which the kernel would keep otherwise, are dropped if discard is set.
+func (c *Conn) closeReleased(discard bool) error {
+	if discard && c.is(serving) {
 		_ = c.SetLinger(0) // Without it, the close takes longer.
 	}
-	_ = c.Close() // Nothing can be done about a failure.
+	c.listener.cfg.Memory.Give(connMemory)
+	c.listener.cfg.Heads.Give(wick.Bytes(c.taken.Swap(0)))
+	return c.TCPConn.Close()
 }
