Let buffered plain answers take memory from the budget

Up to 256 KiB of each answer of a plain route were buffered outside of the budget and held while a caller did not read: 1,000 of them exceed the memory of the smallest host. Buffers from 16 KiB now take memory as those of events do. An answer that finds none is passed on as it arrives, so it can't be retried when it breaks off, but is not refused.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -17,6 +16,8 @@
 	// maxBuffered bounds how much of a response is buffered before it is passed
 	// on, so that the request can be retried if the response breaks off.
 	maxBuffered = 256 << 10
+	// minBuffer is the first size of the buffer of a response; most are smaller.
+	minBuffer = 1 << 10
 	// readSize is the size of one read from a stream, enough for several
 	// events.
 	readSize = 4 << 10
@@ -156,10 +157,12 @@
 	return rec.Status >= http.StatusInternalServerError && t.route.Kind == wick.KindSafe && t.ran < t.route.Attempts
 }
 
-// passBuffered buffers a response and then passes it on.
+// passBuffered buffers a response and then passes it on. What exceeds maxBuffered, or the
+// memory for answers, is passed on as it arrives.
 func (t *task) passBuffered(ctx context.Context, to target, rec *wick.Response, sent wick.Instant) error {
-	var body bytes.Buffer
-	n, err := io.Copy(&body, io.LimitReader(rec.Body, maxBuffered))
+	memory := bufferMemory{budget: t.server.cfg.Answers}
+	defer memory.release()
+	body, isWhole, err := readBuffered(rec.Body, &memory)
 	if err != nil {
 		t.recordFailure(to)
 		if ctx.Err() != nil {
@@ -173,15 +176,40 @@
 	if err := t.startAnswer(rec); err != nil {
 		return err
 	}
-	if err := t.send(body.Bytes()); err != nil {
+	if err := t.send(body); err != nil {
 		return err
 	}
-	if n < maxBuffered {
+	if isWhole {
 		return nil
 	}
+	body = nil
+	memory.release()
 	return t.copyRest(to, rec)
 }
 
+// readBuffered reads up to maxBuffered bytes, or as many as there is memory for, and
+// reports whether they are the whole of the body.
+func readBuffered(from io.Reader, memory *bufferMemory) (body []byte, isWhole bool, err error) {
+	body = make([]byte, 0, minBuffer)
+	for len(body) < maxBuffered {
+		if len(body) == cap(body) {
+			if err := memory.takeFor(2 * cap(body)); err != nil {
+				return body, false, nil
+			}
+			body = append(make([]byte, 0, 2*cap(body)), body...)
+		}
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return body, false, nil
+}
+
 // recordResponse records the delay and status of an endpoint's response.
 func (t *task) recordResponse(to target, sent wick.Instant, rec *wick.Response) {
 	now := t.server.cfg.Clock.Now()
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -25,49 +25,54 @@
 // errEventTooLong ends a stream with an event of more than maxEvent bytes.
 var errEventTooLong = fmt.Errorf("event of more than %d bytes", maxEvent)
 
-// eventBuffer splits a stream into complete events.
-type eventBuffer struct {
-	buf []byte
-	// memory is the budget for buffers that are not small, and taken what was taken out
-	// of it; memory may be nil.
-	memory wick.MemoryBudget
-	taken  wick.Bytes
-}
-
 // smallBuffer is the capacity up to which a buffer takes nothing of the memory.
 const smallBuffer = 16 << 10
 
 // errNoMemory is the error of an answer that there is no memory for.
 var errNoMemory = errors.New("no memory for the answer")
 
-// take takes the memory for the present buffer, and for the one that it is copied to when
-// it grows.
-func (e *eventBuffer) take() error {
-	need := 2 * wick.Bytes(cap(e.buf))
-	if e.memory == nil || need <= 2*smallBuffer || need <= e.taken {
+// bufferMemory is what one buffer of an answer has taken out of a budget.
+type bufferMemory struct {
+	// budget may be nil.
+	budget wick.MemoryBudget
+	taken  wick.Bytes
+}
+
+// takeFor takes the memory for a buffer of the given capacity, and for the one that it is
+// copied to when it grows.
+func (m *bufferMemory) takeFor(capacity int) error {
+	need := 2 * wick.Bytes(capacity)
+	if m.budget == nil || need <= 2*smallBuffer || need <= m.taken {
 		return nil
 	}
-	if !e.memory.Take(need - e.taken) {
+	if !m.budget.Take(need - m.taken) {
 		return errNoMemory
 	}
-	e.taken = need
+	m.taken = need
 	return nil
 }
 
 // release returns the memory.
-func (e *eventBuffer) release() {
-	if e.taken > 0 {
-		e.memory.Give(e.taken)
+func (m *bufferMemory) release() {
+	if m.taken > 0 {
+		m.budget.Give(m.taken)
+		m.taken = 0
 	}
 }
 
+// eventBuffer splits a stream into complete events.
+type eventBuffer struct {
+	buf    []byte
+	memory bufferMemory
+}
+
 // add appends bytes of the stream and returns the complete events buffered so far.
 // They are valid until the next call. It fails if an event is too long.
 func (e *eventBuffer) add(p []byte) ([]byte, error) {
 	// The end of an event may begin with the last byte that was added before.
 	from := max(len(e.buf)-len(eventEnd)+1, 0)
 	e.buf = append(e.buf, p...)
-	if err := e.take(); err != nil {
+	if err := e.memory.takeFor(cap(e.buf)); err != nil {
 		return nil, err
 	}
 	at := bytes.LastIndex(e.buf[from:], eventEnd)
@@ -138,8 +143,8 @@
 		t.recordFailure(to)
 		return &retryableError{cause: wick.Unknownf(wick.CodeBroken, "%s resumed with status %d", to.runner.Name, rec.Status)}
 	}
-	in := eventBuffer{memory: t.server.cfg.Answers}
-	defer in.release()
+	in := eventBuffer{memory: bufferMemory{budget: t.server.cfg.Answers}}
+	defer in.memory.release()
 	buf := make([]byte, readSize)
 	from.stall = t.watchStall(from)
 	defer from.stall.stop()
