Let writes of large answers show progress

One write of a large answer to a slow reader counted as unread after a second, and its connection could be closed for another one. Copied answers used the ReadFrom of net.TCPConn, without a deadline or with that of an earlier write. Answers are now written in steps of 64 KiB within one deadline, also copied ones.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -39,6 +40,9 @@
 	// blockedTime is how long a write waits before its connection may be closed to make
 	// room for others.
 	blockedTime = time.Second
+	// writeStep is how much is written at a time, so that the write of a large answer to
+	// a slow but steady reader does not count as blocked. At 10 Mbit/s it takes 52 ms.
+	writeStep = 64 << 10
 	// minWriteRate is the rate in bytes per second below which nobody reads an answer, in
 	// addition to the idle time.
 	minWriteRate = 64 << 10
@@ -426,6 +430,16 @@
 // without heads. It is not closed to make room for others.
 func (c *Conn) Established() { c.enter(serving) }
 
+// ReadFrom implements io.ReaderFrom, which net/http prefers to Write. That of net.TCPConn
+// would write without a deadline, or with that of an earlier write.
+func (c *Conn) ReadFrom(r io.Reader) (int64, error) {
+	n, err := io.Copy(struct{ io.Writer }{c}, r)
+	if err != nil {
+		return n, fmt.Errorf("copy to connection: %w", err)
+	}
+	return n, nil
+}
+
 // Write implements net.Conn. A write fails if the remote end does not read.
 func (c *Conn) Write(p []byte) (int, error) {
 	times := c.listener.cfg.Times
@@ -436,8 +450,14 @@
 	if err := c.TCPConn.SetWriteDeadline(time.Now().Add(limit)); err != nil {
 		return 0, err
 	}
-	c.blocked.Store(c.listener.now())
-	n, err := c.TCPConn.Write(p)
+	n := 0
+	var err error
+	for err == nil && n < len(p) {
+		c.blocked.Store(c.listener.now())
+		var k int
+		k, err = c.TCPConn.Write(p[n:min(n+writeStep, len(p))])
+		n += k
+	}
 	c.blocked.Store(0)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.listener.Report(wick.CloseAnswer)
--- a/accept/close_test.go
+++ b/accept/close_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"testing"
@@ -70,3 +72,77 @@
 		}
 	}
 }
+
+// An answer whose remote end reads slowly but steadily counted as unread when it was
+// written at once, or copied from a reader; one that was copied had no deadline.
+func TestLargeWrites(t *testing.T) {
+	const size = 4 << 20
+	tests := []struct {
+		name  string
+		reads bool
+		write func(c *Conn) error
+	}{
+		{"written to a slow reader", true, func(c *Conn) error {
+			_, err := c.Write(make([]byte, size))
+			return err
+		}},
+		{"copied to a slow reader", true, func(c *Conn) error {
+			_, err := io.Copy(c, io.LimitReader(zeros{}, size))
+			return err
+		}},
+		{"written to nobody", false, func(c *Conn) error {
+			_, err := c.Write(make([]byte, size))
+			return err
+		}},
+		{"copied to nobody", false, func(c *Conn) error {
+			_, err := io.Copy(c, io.LimitReader(zeros{}, size))
+			return err
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, remote := accepted(t, tally.NewMemory(1<<20))
+			if err := errors.Join(c.SetWriteBuffer(32<<10), remote.(*net.TCPConn).SetReadBuffer(32<<10)); err != nil {
+				t.Fatal(err)
+			}
+			c.enter(serving)
+			var group errgroup.Group
+			ended := make(chan struct{})
+			group.Go(func() error {
+				defer close(ended)
+				return test.write(c)
+			})
+			seen := make(map[int64]bool)
+			for n := 0; test.reads && n < size; {
+				k, err := remote.Read(make([]byte, 64<<10))
+				if err != nil {
+					t.Fatal(err)
+				}
+				n += k
+				seen[c.blocked.Load()] = true
+			}
+			if !test.reads {
+				for end := time.Now().Add(5 * time.Second); c.blocked.Load() == 0 && time.Now().Before(end); {
+					time.Sleep(time.Millisecond)
+				}
+				if c.blocked.Load() == 0 {
+					t.Error("the write does not count as blocked")
+				}
+				remote.Close()
+			}
+			<-ended
+			if err := group.Wait(); (err == nil) != test.reads {
+				t.Errorf("the write ended with %v", err)
+			}
+			// The write begins anew with each step.
+			if test.reads && len(seen) < 8 {
+				t.Errorf("the time since which the write is blocked took %d values", len(seen))
+			}
+		})
+	}
+}
+
+// zeros is an endless io.Reader.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
