Leave memory for connections to the listeners of daemons and operators

All listeners took connections from the same part of the budget. When connections of callers had taken it, new links and readiness checks were refused. Those now reach further into the budget than callers do. The new test finds no memory for them with the former shares.

--- a/boot/bounds.go
+++ b/boot/bounds.go
@@ -31,7 +31,12 @@
 	// then connections, then heads that are not small. Links take the last.
 	bodiesLeave      = 0.1
 	connectionsLeave = 0.05
-	headsLeave       = 0.02
+	// othersLeave is what connections to listeners that are not for callers leave. It is
+	// less than connectionsLeave, so that connections of callers don't take the memory
+	// of links and readiness checks. These are at most 384 and 48 connections on the
+	// smallest host.
+	othersLeave = 0.01
+	headsLeave  = 0.02
 
 	// The shares of the descriptors that connections may take. At 3,075 descriptors
 	// callers have 2,460, of which each request that is served takes one for its
@@ -113,11 +118,19 @@
 	return max(int(float64(b.descriptors)*part), minOther)
 }
 
+// connectionMemory returns the budget for the connections of a listener.
+func (b *bounds) connectionMemory(name string) wick.MemoryBudget {
+	if name == callerListener {
+		return b.memory.Leaving(share(b.process, connectionsLeave))
+	}
+	return b.memory.Leaving(share(b.process, othersLeave))
+}
+
 // bound bounds the connections of a listener.
 func (g *Gateway) bound(l net.Listener, name string) net.Listener {
 	cfg := accept.Config{
 		Name: name, Connections: g.bounds.connections(name), Forwards: name == callerListener,
-		Memory: g.bounds.memory.Leaving(share(g.bounds.process, connectionsLeave)),
+		Memory: g.bounds.connectionMemory(name),
 		Heads:  g.bounds.memory.Leaving(share(g.bounds.process, headsLeave)),
 		Times:  g.times, Observer: g.cfg.Conns, Log: g.cfg.Log,
 	}
