Let answers of /state take memory from the budget

The state of a large deployment is encoded whole, and was held outside of the budget while a client did not read it. Its length is now taken until it is written; a request that finds none gets 503.

--- a/boot/bounds_test.go
+++ b/boot/bounds_test.go
@@ -1,6 +1,8 @@
 package boot
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"currantwick"
@@ -37,3 +39,39 @@
 		})
 	}
 }
+
+// holdingWriter is an answer whose client has not read anything yet.
+type holdingWriter struct {
+	*httptest.ResponseRecorder
+	budget *tally.Memory
+	// taken is what is taken of the budget during the last write.
+	taken wick.Bytes
+}
+
+func (w *holdingWriter) Write(p []byte) (int, error) {
+	w.taken = w.budget.Taken()
+	return w.ResponseRecorder.Write(p)
+}
+
+// States that were not read were held without a bound on their sum.
+func TestWriteWithin(t *testing.T) {
+	const size = 1000
+	tests := []struct {
+		name          string
+		memory, taken wick.Bytes
+		status        int
+	}{
+		{"memory", size, size, http.StatusOK},
+		{"no memory", size - 1, 0, http.StatusServiceUnavailable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			budget := tally.NewMemory(test.memory)
+			w := &holdingWriter{ResponseRecorder: httptest.NewRecorder(), budget: budget}
+			writeWithin(w, make([]byte, size), budget)
+			if w.Code != test.status || w.taken != test.taken || budget.Taken() != 0 {
+				t.Errorf("got %d with %d taken, %d after; want %d with %d", w.Code, w.taken, budget.Taken(), test.status, test.taken)
+			}
+		})
+	}
+}
--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -293,6 +293,18 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	writeWithin(w, data, g.bounds.bodies())
+}
+
+// writeWithin answers with JSON whose memory is taken out of a budget while it is written,
+// or with 503 if there is none.
+func writeWithin(w http.ResponseWriter, data []byte, budget wick.MemoryBudget) {
+	size := wick.Bytes(len(data))
+	if !budget.Take(size) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer budget.Give(size)
 	w.Header().Set("Content-Type", "application/json")
 	w.Write(data) // A write fails only if the client disconnected.
 }
