Refuse lengths that overflow the sum of a memory budget

An announced length near the largest number passed the budget where the configuration has no bodyBytes, and the request was closed without an answer after its buffer could not be made. The last row of the new test failed before.

--- a/tally/memory.go
+++ b/tally/memory.go
@@ -23,7 +23,7 @@
 func (m *Memory) take(n, leave int64) bool {
 	for {
 		taken := m.taken.Load()
-		if taken+n > m.size-leave {
+		if n > m.size-leave-taken { // A sum with n could overflow.
 			return false
 		}
 		if m.taken.CompareAndSwap(taken, taken+n) {
