--- a/boot/bounds_test.go
+++ b/boot/bounds_test.go
@@ -25,7 +25,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			b := &bounds{process: process, memory: tally.NewMemory(share(process, memoryShare)), descriptors: 3075}
+			b := &bounds{process: process, memory: tally.NewMemory(portion(process, memoryShare)), descriptors: 3075}
 			for callers := b.connectionMemory(callerListener); callers.Take(step); {
 				continue
 			}
