direct: hedges give back admissions, and count attempts cut off with the caller

The admission of a first attempt that failed beside a hedge, or lost to it, was kept until the whole request had ended, so that others waited for room that was there. If the caller left and the first result was 'not sent', the other attempt was not counted as run, and the team got its units back. Each leg now has its admission and gives it back with its load, and the end of a hedged attempt counts the legs that may have run.

--- a/direct/gate.go
+++ b/direct/gate.go
@@ -237,15 +237,15 @@
 }
 
 // admitHedge returns a second admission of the request, for an endpoint beside the one
-// that it was sent to. It is nil if the pool has no gate. It reports whether the gate
-// admits the request there now; a hedge does not wait.
-func (t *task) admitHedge(to target) (*admission, bool) {
-	if t.admission == nil {
+// that it was sent to with the first one. It is nil if the pool has no gate. It reports
+// whether the gate admits the request there now; a hedge does not wait.
+func (t *task) admitHedge(first *admission, to target) (*admission, bool) {
+	if first == nil {
 		return nil, true
 	}
 	s := t.server
 	v, now := s.cfg.Control.View(), s.cfg.Clock.Now()
-	g, ticket := t.admission.gate, t.newTicket()
+	g, ticket := first.gate, t.newTicket()
 	waits := g.enter(now, v, ticket) != nil
 	a := &admission{gate: g, ticket: ticket}
 	if waits || ticket.State != gate.Admitted || !g.maySend(now, ticket, to.runner) {
--- a/direct/hedge.go
+++ b/direct/hedge.go
@@ -28,8 +28,8 @@
 	target   target
 	attempt  wick.Attempt
 	estimate time.Duration
-	// second is set for the hedge, and admission is that of the hedge by the pool's gate,
-	// given back by end; nil if there is none.
+	// second is set for the hedge, and admission is that of the leg by the pool's gate,
+	// given back by release; nil if there is none.
 	second    bool
 	admission *admission
 	sent      wick.Instant
@@ -120,7 +120,7 @@
 	}
 }
 
-// release no longer counts the request as running at the endpoint.
+// release no longer counts the request as running at the endpoint, nor at its pool.
 func (l *leg) release() {
 	if l.released {
 		return
@@ -128,6 +128,10 @@
 	l.released = true
 	l.prefilled()
 	l.target.runner.Meter.Done(l.weight)
+	if a := l.admission; a != nil {
+		l.admission = nil
+		a.leave(a.gate.server.cfg.Clock.Now())
+	}
 }
 
 // end cancels the sending and gives back what it held.
@@ -141,9 +145,14 @@
 		l.response.Body.Close()
 	}
 	l.release()
-	if l.admission != nil {
-		l.admission.leave(l.admission.gate.server.cfg.Clock.Now())
+}
+
+// mayHaveRun reports whether the endpoint may have run the request. The leg has ended.
+func (l *leg) mayHaveRun() bool {
+	if l.err != nil {
+		return wick.AsError(l.err).Outcome != wick.NotRun
 	}
+	return !l.response.NotRun
 }
 
 // replayBody implements wick.Body. It returns again what was read before.
@@ -241,8 +250,9 @@
 	return r.settled
 }
 
-// close cancels all legs, waits for them, and gives back what they held.
-func (r *race) close() {
+// close cancels all legs, waits for them, and gives back what they held. It returns how
+// many of those whose result was not handled may have run.
+func (r *race) close() int {
 	r.mu.Lock()
 	r.over = true
 	for _, l := range r.legs {
@@ -250,9 +260,14 @@
 	}
 	r.mu.Unlock()
 	_ = r.group.Wait() // Legs return no errors.
+	ran := 0
 	for _, l := range r.legs {
 		l.end()
+		if !l.handled && l.mayHaveRun() {
+			ran++
+		}
 	}
+	return ran
 }
 
 // hedgerFor returns the hedger of the next attempt, or nil if the attempt must not be
@@ -283,11 +298,12 @@
 		hedger.RequestStarted()
 	}
 	r := newRace()
-	defer r.close()
+	defer func() { t.ran += r.close() }()
 	first := t.newLeg(ctx, to, t.estimate, remaining, false)
 	t.last = to.runner.Name
 	t.markSent(to)
-	h := hedged{task: t, race: r, hedger: hedger, first: first}
+	h := hedged{task: t, race: r, hedger: hedger, first: first, admission: t.admission}
+	first.admission, t.admission = t.admission, nil
 	h.start(first)
 	delay, ok := hedger.Delay()
 	timer := time.NewTimer(delay)
@@ -322,6 +338,8 @@
 	race   *race
 	hedger wick.Hedger
 	first  *leg
+	// admission is that of the first leg by the pool's gate; nil if there is none.
+	admission *admission
 	// running is the number of legs without a result.
 	running int
 	// failure is the failure of a leg while another was running, and held a leg with a
@@ -355,7 +373,7 @@
 	var admission *admission
 	if denied == "" {
 		var admitted bool
-		if admission, admitted = t.admitHedge(to); !admitted {
+		if admission, admitted = t.admitHedge(h.admission, to); !admitted {
 			denied = wick.HedgeRoom
 		}
 	}
@@ -392,14 +410,16 @@
 	if h.held != nil {
 		h.dropHeld()
 	}
+	lost := !h.first.handled
 	for _, other := range h.race.legs {
 		if other != l && !other.handled {
+			other.handled = true
 			t.ran++ // It was canceled, but may have run.
 		}
 	}
 	if l.second {
 		t.server.cfg.Observer.HedgeWon()
-		if !h.first.handled {
+		if lost {
 			took := time.Duration(lostFactor * float64(now.Sub(h.first.sent)))
 			h.first.target.runner.Meter.Observe(now, took-h.first.estimate, false)
 			if t.isPlain() {
@@ -481,15 +501,9 @@
 func (t *task) handleLeg(ctx context.Context, l *leg) error {
 	l.handled = true
 	t.last, t.estimate = l.target.runner.Name, l.estimate
-	if l.admission != nil {
-		// What is recorded about the answer belongs to the admission of this leg.
-		first := t.admission
-		t.admission, l.admission = l.admission, nil
-		defer func() {
-			t.leaveGate()
-			t.admission = first
-		}()
-	}
+	// What is recorded about the answer belongs to the admission of this leg.
+	t.admission, l.admission = l.admission, nil
+	defer t.leaveGate()
 	if l.err != nil {
 		return t.handleSendError(ctx, l.target, wick.AsError(l.err))
 	}
