coord: a daemon gets its holder of allotments confirmed again

A holder answers a report without asks only if the answer differs from its last one. After a change of holders and back within one report, or a lost answer, a daemon was never confirmed and used only its own part of the rate. Reports of a daemon that is not confirmed now have a number and are answered.

--- a/allotment.go
+++ b/allotment.go
@@ -20,7 +20,8 @@
 
 // AllotmentReport is the part of a daemon's report that concerns allotments.
 type AllotmentReport struct {
-	// Number identifies the report in the answer.
+	// Number identifies the report in the answer. A report with a number is always
+	// answered, one without only if the answer differs from the last one.
 	Number uint64 `cbor:"1,keyasint"`
 	// Shards are the shards for which the daemon takes units from the receiver and from
 	// no other daemon.
--- a/coord/shares.go
+++ b/coord/shares.go
@@ -193,18 +193,21 @@
 	if !s.sharesLimited() {
 		return nil
 	}
-	r := &wick.AllotmentReport{}
+	r, unconfirmed := &wick.AllotmentReport{}, false
 	for i := range s.shares.sources {
 		src := &s.shares.sources[i]
 		if src.link != h.link || s.isOutdated(now, src) {
 			continue
 		}
 		r.Shards = append(r.Shards, wick.Shard(i))
+		unconfirmed = unconfirmed || !src.confirmed
 		if src.present {
 			r.Asks = append(r.Asks, s.cfg.Shares.Asks(now, wick.Shard(i), s.shares.number+1, urgent)...)
 		}
 	}
-	if len(r.Asks) > 0 {
+	// Without a number, a holder that has said before that it gives out units does not
+	// repeat it. A change of holders and back, or a lost answer, needs it repeated.
+	if len(r.Asks) > 0 || unconfirmed {
 		s.shares.number++
 		r.Number = s.shares.number
 	}
@@ -282,7 +285,7 @@
 	}
 	reply.Grants = s.grants(now, host, r.Asks)
 	told := s.shares.told[host]
-	if len(r.Asks) == 0 && told.link == m.link && told.config == reply.Config && slices.Equal(told.shards, reply.Shards) {
+	if r.Number == 0 && told.link == m.link && told.config == reply.Config && slices.Equal(told.shards, reply.Shards) {
 		return
 	}
 	s.shares.told[host] = toldShares{m.link, reply.Shards, reply.Config}
--- a/coord/shares_test.go
+++ b/coord/shares_test.go
@@ -184,3 +184,37 @@
 		t.Error("reports allotments")
 	}
 }
+
+// After a change of holders and back within one report, the holder did not repeat that it
+// gives out units, and the daemon used only its own part of the rate from then on.
+func TestSourceConfirmedAgain(t *testing.T) {
+	sh := share.ShardOf(sharesTeam)
+	a, _ := limited(t, "a", "h", 1)
+	toHolder, toDaemon := &link{}, &link{}
+	linkUp{toHolder, instance("h", 1), "h:1"}.apply(a.state, ms(10))
+	h, _ := limited(t, "h", "h", 1)
+	linkUp{toDaemon, instance("a", 1), ""}.apply(h.state, ms(10))
+	h.report(toDaemon, true, ms(10))
+	// exchange passes a report and its answer on, and returns how many answers there were.
+	exchange := func(now wick.Instant) int {
+		r := a.shareReport(now, a.holders["h"], false)
+		toDaemon.sent = nil
+		h.applyShareReport(now, h.linkedDaemons[toDaemon], r)
+		for _, m := range toDaemon.sent {
+			a.applyShareReply(now, a.holders["h"], m.Update.Allotments)
+		}
+		return len(toDaemon.sent)
+	}
+	a.step(ms(20))
+	if exchange(ms(50)); !a.shares.sources[sh].present {
+		t.Fatal("not confirmed at first")
+	}
+	if n := exchange(ms(100)); n != 0 {
+		t.Errorf("%d answers to a report that changes nothing, want none", n)
+	}
+	a.shares.sources[sh] = shareSource{olderSince: -1} // As for another holder.
+	a.refreshShares(ms(110))
+	if exchange(ms(150)); !a.shares.sources[sh].present {
+		t.Error("not confirmed after a change of holders and back")
+	}
+}
