share: start again when the unit of an allotment changes

A configuration that changed a limit from tokens to requests left the debt of tokens in the bucket, which a rate of requests takes hours to pay, and tokens that a daemon held paid for requests. Buckets and accounts now start afresh.

--- a/share/client.go
+++ b/share/client.go
@@ -167,6 +167,10 @@
 		a = &account{}
 		s.accounts[team] = a
 	}
+	if a.allotment.Unit != allotment.Unit {
+		// What was counted in another unit means nothing.
+		a.lots, a.own, a.returned, a.demand, a.size, a.exceeded = nil, 0, 0, 0, 0, false
+	}
 	a.allotment = allotment
 	a.expire(now, s.since)
 	a.observe(now, units)
--- a/share/holder.go
+++ b/share/holder.go
@@ -154,7 +154,9 @@
 // bucketOf returns the bucket of a team, up to date.
 func (h *Holder) bucketOf(now wick.Instant, team wick.TeamName, a wick.Allotment) *bucket {
 	b := h.buckets[team]
-	if b == nil {
+	if b == nil || b.allotment.Unit != a.Unit {
+		// A level in another unit means nothing: a debt of tokens would take a rate of
+		// requests hours to pay.
 		b = &bucket{allotment: a, held: make(map[wick.HostName]float64)}
 		h.buckets[team] = b
 	}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -130,6 +130,38 @@
 	}
 }
 
+// After a configuration changed what a team's limit counts, a debt of tokens was a debt of
+// as many requests, and tokens that were left paid for requests.
+func TestChangedUnit(t *testing.T) {
+	slack := Config{Window: 8 * time.Second, Slack: 100_000}
+	h := holderAt(ms(3000), slack)
+	h.Answer(ms(3000), "d", wick.AllotmentAsk{Team: "t", Needs: []wick.Units{1000, 10_000}}, tokens)
+	h.Answer(ms(3000), "d", wick.AllotmentAsk{Team: "t"}, requests)
+	for now := ms(3000); now < ms(4000); now = now.Add(100 * time.Millisecond) {
+		h.Join(now, "d")
+	}
+	if g := h.Answer(ms(4000), "d", wick.AllotmentAsk{Team: "t", Needs: []wick.Units{1}}, requests); g.Units != 1 {
+		t.Errorf("granted %d requests a second after the change, want 1", g.Units)
+	}
+
+	c := NewClient(0, slack)
+	c.SetDaemons(1)
+	if v, _ := c.Take(ms(1000), "t", tokens, 5000); v.Result != wick.UnitsTaken {
+		t.Fatalf("5,000 tokens: %v", v)
+	}
+	if v, _ := c.Take(ms(2000), "t", requests, 1); v.Result != wick.UnitsTaken {
+		t.Errorf("a request without a holder after the change: %v", v)
+	}
+	c = NewClient(0, slack)
+	c.SetHolder(0, ShardOf("t"), true)
+	c.Take(ms(1000), "t", tokens, 100)
+	c.Asks(ms(1000), ShardOf("t"), 1, true)
+	c.Granted(ms(1000), 1, []wick.AllotmentGrant{{Team: "t", Units: 1000}})
+	if _, w := c.Take(ms(1100), "t", requests, 1); w == nil {
+		t.Error("a request was paid for with tokens")
+	}
+}
+
 // A holder whose process stood still does not know who takes units from it now.
 func TestPausedHolder(t *testing.T) {
 	h := holderAt(ms(3000), exact)
