gate: a hedge that finds no room leaves the waiting requests alone

A hedge entered the gate as a request that waits, and then left. Requests behind it were refused as too late for a turn that the hedge never took. TryEnter admits a ticket at once or not at all.

--- a/direct/gate.go
+++ b/direct/gate.go
@@ -246,20 +246,17 @@
 	s := t.server
 	v, now := s.cfg.Control.View(), s.cfg.Clock.Now()
 	g, ticket := first.gate, t.newTicket()
-	waits := g.enter(now, v, ticket) != nil
-	a := &admission{gate: g, ticket: ticket}
-	if waits || ticket.State != gate.Admitted || !g.maySend(now, ticket, to.runner) {
-		a.leave(now)
+	if !g.tryEnter(now, v, ticket, to.runner) {
 		return nil, false
 	}
-	return a, true
+	return &admission{gate: g, ticket: ticket}, true
 }
 
-// maySend reports whether the gate sends a request to an endpoint now.
-func (g *poolGate) maySend(now wick.Instant, t *gate.Ticket, r *coord.Runner) bool {
+// tryEnter reports whether the gate admits a ticket for an endpoint now.
+func (g *poolGate) tryEnter(now wick.Instant, v *coord.View, t *gate.Ticket, r *coord.Runner) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.gate.MaySend(now, t, startOf(r), int(r.Slots))
+	return g.gate.MaySend(now, t, startOf(r), int(r.Slots)) && g.gate.TryEnter(now, g.describe(v), t)
 }
 
 // leave ends the admission. It does nothing on nil.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -177,6 +177,18 @@
 	return append(list, g.refuseLate(now, i)...)
 }
 
+// TryEnter lets a request in if there is room for it now and no other one waits, and
+// reports whether it did. It has no effect on the requests that wait.
+func (g *Gate) TryEnter(now wick.Instant, p Pool, t *Ticket) bool {
+	g.pool = p
+	g.adjust(now)
+	if len(g.waiting) > 0 || !g.hasRoom(now, t.level()) {
+		return false
+	}
+	g.admit(now, t)
+	return true
+}
+
 // MaySend reports whether an admitted request may be sent to an endpoint with a number of
 // slots: not while the endpoint has more than twice its part of this daemon's requests,
 // and not for the time of an answer after it has refused one.
@@ -304,10 +316,7 @@
 			break
 		}
 		g.waiting = g.waiting[1:]
-		t.State, t.admittedAt = Admitted, now
-		g.sent[t.level()]++
-		g.inPool = append(g.inPool, t)
-		g.count(now, 1, 0)
+		g.admit(now, t)
 		list = append(list, t)
 	}
 	g.waiting = slices.DeleteFunc(g.waiting, func(t *Ticket) bool {
@@ -320,6 +329,13 @@
 	return list
 }
 
+func (g *Gate) admit(now wick.Instant, t *Ticket) {
+	t.State, t.admittedAt = Admitted, now
+	g.sent[t.level()]++
+	g.inPool = append(g.inPool, t)
+	g.count(now, 1, 0)
+}
+
 // refuseLate refuses the waiting requests from an index on whose turn is expected to
 // come too late.
 func (g *Gate) refuseLate(now wick.Instant, from int) []*Ticket {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -90,6 +90,42 @@
 	return g, append(list, fill(g)...)
 }
 
+// A hedge that found no room had others refused that would have come after it.
+func TestTryEnter(t *testing.T) {
+	tests := []struct {
+		name string
+		// others is the load that the gate sees, and waits is set if a request waits.
+		others   int
+		waits    bool
+		admitted bool
+	}{
+		{"an idle pool", 0, false, true},
+		{"a full pool", 150, false, false},
+		{"another request waits", 150, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := gate.New()
+			if test.others > 0 {
+				g, _ = busy(6)
+			}
+			x := ticket(3, 0, 35*time.Millisecond)
+			if test.waits {
+				g.Enter(start, with(small, test.others), x)
+			}
+			before := g.Stats()
+			hedge := ticket(3, 0, 34*time.Millisecond)
+			if ok := g.TryEnter(start, with(small, test.others), hedge); ok != test.admitted || (hedge.State == gate.Admitted) != ok {
+				t.Errorf("admitted: %v, want %v; state %d", ok, test.admitted, hedge.State)
+			}
+			after := g.Stats()
+			if after.Waiting != before.Waiting || test.waits && x.State != gate.Waiting || !test.admitted && after.Sent != before.Sent {
+				t.Errorf("%+v became %+v, the other request is in state %d", before, after, x.State)
+			}
+		})
+	}
+}
+
 // Requests must be admitted by priority, then by the time left, and not after their
 // callers have left.
 func TestOrder(t *testing.T) {
