direct: drop the gates of pools that are gone

A gate was kept for each pool that a configuration ever had, in memory and in the state. Making a gate now drops unused ones of pools that no longer exist.

--- a/direct/gate.go
+++ b/direct/gate.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -25,8 +26,9 @@
 	byPool map[wick.PoolName]*poolGate
 }
 
-// of returns the gate of a pool, and makes one if there is none yet.
-func (p *poolGates) of(s *Server, pool wick.PoolName) *poolGate {
+// of returns the gate of a pool, and makes one if there is none yet. It then drops those
+// without requests whose pool the configuration no longer has.
+func (p *poolGates) of(s *Server, config *wick.ServingConfig, pool wick.PoolName) *poolGate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g := p.byPool[pool]
@@ -34,6 +36,10 @@
 		if p.byPool == nil {
 			p.byPool = make(map[wick.PoolName]*poolGate)
 		}
+		maps.DeleteFunc(p.byPool, func(name wick.PoolName, g *poolGate) bool {
+			_, exists := config.Pools[name]
+			return !exists && !g.isUsed()
+		})
 		g = &poolGate{server: s, pool: pool, gate: gate.New(), waiting: make(map[*gate.Ticket]chan struct{})}
 		p.byPool[pool] = g
 	}
@@ -74,6 +80,14 @@
 	loggedAt        wick.Instant
 }
 
+// isUsed reports whether requests wait or are at the pool.
+func (g *poolGate) isUsed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.gate.Stats()
+	return s.Waiting+s.Sent > 0
+}
+
 // enter brings a ticket to the gate. The channel is nil if its state is already decided.
 func (g *poolGate) enter(now wick.Instant, v *coord.View, t *gate.Ticket) <-chan struct{} {
 	g.mu.Lock()
@@ -209,7 +223,7 @@
 	if !t.isPlain() || t.route.Kind == wick.KindStream || len(v.Pools[t.pool]) == 0 || unknown {
 		return nil
 	}
-	g, ticket := s.gates.of(s, t.pool), t.newTicket()
+	g, ticket := s.gates.of(s, v.ServingConfig, t.pool), t.newTicket()
 	if ready := g.enter(now, v, ticket); ready != nil {
 		select {
 		case <-ctx.Done():
--- a/direct/gate_test.go
+++ b/direct/gate_test.go
@@ -145,3 +145,20 @@
 		t.Errorf("requests ended with %v", err)
 	}
 }
+
+// The gates of pools that a configuration no longer has were kept for ever.
+func TestRemovedPool(t *testing.T) {
+	c := &control{view: view(route(wick.KindSafe, "plain", 1, false))}
+	s := server(t, c, &sender{replies: []reply{{status: 200}, {status: 200}, {status: 200}}}, budget(t, 1000))
+	for _, pool := range []wick.PoolName{"plain", "b", "c"} {
+		v := view(route(wick.KindSafe, pool, 1, false))
+		v.Pools[pool], v.ServingConfig.Pools = v.Pools["plain"], map[wick.PoolName]wick.PoolConfig{pool: {Name: pool}}
+		c.view = v
+		if err := s.Forward(t.Context(), &wick.Exchange{Request: "q", Host: "h", Path: "/x"}, &writer{}); err != nil {
+			t.Fatal(err)
+		}
+		if g := s.State().Gates; len(g) != 1 || g[0].Pool != pool {
+			t.Errorf("gates %+v, want that of %s", g, pool)
+		}
+	}
+}
