--- a/direct/gate.go
+++ b/direct/gate.go
@@ -90,6 +90,16 @@
 
 // enter brings a ticket to the gate. The channel is nil if its state is already decided.
 func (g *poolGate) enter(now wick.Instant, v *coord.View, t *gate.Ticket) <-chan struct{} {
+	ready, line := g.enterLocked(now, v, t)
+	if line != nil {
+		g.server.cfg.Log.Warn("pool is full", line...)
+	}
+	return ready
+}
+
+// enterLocked implements enter, except that it returns the attributes of a log line. The
+// line is written without the lock: a slow log must not hold up all requests to the pool.
+func (g *poolGate) enterLocked(now wick.Instant, v *coord.View, t *gate.Ticket) (<-chan struct{}, []any) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	ready := make(chan struct{})
@@ -98,11 +108,11 @@
 	if t.State == gate.Waiting {
 		g.waited++
 	}
-	g.log(now)
+	line := g.fullLine(now)
 	if t.State != gate.Waiting {
-		return nil
+		return nil, line
 	}
-	return ready
+	return ready, line
 }
 
 // describe describes the pool to package gate.
@@ -182,14 +192,16 @@
 	g.settle(now, g.gate.Wake(now))
 }
 
-// log writes a line if requests had to wait since the last one.
-func (g *poolGate) log(now wick.Instant) {
+// fullLine returns the attributes of a log line if requests had to wait since the last
+// one; nil if none is due.
+func (g *poolGate) fullLine(now wick.Instant) []any {
 	if g.waited+g.refused == 0 || g.loggedAt > 0 && now.Sub(g.loggedAt) < fullLogInterval {
-		return
+		return nil
 	}
 	s := g.gate.Stats()
-	g.server.cfg.Log.Warn("pool is full", "pool", g.pool, "waited", g.waited, "refused", g.refused, "waiting", s.Waiting, "sent", s.Sent, "limit", s.Limit)
+	line := []any{"pool", g.pool, "waited", g.waited, "refused", g.refused, "waiting", s.Waiting, "sent", s.Sent, "limit", s.Limit}
 	g.loggedAt, g.waited, g.refused = now, 0, 0
+	return line
 }
 
 func (g *poolGate) state() wick.PoolGateState {
--- a/direct/gate_test.go
+++ b/direct/gate_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"currantwick"
 	"currantwick/coord"
 	"currantwick/direct"
+	"currantwick/fakes"
 	"currantwick/tally"
 
 	"golang.org/x/sync/errgroup"
@@ -162,3 +165,41 @@
 		}
 	}
 }
+
+// stateHandler is a log handler that needs the locks of the gates.
+type stateHandler struct {
+	slog.Handler
+	server *direct.Server
+	full   atomic.Int32
+}
+
+func (h *stateHandler) Enabled(context.Context, slog.Level) bool { return true }
+
+func (h *stateHandler) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == "pool is full" {
+		h.server.State()
+		h.full.Add(1)
+	}
+	return nil
+}
+
+// The line about a full pool was written with the gate's lock held.
+func TestFullPoolLog(t *testing.T) {
+	h := &stateHandler{Handler: slog.DiscardHandler}
+	h.server = direct.New(direct.Config{
+		Control: &control{view: crowd(wick.KindUnsafe, 40)}, Sender: &heldSender{release: make(chan struct{})}, Clock: frozen{}, Retry: budget(t, 1000),
+		Log: slog.New(h), Observer: fakes.GatewayObserver{}, Pauses: new(tally.Pauses), AnsweredParts: new(tally.Parts),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	for range 8 {
+		group.Go(func() error {
+			return h.server.Forward(ctx, &wick.Exchange{Request: "q", Host: "h", Path: "/x"}, &writer{})
+		})
+	}
+	until(t, "the line is written", func() bool { return h.full.Load() > 0 })
+	cancel()
+	if err := group.Wait(); err == nil {
+		t.Error("no request ended with its caller")
+	}
+}
