gate: an admission that was not sent takes no turn

At a daemon whose limit is below 1, a hedge that was admitted and then denied by its limit or the budget held up the next request for up to ten times of an answer. Only the end of a request that was sent now delays the next one.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -215,7 +215,8 @@
 		g.inPool = slices.Delete(g.inPool, i, i+1)
 	}
 	if l := t.level(); !t.stuck {
-		if n := g.atLeast(l); float64(n) > math.Floor(g.limitOf(now, l)) {
+		// One that was not sent, like a hedge that is denied, has used nothing.
+		if n := g.atLeast(l); t.endpoint != (wick.EndpointStart{}) && float64(n) > math.Floor(g.limitOf(now, l)) {
 			g.pace(now, l)
 		}
 		g.sent[l]--
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -126,6 +126,42 @@
 	}
 }
 
+// A hedge that was admitted and then denied used up the turn of the next request, at a
+// daemon whose limit is below 1.
+func TestUnsentTakesNoTurn(t *testing.T) {
+	tests := []struct {
+		name string
+		sent bool
+		want gate.State
+	}{
+		{"not sent", false, gate.Admitted},
+		{"sent", true, gate.Waiting},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g, full, now := gate.New(), with(small, 150), start
+			first := &gate.Ticket{Urgency: 3, Deadline: now.Add(time.Minute)}
+			g.Enter(now, full, first)
+			g.Done(now, first, 0, false)
+			for range 10 {
+				now = now.Add(time.Second)
+				g.Wake(now)
+			}
+			hedge, next := &gate.Ticket{Urgency: 3, Deadline: now.Add(time.Minute)}, &gate.Ticket{Urgency: 3, Deadline: now.Add(time.Minute)}
+			if !g.TryEnter(now, full, hedge) || g.Stats().Limit >= 1 {
+				t.Fatalf("the hedge is not admitted, or the limit is %v", g.Stats().Limit)
+			}
+			if test.sent {
+				g.Sent(hedge, wick.EndpointStart{Endpoint: "e"})
+			}
+			g.Done(now, hedge, 0, false)
+			if g.Enter(now, full, next); next.State != test.want {
+				t.Errorf("the next request is in state %d, want %d", next.State, test.want)
+			}
+		})
+	}
+}
+
 // Requests must be admitted by priority, then by the time left, and not after their
 // callers have left.
 func TestOrder(t *testing.T) {
