--- a/tally/work.go
+++ b/tally/work.go
@@ -22,8 +22,9 @@
 )
 
 // workTime estimates the time that a request takes at a plain service without waiting
-// there, by an average that falls faster than it rises. Unlike the lag it does not decay towards 0 between requests: a daemon of a large
-// deployment sends a service less than one request a second.
+// there, by an average that falls faster than it rises. Unlike the lag it does not decay
+// towards 0 between requests: a daemon of a large deployment sends a service less than
+// one request a second.
 type workTime struct {
 	average time.Duration
 	at      wick.Instant
