--- a/conns/bound_test.go
+++ b/conns/bound_test.go
@@ -153,3 +153,46 @@
 		t.Errorf("%d connections were open, want 1", n)
 	}
 }
+
+// A connection that breaks must make room for a request that waits, and must not count
+// afterwards: else requests would wait for ConnWait, or more connections would be opened.
+func TestMaxOpenBroken(t *testing.T) {
+	var mu sync.Mutex
+	open, most, served := 0, 0, 0
+	const broken, requests = 6, 12
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		mu.Lock()
+		open++
+		most = max(most, open)
+		served++
+		breaks := served <= broken
+		mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+		mu.Lock()
+		open--
+		mu.Unlock()
+		if breaks {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	t.Cleanup(server.Close)
+	p := conns.New(conns.Config{ConnWait: time.Minute})
+	failed := make(chan error, requests)
+	for range requests {
+		go func() { failed <- get(t.Context(), p, addressOf(server.Listener), 2) }()
+	}
+	failures := 0
+	for range requests {
+		select {
+		case err := <-failed:
+			if err != nil {
+				failures++
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("a request waits though connections have been closed")
+		}
+	}
+	if failures != broken || most > 2 {
+		t.Errorf("%d requests failed and %d were there at once, want %d and at most 2", failures, most, broken)
+	}
+}
