--- a/direct/gate.go
+++ b/direct/gate.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -25,8 +26,9 @@
 	byPool map[wick.PoolName]*poolGate
 }
 
-// of returns the gate of a pool, and makes one if there is none yet.
-func (p *poolGates) of(s *Server, pool wick.PoolName) *poolGate {
+// of returns the gate of a pool, and makes one if there is none yet. It then drops those
+// without requests whose pool the configuration no longer has.
+func (p *poolGates) of(s *Server, config *wick.ServingConfig, pool wick.PoolName) *poolGate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g := p.byPool[pool]
@@ -34,6 +36,10 @@
 		if p.byPool == nil {
 			p.byPool = make(map[wick.PoolName]*poolGate)
 		}
+		maps.DeleteFunc(p.byPool, func(name wick.PoolName, g *poolGate) bool {
+			_, exists := config.Pools[name]
+			return !exists && !g.isUsed()
+		})
 		g = &poolGate{server: s, pool: pool, gate: gate.New(), waiting: make(map[*gate.Ticket]chan struct{})}
 		p.byPool[pool] = g
 	}
@@ -74,8 +80,26 @@
 	loggedAt        wick.Instant
 }
 
+// isUsed reports whether requests wait or are at the pool.
+func (g *poolGate) isUsed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.gate.Stats()
+	return s.Waiting+s.Sent > 0
+}
+
 // enter brings a ticket to the gate. The channel is nil if its state is already decided.
 func (g *poolGate) enter(now wick.Instant, v *coord.View, t *gate.Ticket) <-chan struct{} {
+	ready, line := g.enterLocked(now, v, t)
+	if line != nil {
+		g.server.cfg.Log.Warn("pool is full", line...)
+	}
+	return ready
+}
+
+// enterLocked implements enter, except that it returns the attributes of a log line. The
+// line is written without the lock: a slow log must not hold up all requests to the pool.
+func (g *poolGate) enterLocked(now wick.Instant, v *coord.View, t *gate.Ticket) (<-chan struct{}, []any) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	ready := make(chan struct{})
@@ -84,11 +108,11 @@
 	if t.State == gate.Waiting {
 		g.waited++
 	}
-	g.log(now)
+	line := g.fullLine(now)
 	if t.State != gate.Waiting {
-		return nil
+		return nil, line
 	}
-	return ready
+	return ready, line
 }
 
 // describe describes the pool to package gate.
@@ -168,14 +192,16 @@
 	g.settle(now, g.gate.Wake(now))
 }
 
-// log writes a line if requests had to wait since the last one.
-func (g *poolGate) log(now wick.Instant) {
+// fullLine returns the attributes of a log line if requests had to wait since the last
+// one; nil if none is due.
+func (g *poolGate) fullLine(now wick.Instant) []any {
 	if g.waited+g.refused == 0 || g.loggedAt > 0 && now.Sub(g.loggedAt) < fullLogInterval {
-		return
+		return nil
 	}
 	s := g.gate.Stats()
-	g.server.cfg.Log.Warn("pool is full", "pool", g.pool, "waited", g.waited, "refused", g.refused, "waiting", s.Waiting, "sent", s.Sent, "limit", s.Limit)
+	line := []any{"pool", g.pool, "waited", g.waited, "refused", g.refused, "waiting", s.Waiting, "sent", s.Sent, "limit", s.Limit}
 	g.loggedAt, g.waited, g.refused = now, 0, 0
+	return line
 }
 
 func (g *poolGate) state() wick.PoolGateState {
@@ -209,7 +235,7 @@
 	if !t.isPlain() || t.route.Kind == wick.KindStream || len(v.Pools[t.pool]) == 0 || unknown {
 		return nil
 	}
-	g, ticket := s.gates.of(s, t.pool), t.newTicket()
+	g, ticket := s.gates.of(s, v.ServingConfig, t.pool), t.newTicket()
 	if ready := g.enter(now, v, ticket); ready != nil {
 		select {
 		case <-ctx.Done():
@@ -237,29 +263,26 @@
 }
 
 // admitHedge returns a second admission of the request, for an endpoint beside the one
-// that it was sent to. It is nil if the pool has no gate. It reports whether the gate
-// admits the request there now; a hedge does not wait.
-func (t *task) admitHedge(to target) (*admission, bool) {
-	if t.admission == nil {
+// that it was sent to with the first one. It is nil if the pool has no gate. It reports
+// whether the gate admits the request there now; a hedge does not wait.
+func (t *task) admitHedge(first *admission, to target) (*admission, bool) {
+	if first == nil {
 		return nil, true
 	}
 	s := t.server
 	v, now := s.cfg.Control.View(), s.cfg.Clock.Now()
-	g, ticket := t.admission.gate, t.newTicket()
-	waits := g.enter(now, v, ticket) != nil
-	a := &admission{gate: g, ticket: ticket}
-	if waits || ticket.State != gate.Admitted || !g.maySend(now, ticket, to.runner) {
-		a.leave(now)
+	g, ticket := first.gate, t.newTicket()
+	if !g.tryEnter(now, v, ticket, to.runner) {
 		return nil, false
 	}
-	return a, true
+	return &admission{gate: g, ticket: ticket}, true
 }
 
-// maySend reports whether the gate sends a request to an endpoint now.
-func (g *poolGate) maySend(now wick.Instant, t *gate.Ticket, r *coord.Runner) bool {
+// tryEnter reports whether the gate admits a ticket for an endpoint now.
+func (g *poolGate) tryEnter(now wick.Instant, v *coord.View, t *gate.Ticket, r *coord.Runner) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.gate.MaySend(now, t, startOf(r), int(r.Slots))
+	return g.gate.MaySend(now, t, startOf(r), int(r.Slots)) && g.gate.TryEnter(now, g.describe(v), t)
 }
 
 // leave ends the admission. It does nothing on nil.
