--- a/direct/hedge.go
+++ b/direct/hedge.go
@@ -1,20 +1,14 @@
 package direct
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
-	"net/http"
-	"sync"
 	"time"
 
 	"currantwick"
 	"currantwick/choose"
 	"currantwick/crash"
-
-	"golang.org/x/sync/errgroup"
 )
 
 // A hedged attempt runs each sending in a leg, a goroutine that reads the answer up to
@@ -22,176 +16,6 @@
 // complete event of a stream. Only the goroutine of the task reads and changes the
 // task and writes to the caller; legs share nothing but the race.
 
-// leg is one sending of a hedged attempt. Its fields from ended on belong to the leg's
-// goroutine until the race has taken its result, then to the task's.
-type leg struct {
-	target   target
-	attempt  wick.Attempt
-	estimate time.Duration
-	// second is set for the hedge, and admission is that of the leg by the pool's gate,
-	// given back by release; nil if there is none.
-	second    bool
-	admission *admission
-	sent      wick.Instant
-	ctx       context.Context
-	cancel    context.CancelFunc
-	weight    wick.Weights
-	// stream is set if the answer is a stream of events.
-	stream bool
-	// handled is set once the task has handled the result, and so counted the run.
-	handled bool
-
-	// ended is set once the connection was given back, and released once the endpoint's
-	// load was.
-	ended, released bool
-	// prefilling is set until the endpoint has read the prompt.
-	prefilling bool
-	response   *wick.Response
-	err        error
-	// body replays what was read of the answer. complete is set if it ends with a
-	// whole answer, or a whole event of a stream.
-	body     replayBody
-	complete bool
-}
-
-// run sends the request and reads the answer up to the point where it may be passed on.
-func (l *leg) run(send wick.Sender) {
-	l.response, l.err = send.Send(l.ctx, l.attempt)
-	if l.err != nil || l.response.NotRun {
-		return
-	}
-	l.body.rest = l.response.Body
-	if l.stream {
-		l.readEvent()
-	} else {
-		l.readWhole()
-	}
-	l.response.Body = &l.body
-}
-
-// readWhole reads an answer as passBuffered does.
-func (l *leg) readWhole() {
-	n, err := io.Copy(&l.body.read, io.LimitReader(l.body.rest, maxBuffered))
-	l.complete = err == nil
-	switch {
-	case err != nil:
-		l.body.err = err
-	case n < maxBuffered:
-		l.body.err = io.EOF
-	}
-}
-
-// readEvent reads a stream up to the end of its first event.
-func (l *leg) readEvent() {
-	buf := make([]byte, readSize)
-	for !l.complete {
-		n, err := l.body.rest.Read(buf)
-		if n > 0 {
-			l.prefilled()
-		}
-		l.body.read.Write(buf[:n])
-		l.complete = bytes.Contains(l.body.read.Bytes(), eventEnd)
-		if errors.Is(err, io.EOF) && !l.complete {
-			in := eventBuffer{buf: l.body.read.Bytes()}
-			l.complete = l.response.Status != http.StatusOK || in.checkEnd(l.response.Unframed, false) == nil
-		}
-		if l.body.err = err; err != nil || l.body.read.Len() > maxEvent {
-			return
-		}
-	}
-}
-
-// failed reports whether the leg has no answer that beats that of another leg.
-func (l *leg) failed() bool {
-	return l.err != nil || l.response.NotRun || !l.complete || l.hasServerError()
-}
-
-// hasServerError reports whether the endpoint answered with a server error, which is
-// passed on if no other leg has an answer.
-func (l *leg) hasServerError() bool {
-	return l.err == nil && !l.response.NotRun && l.complete && l.response.Status >= http.StatusInternalServerError
-}
-
-// prefilled records that the endpoint has read the prompt.
-func (l *leg) prefilled() {
-	if l.prefilling {
-		l.prefilling = false
-		l.target.runner.Meter.Prefilled(l.attempt.Exchange.PromptTokens)
-	}
-}
-
-// release no longer counts the request as running at the endpoint, nor at its pool.
-func (l *leg) release() {
-	if l.released {
-		return
-	}
-	l.released = true
-	l.prefilled()
-	l.target.runner.Meter.Done(l.weight)
-	if a := l.admission; a != nil {
-		l.admission = nil
-		a.leave(a.gate.server.cfg.Clock.Now())
-	}
-}
-
-// end cancels the sending and gives back what it held.
-func (l *leg) end() {
-	if l.ended {
-		return
-	}
-	l.ended = true
-	l.cancel()
-	if l.response != nil {
-		l.response.Body.Close()
-	}
-	l.release()
-}
-
-// mayHaveRun reports whether the endpoint may have run the request. The leg has ended.
-func (l *leg) mayHaveRun() bool {
-	if l.err != nil {
-		return wick.AsError(l.err).Outcome != wick.NotRun
-	}
-	return !l.response.NotRun
-}
-
-// replayBody implements wick.Body. It returns again what was read before.
-type replayBody struct {
-	read bytes.Buffer
-	// err follows what was read before; if it is nil, rest does.
-	err  error
-	rest wick.Body
-}
-
-// Read implements wick.Body.
-func (b *replayBody) Read(p []byte) (int, error) {
-	if b.read.Len() > 0 {
-		return b.read.Read(p)
-	}
-	if b.err != nil {
-		return 0, b.err
-	}
-	return b.rest.Read(p)
-}
-
-// Close implements wick.Body.
-func (b *replayBody) Close() error { return b.rest.Close() }
-
-// race decides between the legs of a hedged attempt.
-type race struct {
-	group errgroup.Group
-	// results receives the legs that failed and the winner; it never blocks them.
-	results chan *leg
-
-	mu   sync.Mutex
-	legs []*leg
-	// over is set once a leg has won, or the attempt has ended without a winner.
-	over bool
-	// settled is set once a leg has a result. No further leg is then started: a retry
-	// after a failure waits for the judgment of a possible crash.
-	settled bool
-}
-
 // lostFactor is the assumed duration of a first attempt that lost, relative to the time
 // after which it was canceled. With 1, a slow endpoint looks nearly as fast as others once
 // its slow answers are hedged: in the case of one slow endpoint in TestHedgesUnderLoad it
@@ -201,75 +25,6 @@
 // maxLegs is the number of sendings that run at once.
 const maxLegs = 2
 
-func newRace() *race { return &race{results: make(chan *leg, maxLegs)} }
-
-// start runs a leg, unless another has a result.
-func (r *race) start(l *leg, send wick.Sender) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.settled {
-		return false
-	}
-	r.legs = append(r.legs, l)
-	r.group.Go(func() error {
-		l.run(send)
-		if r.deliver(l) {
-			r.results <- l
-		} else {
-			l.end()
-		}
-		return nil
-	})
-	return true
-}
-
-// deliver reports whether the task receives a leg's result: not if the race is over.
-// The first leg that has an answer wins; the others are canceled at once.
-func (r *race) deliver(l *leg) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.over {
-		return false
-	}
-	r.settled = true
-	if !l.failed() {
-		r.over = true
-		for _, other := range r.legs {
-			if other != l {
-				other.cancel()
-			}
-		}
-	}
-	return true
-}
-
-// isSettled reports whether a leg has a result.
-func (r *race) isSettled() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.settled
-}
-
-// close cancels all legs, waits for them, and gives back what they held. It returns how
-// many of those whose result was not handled may have run.
-func (r *race) close() int {
-	r.mu.Lock()
-	r.over = true
-	for _, l := range r.legs {
-		l.cancel()
-	}
-	r.mu.Unlock()
-	_ = r.group.Wait() // Legs return no errors.
-	ran := 0
-	for _, l := range r.legs {
-		l.end()
-		if !l.handled && l.mayHaveRun() {
-			ran++
-		}
-	}
-	return ran
-}
-
 // hedgerFor returns the hedger of the next attempt, or nil if the attempt must not be
 // hedged.
 func (t *task) hedgerFor() wick.Hedger {
