direct: keep a stream that begins late

Callers got an error in place of an answer that began after 0.85 of the time that they are assumed to wait: the watch on stalled streams broke a resumable one off and paid for a retry, which the choice of an endpoint then refused as too late. A stream that has not begun now stays from that moment on. A row of TestStalledStreams failed before: "the answer would begin 15 ms too late".

--- a/direct/paused.go
+++ b/direct/paused.go
@@ -72,7 +72,7 @@
 	}
 	wait := first.Sub(now)
 	wait += time.Duration(rand.Float64() * pauseSpread * float64(wait))
-	tooLate := now.Add(wait).Sub(t.start) > time.Duration(float64(t.patience())*firstWaitPart)
+	tooLate := now.Add(wait).Sub(t.start) > t.latestBegin()
 	if wait > t.remaining()/2 || t.route.Kind == wick.KindStream && !t.started && tooLate {
 		e := t.refuse(wick.CodeNoEndpoint, "all endpoints of %s asked for a pause, the first for %d ms more", t.pool, first.Sub(now).Milliseconds())
 		return withRetryAfter(e, min(wait, time.Duration(float64(t.remaining())*retryAfterPart)))
--- a/direct/pick.go
+++ b/direct/pick.go
@@ -95,7 +95,12 @@
 	if fresh {
 		begins += t.estimate
 	}
-	return begins - time.Duration(float64(t.patience())*firstWaitPart)
+	return begins - t.latestBegin()
+}
+
+// latestBegin returns by when, counted from the request, its first event must be expected.
+func (t *task) latestBegin() time.Duration {
+	return time.Duration(float64(t.patience()) * firstWaitPart)
 }
 
 // patience is how long the caller of a stream waits for its next event.
--- a/direct/stall.go
+++ b/direct/stall.go
@@ -16,15 +16,17 @@
 // possible; otherwise the stream stays, since its endpoint may go on.
 type stallWatch struct {
 	after time.Duration
-	// mayMove reports whether the stream may move, and pays for the retry if so.
-	mayMove func() bool
+	// mayMove reports whether the stream may move, and pays for the retry if so. begun is
+	// set once an event was complete.
+	mayMove func(begun bool) bool
 	cancel  func()
 
 	// mu is held while mayMove runs, which reads the task.
 	mu    sync.Mutex
 	timer *time.Timer
-	// moved is set once the stream was broken off, and stopped at its end.
-	moved, stopped bool
+	// moved is set once the stream was broken off, and stopped at its end. begun is set
+	// once an event of the answer was complete.
+	moved, stopped, begun bool
 }
 
 // watchStall returns a watch on a stream, or nil if no other endpoint may continue it.
@@ -34,9 +36,10 @@
 		return nil
 	}
 	w := &stallWatch{
-		after:   time.Duration(float64(t.patience()) * firstWaitPart),
-		mayMove: func() bool { return t.payForMove(from.target.runner.Name) },
+		after:   t.latestBegin(),
+		mayMove: func(begun bool) bool { return t.payForMove(from.target.runner.Name, begun) },
 		cancel:  from.cancel,
+		begun:   t.started,
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -50,7 +53,7 @@
 	if w.moved || w.stopped {
 		return
 	}
-	if w.moved = w.mayMove(); w.moved {
+	if w.moved = w.mayMove(w.begun); w.moved {
 		w.cancel()
 		return
 	}
@@ -64,6 +67,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.begun = true
 	w.timer.Reset(w.after)
 }
 
@@ -81,10 +85,14 @@
 }
 
 // payForMove reports whether the request may continue at an endpoint other than from,
-// and takes the retry out of the budget if so.
-func (t *task) payForMove(from wick.EndpointName) bool {
+// and takes the retry out of the budget if so. A stream that has not begun stays once
+// pick would refuse it as too late.
+func (t *task) payForMove(from wick.EndpointName, begun bool) bool {
 	s := t.server
 	v, now := s.cfg.Control.View(), s.cfg.Clock.Now()
+	if !begun && now.Sub(t.start) >= t.latestBegin() {
+		return false
+	}
 	if t.remaining() < minRemaining || !t.hasOther(v, now, from) {
 		return false
 	}
--- a/direct/stall_test.go
+++ b/direct/stall_test.go
@@ -37,6 +37,7 @@
 		{"silent, goes on", silent, 2 * time.Second, true, 2, false, 1000, 2, true},
 		{"silent, goes on, no retry budget", silent, 2 * time.Second, true, 2, false, 0, 1, true},
 		{"silent, goes on, no other endpoint", silent, 2 * time.Second, true, 2, true, 1000, 1, true},
+		{"begins late", []string{"id", ": 1\n\n"}, 1900 * time.Millisecond, true, 2, false, 1000, 1, true},
 		{"bytes but no events, no retry budget", trickle, 100 * time.Millisecond, true, 2, false, 0, 1, false},
 	}
 	for _, test := range tests {
