--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -22,6 +22,7 @@
 
 // cases maps the name of a case to what plays it, which returns the number of breaks.
 var cases = map[string]func(*world) (int, error){
+	"slow-readers":  playSlowReaders,
 	"early-answers": playEarlyAnswers,
 	"parts":         playParts,
 }
