--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(*world) (int, error){
 	"slow-readers":  playSlowReaders,
 	"early-answers": playEarlyAnswers,
+	"forgotten":     playForgotten,
 	"parts":         playParts,
 }
 
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,6 +20,8 @@
 	beatTime = 1200 * time.Millisecond
 	// touchTime is stabilityWindowMs.
 	touchTime = 3 * time.Second
+	// downTime is how long a crashed server is down.
+	downTime = 3 * time.Second
 	// serverWindow is the receive buffer of a server's sockets, in bytes: links have small
 	// windows.
 	serverWindow = 16 << 10
@@ -49,8 +52,14 @@
 	answer       answer
 	// readsLate is set while the server reads long bodies after it has answered.
 	readsLate atomic.Bool
+	// deadly is called when a request begins to run, and reports whether it crashes the
+	// server; nil if none does.
+	deadly func(id string, body []byte) bool
 
 	born int64
+	http *http.Server
+	// down is set once this start has crashed.
+	down atomic.Bool
 
 	mu      sync.Mutex
 	running int
@@ -58,6 +67,7 @@
 	free    *sync.Cond
 	// ended are the requests that ran to a good end.
 	ended map[string]bool
+	// begun are the requests that began to run.
 	begun map[string]bool
 }
 
@@ -99,14 +109,18 @@
 	}
 	s.born = time.Now().UnixMilli()
 	s.free = sync.NewCond(&s.mu)
+	s.http = &http.Server{Handler: s}
 	s.world.group.Go(func() error {
-		_ = http.Serve(l, s) // Ends with the listener.
+		_ = s.http.Serve(l) // Ends with the server.
 		return nil
 	})
 	s.publish(1)
 	s.world.group.Go(func() error {
 		n := 1
 		for range time.Tick(beatTime) {
+			if s.down.Load() {
+				return nil
+			}
 			n++
 			s.publish(n)
 		}
@@ -115,6 +129,26 @@
 	return nil
 }
 
+// crash ends this start and all that it runs. Another one begins at the address after
+// downTime; the record of this one goes after three beats without a report.
+func (s *server) crash() {
+	if s.down.Swap(true) {
+		return
+	}
+	s.world.record.add("%s: crashes", s.id)
+	_ = s.http.Close() // Nothing can be done about a failure.
+	time.AfterFunc(3*beatTime, func() { s.world.store.put(names.ServerTopic, -1, entry{s.id, nil}) })
+	time.AfterFunc(downTime, func() {
+		next := &server{
+			id: fmt.Sprintf("i-%08x", rand.Uint32()), addr: s.addr, zone: s.zone, world: s.world, service: s.service, slots: s.slots, queue: s.queue,
+			answer: s.answer, deadly: s.deadly, ended: s.ended, begun: s.begun,
+		}
+		if err := next.start(); err != nil {
+			s.world.record.say("server not started again: %v", err)
+		}
+	})
+}
+
 func (s *server) publish(beat int) {
 	state := map[string]any{
 		"service": s.service, "address": s.addr, "zone": s.zone, "version": "v1", "slots": s.slots, "state": "ready",
@@ -154,13 +188,17 @@
 		})
 		return
 	}
+	var body []byte
 	if s.readsLate.Load() {
 		// It fails only on a closed channel.
 		_ = http.NewResponseController(w).EnableFullDuplex()
 		// The body is read after the answer, so that the channel can be kept.
 		defer io.Copy(io.Discard, r.Body)
-	} else if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		panic(http.ErrAbortHandler)
+	} else {
+		var err error
+		if body, err = io.ReadAll(r.Body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
 	}
 	if !s.enter() {
 		h.Set(names.NotRun, "1")
@@ -169,7 +207,7 @@
 	}
 	defer s.leave()
 	if s.service == engineService {
-		s.stream(w, r, id)
+		s.stream(w, r, id, body)
 		return
 	}
 	time.Sleep(plainWork)
@@ -201,7 +239,7 @@
 }
 
 // stream answers with the events after the last one that the caller has.
-func (s *server) stream(w http.ResponseWriter, r *http.Request, id string) {
+func (s *server) stream(w http.ResponseWriter, r *http.Request, id string, body []byte) {
 	h, control := w.Header(), http.NewResponseController(w)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // Without it, from the first event on.
 	data := strings.Repeat("x", s.answer.eventBytes)
@@ -220,6 +258,10 @@
 			s.begun[id] = true
 			s.mu.Unlock()
 			s.world.record.add("%s: %s begins to run", s.id, id)
+			if s.deadly != nil && s.deadly(id, body) {
+				s.crash()
+				panic(http.ErrAbortHandler)
+			}
 			h.Set(names.Seal, "seal."+s.id+"."+id)
 			h.Set("Content-Type", "text/event-stream")
 		}
