--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -25,6 +25,7 @@
 	"slow-readers":  playSlowReaders,
 	"early-answers": playEarlyAnswers,
 	"forgotten":     playForgotten,
+	"long-ids":      playLongIDs,
 	"parts":         playParts,
 }
 
