--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -75,8 +75,8 @@
 type answer struct {
 	// events is the number of events, and eventBytes the size of the data of each.
 	events, eventBytes int
-	// pace is the time of each event, and first what the first one takes beyond it.
-	pace, first time.Duration
+	// pace is the time of each event.
+	pace time.Duration
 }
 
 // startServers starts engines and the plain service, in all zones in turn. It returns the
@@ -243,16 +243,13 @@
 	h, control := w.Header(), http.NewResponseController(w)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // Without it, from the first event on.
 	data := strings.Repeat("x", s.answer.eventBytes)
-	wait := s.answer.first
 	for i := last; i < s.answer.events; i++ {
-		wait += s.answer.pace
 		select {
-		case <-time.After(wait):
+		case <-time.After(s.answer.pace):
 		case <-r.Context().Done():
 			s.world.record.add("%s: %s dropped after %d events, its channel is closed", s.id, id, i)
 			return
 		}
-		wait = 0
 		if i == last {
 			s.mu.Lock()
 			s.begun[id] = true
