Review: the second review's cases use the stand-ins of the first

review/stand2 was a copy of review/stand but for its cases. These are now files of the same program, which add themselves to its list; no file of the first review is changed. One ledger counts what ran, where two starts of a server wrote the same maps under locks of their own, and the two cases of kept channels share their callers.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,4 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the second review's scripts.
-set -euo pipefail
-cd "$(dirname "$0")/.."
-go build -o target/stand2 ./review/stand2
+# Builds the stand-ins of the second review's scripts, which are those of the first one with
+# files of their own.
+exec bash "$(dirname "$0")/build.sh"
--- a/review/stand2/config.go
+++ b/review/stand/deployment.go
@@ -5,21 +5,13 @@
 	"fmt"
 )
 
-// Figures of an engine and its model on the sheet of the small deployments.
-const (
-	modelName     = "daka510000"
-	modelAdapters = 3000
-	adapterSlots  = 17
-	engineSlots   = 128
-	engineQueue   = 384
-	engineTokens  = 149363
-	engineWeights = 16700
-	modelWeights  = 16100
-	adapterWeight = 14
-)
-
-// maxLost is the number of requests that may end without an answer.
-const maxLost = 3
+func init() {
+	cases["slow-readers"] = playSlowReaders
+	cases["early-answers"] = playEarlyAnswers
+	cases["forgotten"] = playForgotten
+	cases["long-ids"] = playLongIDs
+	cases["parts"] = playParts
+}
 
 // Host and paths of the routes.
 const (
@@ -29,28 +21,28 @@
 	confirmPath = "/puxa403/2f"
 )
 
-// putConfig writes the configuration of a small deployment: a stream that may not be
-// resumed and an unsafe call.
+// putConfig writes the configuration of a small deployment: streams that may not be resumed
+// and an unsafe call.
 func (w *world) putConfig() error {
 	data, err := json.Marshal(map[string]any{
 		"version": 1,
 		"routes": []map[string]any{{
 			"name": "berth-notice", "host": callersHost, names.PrefixField: "/lohu930/", "kind": "streaming", "timeoutMs": 10000, "objectiveMs": 800,
-			"gapTargetMs": 250, "priority": 0, "service": "draft-models", "attempts": 1, "resumable": false, names.Affinity: true,
+			"gapTargetMs": 250, "priority": 0, "service": engineService, "attempts": 1, "resumable": false,
 		}, {
 			"name": "tender-digest", "host": callersHost, names.PrefixField: "/zafe118/", "kind": "streaming", "timeoutMs": 8000, "objectiveMs": 1000,
-			"gapTargetMs": 250, "priority": 2, "service": "draft-models", "attempts": 1, "resumable": false, names.Affinity: true,
+			"gapTargetMs": 250, "priority": 2, "service": engineService, "attempts": 1, "resumable": false,
 		}, {
 			"name": "book-confirm", "host": callersHost, names.PrefixField: "/puxa403/", "kind": "unsafe", "timeoutMs": 600, "objectiveMs": 100,
-			"priority": 2, "service": "booking-desk", "attempts": 1,
+			"priority": 2, "service": plainService, "attempts": 1,
 		}},
 		"services": []map[string]any{{
-			"name": "draft-models", "healthPath": "/health", "connectionLimit": 620,
+			"name": engineService, "healthPath": "/health", "connectionLimit": 620,
 			"engine": map[string]any{
 				"slots": engineSlots, "kvCacheTokens": engineTokens, "adapterSlots": adapterSlots, "loadsPerS": 4.3, "weightsMb": engineWeights,
 				"models": []map[string]any{{"name": modelName, "weightsMb": modelWeights, "loadS": 1.3, "adapters": modelAdapters, "adapterMb": adapterWeight}},
 			},
-		}, {"name": "booking-desk", "healthPath": "/health", "connectionLimit": 100}},
+		}, {"name": plainService, "healthPath": "/health", "connectionLimit": 100}},
 		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 3000, "idleMs": 15000},
 	})
 	if err != nil {
--- a/review/stand2/forget.go
+++ b/review/stand/forget.go
@@ -26,8 +26,6 @@
 	forgetInterval = 8600 * time.Microsecond
 	forgetEvents   = 35
 	forgetPace     = 80 * time.Millisecond
-	// maxRetries is the number of retries that may reach servers.
-	maxRetries = 3
 )
 
 // deadlyBody is the body of the request that crashes servers.
@@ -96,7 +94,7 @@
 	if err := w.putConfig(); err != nil {
 		return 0, err
 	}
-	servers, err := w.startServers(forgetServers, answer{events: forgetEvents, eventBytes: 40, pace: forgetPace})
+	servers, err := w.startEndpoints(forgetServers, shape{events: forgetEvents, eventBytes: 40, pace: forgetPace})
 	if err != nil {
 		return 0, err
 	}
@@ -125,7 +123,7 @@
 				switch r := c.send(request{path: berthPath, left: 10 * time.Second, body: fmt.Appendf(nil, "draft the notice of berth %d", 100+n)}); {
 				case r.status == http.StatusOK:
 					whole.Add(1)
-				case !hasBegun(servers, r.id):
+				case !servers[0].begun.has(r.id):
 					refused.Add(1)
 				case !wasDown && !killed.Load():
 					lost.Add(1)
--- a/review/stand2/ids.go
+++ b/review/stand/ids.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -32,7 +31,6 @@
 
 // ask sends a request without a route until end and counts the answers.
 func (c *caller) ask(id string, end time.Time, answers *atomic.Int32) error {
-	in := bufio.NewReader(c.conn)
 	head := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 600\r\n\r\n", unknownPath, callersHost, names.Attempt, id, names.Left)
 	for time.Now().Before(end) {
 		if err := c.conn.SetDeadline(time.Now().Add(idsTime)); err != nil {
@@ -41,7 +39,7 @@
 		if _, err := io.WriteString(c.conn, head); err != nil {
 			return fmt.Errorf("send: %w", err)
 		}
-		resp, err := http.ReadResponse(in, nil)
+		resp, err := http.ReadResponse(c.in, nil)
 		if err != nil {
 			return fmt.Errorf("read answer: %w", err)
 		}
@@ -60,19 +58,14 @@
 	if err := w.putConfig(); err != nil {
 		return 0, err
 	}
-	servers, err := w.startServers(idsServers, answer{events: idsEvents, eventBytes: 40, pace: idsPace})
+	servers, err := w.startEndpoints(idsServers, shape{events: idsEvents, eventBytes: 40, pace: idsPace})
 	if err != nil {
 		return 0, err
 	}
 	if err := w.startDaemons(idsDaemons, w.storeAddress()); err != nil {
 		return 0, err
 	}
-	for _, d := range w.daemons {
-		w.group.Go(func() error {
-			w.guard(d)
-			return nil
-		})
-	}
+	w.guardAll()
 	time.Sleep(touchTime)
 	id := newID()
 	if w.trouble {
@@ -80,7 +73,7 @@
 		id = strings.Repeat("\xff", idsBytes)
 	}
 	to := w.net.at(firstDaemon, portFront)
-	tally := &ordinary{servers: servers}
+	tally := &ordinary{begun: servers[0].begun}
 	var crowd, callers errgroup.Group
 	begin := time.Now().Add(time.Second)
 	end := begin.Add(idsTime)
--- a/review/stand2/caller.go
+++ b/review/stand/keptchannel.go
@@ -8,14 +8,19 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // readBuffer is the most that a caller takes with one read, in bytes.
 const readBuffer = 32 << 10
 
-// caller is a client with one channel that it keeps.
+// caller is a client with one channel that it keeps. It writes heads as they are, where an
+// http.Client would change some, and paces what it reads.
 type caller struct {
 	world *world
 	conn  net.Conn
@@ -61,16 +66,6 @@
 	return &caller{world: w, conn: c, source: source, in: bufio.NewReaderSize(source, readBuffer)}, nil
 }
 
-func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
-
-// result is the end of a request; status is 0 if no answer arrived whole.
-type result struct {
-	id     string
-	status int
-	body   []byte
-	err    error
-}
-
 // request is a request of a caller.
 type request struct {
 	path string
@@ -121,3 +116,65 @@
 	}
 	res.status = resp.StatusCode
 }
+
+// shortBody is the body of a request whose length doesn't matter.
+var shortBody = []byte("body")
+
+// callInterval is the time between two callers of playKept.
+const callInterval = 50 * time.Millisecond
+
+// keptPlay describes callers that send two requests each on a channel.
+type keptPlay struct {
+	callers, daemons int
+	path             string
+	left             time.Duration
+	// body is that of the second request.
+	body []byte
+	// window is the receive buffer of a caller's socket; 0 for that of the system.
+	window int
+	// pause is the time between two reads of the second answer.
+	pause time.Duration
+	// ran has the requests that count as run.
+	ran *ledger
+}
+
+// playKept plays the callers and returns by how many the lost second requests exceed
+// maxLost.
+func (w *world) playKept(p keptPlay) (int, error) {
+	var kept, whole, refused, late, lost atomic.Int32
+	var callers errgroup.Group
+	for n := range p.callers {
+		callers.Go(func() error {
+			time.Sleep(time.Duration(n) * callInterval)
+			c, err := w.dial(w.net.at(firstDaemon+n%p.daemons, portFront), p.window)
+			if err != nil {
+				return err
+			}
+			defer c.conn.Close()
+			if r := c.send(request{path: p.path, left: p.left, body: shortBody}); r.status != http.StatusOK {
+				w.record.add("%s: the first request on the channel failed", r.id)
+				return nil
+			}
+			kept.Add(1)
+			c.source.pause = p.pause
+			switch r := c.send(request{path: p.path, left: p.left, body: p.body}); {
+			case r.status == http.StatusOK:
+				whole.Add(1)
+			case r.status != 0:
+				refused.Add(1)
+			case errors.Is(r.err, os.ErrDeadlineExceeded):
+				late.Add(1)
+			case p.ran.has(r.id):
+				lost.Add(1)
+				w.record.say("LOST: %s ran; its channel was closed after %d bytes of the answer: %v", r.id, len(r.body), r.err)
+			}
+			return nil
+		})
+	}
+	if err := callers.Wait(); err != nil {
+		return 0, err
+	}
+	w.record.say("%d channels carried a first request; of the second ones %d were answered, %d refused or failed, %d passed their deadline, %d were lost, %d are allowed",
+		kept.Load(), whole.Load(), refused.Load(), late.Load(), lost.Load(), maxLost)
+	return max(int(lost.Load())-maxLost, 0), nil
+}
--- a/review/stand2/parts.go
+++ b/review/stand/parts.go
@@ -47,25 +47,21 @@
 	if err := w.putConfig(); err != nil {
 		return 0, err
 	}
-	servers, err := w.startServers(partsServers, answer{events: partsEvents, eventBytes: 40, pace: partsPace})
+	servers, err := w.startEndpoints(partsServers, shape{events: partsEvents, eventBytes: 40, pace: partsPace})
 	if err != nil {
 		return 0, err
 	}
 	if err := w.startDaemons(1, w.storeAddress()); err != nil {
 		return 0, err
 	}
-	d := w.daemons[0]
-	w.group.Go(func() error {
-		w.guard(d)
-		return nil
-	})
+	w.guardAll()
 	time.Sleep(touchTime)
-	r := request{path: berthPath, left: partsLeft, body: []byte("body")}
+	r := request{path: berthPath, left: partsLeft, body: shortBody}
 	if w.trouble {
 		r.parts = manyParts()
 	}
 	to := w.net.at(firstDaemon, portFront)
-	tally := &ordinary{servers: servers}
+	tally := &ordinary{begun: servers[0].begun}
 	var sent, answered atomic.Int32
 	var crowd, callers errgroup.Group
 	for n := range partsCrowd {
