--- a/review/stand/parts.go
+++ b/review/stand/parts.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -22,8 +21,10 @@
 	partsEvents = 35
 	partsPace   = 240 * time.Millisecond
 	partsLeft   = 10 * time.Second
-	// partIDs is the number of different parts.
-	partIDs = 16
+	// emptyPart is a part without a name and without tokens, and lastPart the last one of a
+	// usual prompt.
+	emptyPart = ",:0"
+	lastPart  = ",91bd3f06:398"
 	// partsBytes is the size of the header field that lists the parts. The whole head stays
 	// within the 16,384 bytes that the configuration allows.
 	partsBytes = 15_800
@@ -33,10 +34,10 @@
 func manyParts() string {
 	var b strings.Builder
 	b.WriteString("5c1e07a2:93")
-	for n := 0; b.Len() < partsBytes-len(",f:0"); n++ {
-		fmt.Fprintf(&b, ",%x:0", n%partIDs)
+	for b.Len() < partsBytes-len(emptyPart)-len(lastPart) {
+		b.WriteString(emptyPart)
 	}
-	b.WriteString(",91bd3f06:398")
+	b.WriteString(lastPart)
 	return b.String()
 }
 
