--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -51,3 +51,16 @@
 	w.store.put(names.ConfigTopic, -1, entry{"config", data})
 	return nil
 }
+
+// startSmall starts a small deployment with the given numbers of engines and daemons, and
+// returns the engines.
+func (w *world) startSmall(engines int, a shape, daemons int) ([]*endpoint, error) {
+	if err := w.putConfig(); err != nil {
+		return nil, err
+	}
+	list, err := w.startEndpoints(engines, a)
+	if err != nil {
+		return nil, err
+	}
+	return list, w.startDaemons(daemons, w.storeAddress())
+}
--- a/review/stand/early.go
+++ b/review/stand/early.go
@@ -23,16 +23,10 @@
 // playEarlyAnswers sends streams with long bodies on channels that have carried a request
 // before. The servers answer before they have read the bodies, and read them afterwards.
 func playEarlyAnswers(w *world) (int, error) {
-	if err := w.putConfig(); err != nil {
-		return 0, err
-	}
-	servers, err := w.startEndpoints(earlyServers, shape{events: earlyEvents, eventBytes: 40, pace: earlyPace})
+	servers, err := w.startSmall(earlyServers, shape{events: earlyEvents, eventBytes: 40, pace: earlyPace}, earlyDaemons)
 	if err != nil {
 		return 0, err
 	}
-	if err := w.startDaemons(earlyDaemons, w.storeAddress()); err != nil {
-		return 0, err
-	}
 	time.Sleep(touchTime)
 	for _, s := range servers {
 		s.readsLate.Store(w.trouble)
--- a/review/stand/forget.go
+++ b/review/stand/forget.go
@@ -38,7 +38,7 @@
 	times []time.Time
 }
 
-// deadly implements the field of server.
+// deadly implements the field of endpoint.
 func (l *crashList) deadly(id string, body []byte) bool {
 	if string(body) != deadlyBody {
 		return false
@@ -91,10 +91,7 @@
 // again, beside sound ones. After the third crash it kills all daemons once. It counts the
 // retries that reach servers from machines in touch.
 func playForgotten(w *world) (int, error) {
-	if err := w.putConfig(); err != nil {
-		return 0, err
-	}
-	servers, err := w.startEndpoints(forgetServers, shape{events: forgetEvents, eventBytes: 40, pace: forgetPace})
+	servers, err := w.startSmall(forgetServers, shape{events: forgetEvents, eventBytes: 40, pace: forgetPace}, forgetDaemons)
 	if err != nil {
 		return 0, err
 	}
@@ -102,9 +99,6 @@
 	for _, s := range servers {
 		s.deadly = crashes.deadly
 	}
-	if err := w.startDaemons(forgetDaemons, w.storeAddress()); err != nil {
-		return 0, err
-	}
 	time.Sleep(touchTime)
 	end := time.Now().Add(forgetTime)
 	var killed atomic.Bool // While the daemons are down, and not in touch afterwards.
--- a/review/stand/ids.go
+++ b/review/stand/ids.go
@@ -55,16 +55,10 @@
 // playLongIDs sends requests with long identifiers to one daemon, beside ordinary callers
 // that keep their channels. The platform kills a daemon whose memory exceeds its limit.
 func playLongIDs(w *world) (int, error) {
-	if err := w.putConfig(); err != nil {
-		return 0, err
-	}
-	servers, err := w.startEndpoints(idsServers, shape{events: idsEvents, eventBytes: 40, pace: idsPace})
+	servers, err := w.startSmall(idsServers, shape{events: idsEvents, eventBytes: 40, pace: idsPace}, idsDaemons)
 	if err != nil {
 		return 0, err
 	}
-	if err := w.startDaemons(idsDaemons, w.storeAddress()); err != nil {
-		return 0, err
-	}
 	w.guardAll()
 	time.Sleep(touchTime)
 	id := newID()
--- a/review/stand/parts.go
+++ b/review/stand/parts.go
@@ -45,16 +45,10 @@
 // their channels. One daemon is left. The platform kills it if its memory exceeds its
 // limit.
 func playParts(w *world) (int, error) {
-	if err := w.putConfig(); err != nil {
-		return 0, err
-	}
-	servers, err := w.startEndpoints(partsServers, shape{events: partsEvents, eventBytes: 40, pace: partsPace})
+	servers, err := w.startSmall(partsServers, shape{events: partsEvents, eventBytes: 40, pace: partsPace}, 1)
 	if err != nil {
 		return 0, err
 	}
-	if err := w.startDaemons(1, w.storeAddress()); err != nil {
-		return 0, err
-	}
 	w.guardAll()
 	time.Sleep(touchTime)
 	r := request{path: berthPath, left: partsLeft, body: shortBody}
--- a/review/stand/slow.go
+++ b/review/stand/slow.go
@@ -24,16 +24,10 @@
 // playSlowReaders sends streams on channels that have carried one before, and reads their
 // answers slowly.
 func playSlowReaders(w *world) (int, error) {
-	if err := w.putConfig(); err != nil {
-		return 0, err
-	}
-	servers, err := w.startEndpoints(slowServers, shape{events: slowEvents, eventBytes: slowBytes, pace: slowPace})
+	servers, err := w.startSmall(slowServers, shape{events: slowEvents, eventBytes: slowBytes, pace: slowPace}, slowDaemons)
 	if err != nil {
 		return 0, err
 	}
-	if err := w.startDaemons(slowDaemons, w.storeAddress()); err != nil {
-		return 0, err
-	}
 	time.Sleep(touchTime)
 	play := keptPlay{
 		callers: slowCallers, daemons: slowDaemons, path: berthPath, left: slowLeft, body: shortBody, window: slowWindow,
