conns: an unframed answer that is reset during the upload is not complete

Callers got a part of an answer as a complete one: a runner answered a long request at once, without a length, sent a part of the body and reset the connection while the request was still being written.

Cause: the kernel reports a reset to one call only. If that is the write, which runs in a goroutine of its own, the read returns io.EOF like after an orderly close, and the result of the write was dropped.

At the end of an unframed body the rest of the request is no longer written, and the result of the write decides: any error but EPIPE, which follows an orderly close, and the deadline that ended the write makes the answer a broken one. The check is in Reply.Read, which all answers of runners and of the store pass: whole ones, streams, resumed and hedged ones.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"currantwick"
@@ -82,8 +84,8 @@
 
 	conn *conn
 	body io.ReadCloser
-	// written is closed once a long request is written; nil for a short one.
-	written chan struct{}
+	// writing is the write of a long request; nil for a short one.
+	writing *requestWrite
 	// stop cancels the close of the connection at the end of the request's context;
 	// it returns false if that close has already started.
 	stop func() bool
@@ -92,6 +94,13 @@
 	closing, done bool
 }
 
+// requestWrite is the write of a request concurrently with the reading of its response.
+type requestWrite struct {
+	// ended is closed at the end of the write; err is valid from then on.
+	ended chan struct{}
+	err   error
+}
+
 // Do sends a request and reads the header of the response. Canceling ctx closes
 // the connection, also while the body is read. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, addr wick.Address, req *Request) (*Reply, error) {
@@ -153,18 +162,15 @@
 		}
 		return true, nil
 	}
-	r.written = make(chan struct{})
-	done, nc := r.written, r.conn.net
+	r.writing = &requestWrite{ended: make(chan struct{})}
+	w, nc := r.writing, r.conn.net
 	r.conn.pool.group.Go(func() error {
+		defer close(w.ended)
 		// Two writes, as a copy of a long body would take its memory twice.
-		_, err := nc.Write(head)
-		if err == nil {
-			_, err = nc.Write(req.Body)
+		if _, w.err = nc.Write(head); w.err == nil {
+			_, w.err = nc.Write(req.Body)
 		}
-		if err == nil {
-			close(done)
-		}
-		return nil // A failed write shows as a missing response.
+		return nil // A failed write shows as a missing response, or in checkEnd.
 	})
 	return true, nil
 }
@@ -233,12 +239,16 @@
 	return true, nil
 }
 
-// Read implements io.Reader. It returns io.EOF only after a complete body, as far as
-// that shows (see Unframed).
+// Read implements io.Reader. It returns io.EOF only after a complete body; one that is
+// unframed counts as complete if the remote end closed the connection without a reset.
 func (r *Reply) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	switch {
 	case errors.Is(err, io.EOF):
+		if cut := r.checkEnd(); cut != nil {
+			r.drop()
+			return n, fmt.Errorf("read body: %w", cut)
+		}
 		r.finish()
 	case err != nil:
 		r.drop()
@@ -247,6 +257,29 @@
 	return n, err
 }
 
+// checkEnd returns an error if an unframed body did not end with an orderly close of its
+// connection. The kernel reports a failed connection to one call only: if that was the write
+// of the request, reads return io.EOF as if the remote end had closed the connection.
+func (r *Reply) checkEnd() error {
+	if !r.Unframed || r.writing == nil {
+		return nil
+	}
+	// The connection can't be reused, so the rest of the request need not be written.
+	r.closing = true
+	if err := r.conn.net.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return fmt.Errorf("end the request: %w", err)
+	}
+	<-r.writing.ended
+	switch err := r.writing.err; {
+	case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+		return nil
+	case errors.Is(err, syscall.EPIPE):
+		return nil // The reset followed an orderly close.
+	default:
+		return fmt.Errorf("connection failed while the request was written: %w", err)
+	}
+}
+
 // finish returns the connection to the pool after a complete response, or closes
 // it if it can't be reused.
 func (r *Reply) finish() {
@@ -263,12 +296,12 @@
 
 // requestSent reports whether the whole request was written.
 func (r *Reply) requestSent() bool {
-	if r.written == nil {
+	if r.writing == nil {
 		return true
 	}
 	select {
-	case <-r.written:
-		return true
+	case <-r.writing.ended:
+		return r.writing.err == nil
 	default:
 		return false
 	}
