heads: answers with an invalid status line are broken answers

Callers got answers whose status is none. On the platform: 600 to 999 as they came; after 000 to 099, which were skipped like interim responses, the body of the answer was read as the next answer and passed on; 999 or a control byte in the reason beside the field for requests that were not run had unsafe requests and streams sent twice. On the product's own interface: 000 as 200, others as they came.

Cause: both clients took the parser's word for a status. net/http and fasthttp accept any three digits, net/http also a sign, fasthttp empty lines before the head, both other versions and control bytes in the reason; fasthttp returns 200 for 0.

heads.Check checks the status line by RFC 9112, section 4, and the code by RFC 9110, section 15, before a parser sees the head: in conns for runners and the platform's store, in httpc for engines, plain services, the log and the list of hosts.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -11,6 +13,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/heads"
 )
 
 // readBuffer is sized for a response header and a few stream events.
@@ -80,6 +83,24 @@
 	return n, err
 }
 
+// checkHead reads the next head into the buffer, which grows for a long one, and returns an
+// error if it is malformed.
+func (c *conn) checkHead() error {
+	for {
+		err := heads.Check(c.read)
+		if !errors.Is(err, bufio.ErrBufferFull) || c.read.Size() >= maxHeader {
+			return err
+		}
+		c.resizeBuffer(2 * c.read.Size())
+	}
+}
+
+// resizeBuffer replaces the buffer by one of another size that has room for its contents.
+func (c *conn) resizeBuffer(size int) {
+	buffered, _ := c.read.Peek(c.read.Buffered()) // What is buffered can be peeked.
+	c.read = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(buffered), &c.input), size)
+}
+
 // isIdle reports whether a connection is open and has no unread bytes.
 func (c *conn) isIdle() bool {
 	isIdle := false
@@ -108,6 +129,9 @@
 		c.close()
 		return
 	}
+	if c.read.Size() > readBuffer {
+		c.resizeBuffer(readBuffer)
+	}
 	now := time.Now()
 	c.lastUsed, c.expiresAt, c.reused = now, now.Add(idle), true
 	c.pool.put(c)
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -66,6 +66,9 @@
 	}
 }
 
+// longHeader exceeds the buffer of a new connection.
+var longHeader = strings.Replace(ok, "Id: 1", "Id: 1\r\nLong: "+strings.Repeat("y", 40<<10), 1)
+
 const ok = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nhi"
 
 func request(id string) *conns.Request {
@@ -85,6 +88,8 @@
 		{"chunked", []script{answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n")}, "hi", false},
 		{"body up to the end of the connection", []script{answer("HTTP/1.1 200 OK\r\n\r\nhi")}, "hi", false},
 		{"after an interim response", []script{answer("HTTP/1.1 100 Continue\r\n\r\n" + ok)}, "hi", false},
+		{"long header", []script{answer(longHeader)}, "hi", false},
+		{"long header after a response to an earlier request", []script{answer(strings.Replace(longHeader, "Id: 1", "Id: 0", 1) + ok)}, "hi", false},
 		{"after a response to an earlier request", []script{answer(strings.Replace(ok, "Id: 1", "Id: 0", 1) + ok)}, "hi", false},
 		{"truncated body", []script{answer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi")}, "", true},
 		{"truncated chunk", []script{answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhi")}, "", true},
@@ -122,6 +127,8 @@
 		reused  bool
 	}{
 		{"complete response", ok, time.Hour, true},
+		{"complete response with a long header", longHeader, time.Hour, true},
+		{"bytes after a response with a long header", longHeader + "more", time.Hour, false},
 		{"idle for too long", ok, time.Nanosecond, false},
 		{"remote end closes", close, time.Hour, false},
 		{"bytes after the response", ok + "more", time.Hour, false},
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -197,6 +197,9 @@
 	c := r.conn
 	c.input.left = maxHeader
 	for range maxSkipped + 1 {
+		if err := c.checkHead(); err != nil {
+			return fmt.Errorf("read answer: %w", err)
+		}
 		resp, err := http.ReadResponse(c.read, &http.Request{Method: req.Method})
 		if err != nil {
 			return fmt.Errorf("read answer: %w", err)
--- /dev/null
+++ b/heads/heads.go
@@ -0,0 +1,80 @@
+// Package heads checks the heads of HTTP/1.1 responses before a library parses them. The
+// libraries accept more than RFC 9110 and RFC 9112 allow, and differ in what they make of it.
+package heads
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// Bounds of valid status codes. The protocol has no meaning for others, although three
+// digits have room for them.
+const (
+	minStatus = http.StatusContinue
+	maxStatus = 599
+)
+
+// Check reads the next head into the buffer of r, and returns an error if it is malformed.
+// It consumes nothing. The error is bufio.ErrBufferFull if the head exceeds the buffer, and
+// io.ErrUnexpectedEOF if the input ends before the head does.
+func Check(r *bufio.Reader) error {
+	checked, hasStatus := 0, false
+	for {
+		buf, _ := r.Peek(r.Buffered()) // What is buffered can be peeked.
+		for {
+			n := bytes.IndexByte(buf[checked:], '\n')
+			if n < 0 {
+				break
+			}
+			line := bytes.TrimSuffix(buf[checked:checked+n], []byte("\r"))
+			checked += n + 1
+			switch {
+			case !hasStatus:
+				if err := checkStatusLine(line); err != nil {
+					return err
+				}
+				hasStatus = true
+			case len(line) == 0:
+				return nil
+			}
+		}
+		if _, err := r.Peek(len(buf) + 1); errors.Is(err, io.EOF) {
+			return fmt.Errorf("read: %w", io.ErrUnexpectedEOF)
+		} else if err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+	}
+}
+
+// checkStatusLine checks a status line as of RFC 9112, section 4. The blank before an empty
+// reason may be missing, as many servers leave it out.
+func checkStatusLine(line []byte) error {
+	const version, status = len("HTTP/1.1"), len("200")
+	malformed := func() error { return fmt.Errorf("malformed status line %q", line) }
+	if len(line) < version+1+status || !bytes.HasPrefix(line, []byte("HTTP/1.")) || !isDigit(line[version-1]) || line[version] != ' ' {
+		return malformed()
+	}
+	code, reason := 0, line[version+1+status:]
+	for _, c := range line[version+1 : version+1+status] {
+		if !isDigit(c) {
+			return malformed()
+		}
+		code = 10*code + int(c-'0')
+	}
+	if len(reason) > 0 && reason[0] != ' ' || !httpguts.ValidHeaderFieldValue(string(reason)) {
+		return malformed()
+	}
+	// No request asks for another protocol.
+	if code < minStatus || code > maxStatus || code == http.StatusSwitchingProtocols {
+		return fmt.Errorf("invalid status code %03d", code)
+	}
+	return nil
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
--- a/httpc/httpc.go
+++ b/httpc/httpc.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"currantwick"
+	"currantwick/heads"
 
 	"github.com/valyala/fasthttp"
 )
@@ -140,6 +141,9 @@
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
+	if err := heads.Check(x.r); err != nil {
+		return fmt.Errorf("read head: %w", err)
+	}
 	if err := x.resp.Header.Read(x.r); err != nil {
 		return fmt.Errorf("read head: %w", err)
 	}
--- /dev/null
+++ b/httpc/httpc_test.go
@@ -0,0 +1,97 @@
+package httpc_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/httpc"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+// serve starts a server that sends one answer on each connection, and returns its address.
+func serve(t *testing.T, answer string) wick.Address {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				io.WriteString(c, answer)
+			}
+			c.Close()
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	return wick.Address(l.Addr().String())
+}
+
+// An answer with a head that HTTP does not allow is an error after which the request may have
+// run, both for a whole answer and for a stream.
+func TestHeads(t *testing.T) {
+	const rest = "Content-Length: 2\r\n\r\nhi"
+	tests := []struct {
+		name, answer string
+		sound        bool
+	}{
+		{"sound", "HTTP/1.1 200 OK\r\n" + rest, true},
+		{"status 000", "HTTP/1.1 000 Trouble\r\n" + rest, false},
+		{"status 099", "HTTP/1.1 099 Trouble\r\n" + rest, false},
+		{"status 600", "HTTP/1.1 600 Trouble\r\n" + rest, false},
+		{"control byte after the status", "HTTP/1.1 200 O\x01K\r\n" + rest, false},
+		{"other protocol", "HTTP/2.0 200 OK\r\n" + rest, false},
+		{"empty line before the head", "\r\nHTTP/1.1 200 OK\r\n" + rest, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			addr := serve(t, test.answer)
+			c := httpc.New(httpc.Config{ReadTimeout: wick.Duration(time.Second)})
+			var req fasthttp.Request
+			var resp fasthttp.Response
+			err := c.Do(t.Context(), addr, &req, &resp)
+			check(t, resp.StatusCode(), string(resp.Body()), err, test.sound)
+
+			var streamed fasthttp.Response
+			x, err := c.Open(t.Context(), addr, &req, &streamed)
+			if err != nil {
+				check(t, 0, "", err, test.sound)
+				return
+			}
+			defer x.Close()
+			if streamed.StatusCode() != fasthttp.StatusOK {
+				check(t, streamed.StatusCode(), string(streamed.Body()), nil, test.sound)
+				return
+			}
+			body, err := io.ReadAll(x.Body())
+			check(t, fasthttp.StatusOK, string(body), err, test.sound)
+		})
+	}
+}
+
+func check(t *testing.T, status int, body string, err error, sound bool) {
+	t.Helper()
+	if sound && (err != nil || status != fasthttp.StatusOK || body != "hi") {
+		t.Errorf("got %d %q, %v; want 200 hi", status, body, err)
+	}
+	if !sound && (err == nil || wick.AsError(err).Outcome != wick.Unknown) {
+		t.Errorf("got %d %q, %v; want an error with the outcome Unknown", status, body, err)
+	}
+}
