heads: answers with malformed header lines are broken answers

Callers got answers in whose head the name of a field held a blank. The line was passed on, or, if it was that of the length, the answer ended with its connection and with a body that was not the runner's. Beside the field for requests that were not run, such a head had unsafe requests and streams sent twice.

Cause: net/http takes a blank in a name as a part of a field that it does not know, fasthttp drops one before the colon, and both join lines that begin with a blank to the line before.

heads.Check, which all answers pass, now checks each line: the name is a token, the value has no control bytes but tabs, and nothing is folded, as RFC 9112 lets proxies require.

--- a/heads/heads.go
+++ b/heads/heads.go
@@ -20,6 +20,9 @@
 	maxStatus = 599
 )
 
+// maxQuoted bounds what an error quotes of a line, in bytes.
+const maxQuoted = 80
+
 // Check reads the next head into the buffer of r, and returns an error if it is malformed.
 // It consumes nothing. The error is bufio.ErrBufferFull if the head exceeds the buffer, and
 // io.ErrUnexpectedEOF if the input ends before the head does.
@@ -42,6 +45,10 @@
 				hasStatus = true
 			case len(line) == 0:
 				return nil
+			default:
+				if err := checkField(line); err != nil {
+					return err
+				}
 			}
 		}
 		if _, err := r.Peek(len(buf) + 1); errors.Is(err, io.EOF) {
@@ -56,7 +63,7 @@
 // reason may be missing, as many servers leave it out.
 func checkStatusLine(line []byte) error {
 	const version, status = len("HTTP/1.1"), len("200")
-	malformed := func() error { return fmt.Errorf("malformed status line %q", line) }
+	malformed := func() error { return fmt.Errorf("malformed status line %q", line[:min(len(line), maxQuoted)]) }
 	if len(line) < version+1+status || !bytes.HasPrefix(line, []byte("HTTP/1.")) || !isDigit(line[version-1]) || line[version] != ' ' {
 		return malformed()
 	}
@@ -77,4 +84,15 @@
 	return nil
 }
 
+// checkField checks a line of the header as of RFC 9110, sections 5.1 and 5.5. A line that
+// begins with a blank is malformed too: RFC 9112, section 5.2 lets proxies reject a response
+// that folds lines.
+func checkField(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
+		return fmt.Errorf("malformed header line %q", line[:min(len(line), maxQuoted)])
+	}
+	return nil
+}
+
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
--- a/heads/heads_test.go
+++ b/heads/heads_test.go
@@ -59,6 +59,47 @@
 	}
 }
 
+func TestFields(t *testing.T) {
+	tests := []struct {
+		name, fields string
+		valid        bool
+	}{
+		{"none", "", true},
+		{"letters, digits, dashes", "X-Y2: 1\r\n", true},
+		{"all characters of tokens", "!#$%&'*+-.^_`|~09azAZ: 1\r\n", true},
+		{"no value", "X:\r\nY: \r\n", true},
+		{"blanks around the value", "X: \t a b\t \r\n", true},
+		{"colons and bytes over 127 in the value", "X: a:b \xfc\r\n", true},
+		{"line feeds only", "X: 1\nY: 2\n", true},
+		{"blank in the name", "X Y: 1\r\n", false},
+		{"blank after the name", "X : 1\r\n", false},
+		{"blank before the first name", " X: 1\r\n", false},
+		{"blank before another name", "X: 1\r\n Y: 1\r\n", false},
+		{"tab before another name", "X: 1\r\n\tY: 1\r\n", false},
+		{"tab in the name", "X\tY: 1\r\n", false},
+		{"zero byte in the name", "X\x00Y: 1\r\n", false},
+		{"control byte in the name", "X\x1fY: 1\r\n", false},
+		{"delete in the name", "X\x7fY: 1\r\n", false},
+		{"carriage return in the name", "X\rY: 1\r\n", false},
+		{"separator in the name", "X(Y): 1\r\n", false},
+		{"byte over 127 in the name", "X\xfcY: 1\r\n", false},
+		{"no name", ": 1\r\n", false},
+		{"no colon", "X\r\n", false},
+		{"blank line", "X: 1\r\n \r\n", false},
+		{"zero byte in the value", "X: a\x00b\r\n", false},
+		{"carriage return in the value", "X: a\rY: b\r\n", false},
+		{"two carriage returns", "X: a\r\r\n", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			err := heads.Check(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n" + test.fields + "\r\n")))
+			if (err == nil) != test.valid {
+				t.Errorf("got %v, want an error: %v", err, !test.valid)
+			}
+		})
+	}
+}
+
 // Check consumes nothing, however the head arrives, and does not read beyond it.
 func TestCheckConsumesNothing(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nX: y\nZ: \r\n\r\n"
--- a/httpc/httpc_test.go
+++ b/httpc/httpc_test.go
@@ -58,6 +58,11 @@
 		{"status 600", "HTTP/1.1 600 Trouble\r\n" + rest, false},
 		{"control byte after the status", "HTTP/1.1 200 O\x01K\r\n" + rest, false},
 		{"other protocol", "HTTP/2.0 200 OK\r\n" + rest, false},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nX Y: 1\r\n" + rest, false},
+		{"blank after a name", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nhi", false},
+		{"blank before a name", "HTTP/1.1 200 OK\r\nX: 1\r\n Y: 2\r\n" + rest, false},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Y: 1\r\n" + rest, false},
+		{"no name", "HTTP/1.1 200 OK\r\n: 1\r\n" + rest, false},
 		{"empty line before the head", "\r\nHTTP/1.1 200 OK\r\n" + rest, false},
 	}
 	for _, test := range tests {
