httpc: an answer after an interim one is not lost

Callers of plain services, and the daemon itself in calls to engines, the log and the list of hosts, got an error with an unknown outcome where an interim answer, such as 103, came before a sound one.

Cause: httpc reads the head by the parser's ResponseHeader, which does not skip interim heads, and took the interim one, which has no length, as that of an answer which may be cut. It now skips up to four of them, each checked like the head of the answer.

httpc.TestHeads: the row with an answer after an interim one failed before. Those with interim answers only, without end, or before a malformed head were errors before too.

--- a/httpc/httpc.go
+++ b/httpc/httpc.go
@@ -26,6 +26,9 @@
 	defaultMaxReply    = wick.Bytes(8 << 20)
 )
 
+// maxInterim bounds the interim replies that are skipped.
+const maxInterim = 4
+
 // Config sets the limits of exchanges. Zero fields have defaults.
 type Config struct {
 	// DialTimeout bounds the time to connect; 2 s by default.
@@ -141,13 +144,23 @@
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
-	if err := heads.Check(x.r); err != nil {
-		return fmt.Errorf("read head: %w", err)
-	}
-	if err := x.resp.Header.Read(x.r); err != nil {
-		return fmt.Errorf("read head: %w", err)
+	return x.readHead()
+}
+
+// readHead reads the head of the reply and skips interim ones.
+func (x *Exchange) readHead() error {
+	for range maxInterim + 1 {
+		if err := heads.Check(x.r); err != nil {
+			return fmt.Errorf("read head: %w", err)
+		}
+		if err := x.resp.Header.Read(x.r); err != nil {
+			return fmt.Errorf("read head: %w", err)
+		}
+		if x.resp.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
 	}
-	return nil
+	return fmt.Errorf("read head: more than %d interim replies", maxInterim)
 }
 
 func (x *Exchange) readWhole(limit int) error {
--- a/httpc/httpc_test.go
+++ b/httpc/httpc_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,12 +48,19 @@
 // An answer with a head that HTTP does not allow is an error after which the request may have
 // run, both for a whole answer and for a stream.
 func TestHeads(t *testing.T) {
-	const rest = "Content-Length: 2\r\n\r\nhi"
+	const (
+		rest    = "Content-Length: 2\r\n\r\nhi"
+		interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+	)
 	tests := []struct {
 		name, answer string
 		sound        bool
 	}{
 		{"sound", "HTTP/1.1 200 OK\r\n" + rest, true},
+		{"after an interim answer", interim + "HTTP/1.1 200 OK\r\n" + rest, true},
+		{"interim answers only", interim + interim, false},
+		{"interim answers without end", strings.Repeat(interim, 1000), false},
+		{"malformed after an interim answer", interim + "HTTP/1.1 200 OK\r\nX Y: 1\r\n" + rest, false},
 		{"status 000", "HTTP/1.1 000 Trouble\r\n" + rest, false},
 		{"status 099", "HTTP/1.1 099 Trouble\r\n" + rest, false},
 		{"status 600", "HTTP/1.1 600 Trouble\r\n" + rest, false},
