platform: an answer that is cut does not look complete to HTTP/1.0 callers

Callers with HTTP/1.0 got the part of an answer that broke off, without a length, as a complete one.

Cause: they know no chunks, so net/http ends such an answer with the connection, and http.ErrAbortHandler closes that in the same way.

From the header of such an answer until all of it was sent, the connection is set to be reset when it is closed. That holds for each way in which it ends: an endpoint that breaks off, a write that takes too long, a daemon that closes its connections or is killed.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -232,6 +232,23 @@
 	return context.WithValue(ctx, connKey{}, nc)
 }
 
+// ResetOnClose sets whether the connection of a context is reset when it is closed, also when
+// the process ends, so that its remote end does not take what it has got for complete.
+func ResetOnClose(ctx context.Context, reset bool) error {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	if !ok {
+		return errors.New("context has no accepted connection")
+	}
+	linger := -1 // The default: sends what is left, then an orderly close.
+	if reset {
+		linger = 0
+	}
+	if err := c.SetLinger(linger); err != nil {
+		return fmt.Errorf("set linger time: %w", err)
+	}
+	return nil
+}
+
 // IsRefused reports whether there is no room for the request of a context. It must be
 // answered at once, and its connection closed.
 func IsRefused(ctx context.Context) bool {
--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -287,7 +287,8 @@
 			Memory:  g.bounds.bodies(),
 			Log:     g.cfg.Log,
 
-			OnLateBody: func() { g.callers.Report(wick.CloseBody) },
+			OnLateBody:   func() { g.callers.Report(wick.CloseBody) },
+			ResetOnClose: accept.ResetOnClose,
 		})),
 		open("directory", d.DirectoryAddress, platform.NewDirectory(g.server)),
 		open("readiness", d.ReadyAddress, platform.NewReadiness(g.server)),
