--- a/httpc/httpc_test.go
+++ b/httpc/httpc_test.go
@@ -16,8 +16,9 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// serve starts a server that sends one answer on each connection, and returns its address.
-func serve(t *testing.T, answer string) wick.Address {
+// serve starts a server that answers the request on each connection, closes it, and returns
+// its address.
+func serve(t *testing.T, answer func(c net.Conn, req *http.Request)) wick.Address {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -30,8 +31,8 @@
 			if err != nil {
 				return nil
 			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				io.WriteString(c, answer)
+			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				answer(c, req)
 			}
 			c.Close()
 		}
@@ -75,7 +76,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			addr := serve(t, test.answer)
+			addr := serve(t, func(c net.Conn, _ *http.Request) { io.WriteString(c, test.answer) })
 			c := httpc.New(httpc.Config{ReadTimeout: wick.Duration(time.Second)})
 			var req fasthttp.Request
 			var resp fasthttp.Response
@@ -108,3 +109,51 @@
 		t.Errorf("got %d %q, %v; want an error with the outcome Unknown", status, body, err)
 	}
 }
+
+// The end of a streamed answer without a length shows that it is complete only if the server
+// closed the connection, also if the answer came before the request was read.
+func TestEndOfStream(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n\r\n"
+	tests := []struct {
+		name  string
+		bytes int // Of the request's body.
+		reset bool
+	}{
+		{"short request", 100, false},
+		{"short request, reset", 100, true},
+		{"long request", 32 << 20, false},
+		{"long request, reset", 32 << 20, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			half := make(chan struct{})
+			addr := serve(t, func(c net.Conn, req *http.Request) {
+				io.WriteString(c, head+"hi")
+				if test.reset {
+					if test.bytes < 1<<20 {
+						<-half // A reset drops what was not read.
+					}
+					c.(*net.TCPConn).SetLinger(0)
+					return
+				}
+				io.Copy(io.Discard, req.Body)
+			})
+			var req fasthttp.Request
+			var resp fasthttp.Response
+			req.Header.SetMethod(fasthttp.MethodPost)
+			req.SetBodyRaw(make([]byte, test.bytes))
+			x, err := httpc.New(httpc.Config{}).Open(t.Context(), addr, &req, &resp)
+			close(half)
+			if err != nil {
+				check(t, 0, "", err, !test.reset)
+				return
+			}
+			defer x.Close()
+			body, err := io.ReadAll(x.Body())
+			if err != nil {
+				err = x.ReplyError(err)
+			}
+			check(t, fasthttp.StatusOK, string(body), err, !test.reset)
+		})
+	}
+}
