heads: an answer of HTTP/1.0 with a transfer coding is a broken answer

Callers got the chunks of such an answer, with their sizes, as its body.

Cause: net/http and fasthttp ignore Transfer-Encoding in HTTP/1.0 and read the body up to the end of the connection. RFC 9112, section 6.1 has the framing of such a message treated as faulty, which heads.Check now does.

--- a/direct/broken_test.go
+++ b/direct/broken_test.go
@@ -79,6 +79,7 @@
 		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Y: 1\r\n" + length},
 		{"no name", "HTTP/1.1 200 OK\r\n: 1\r\n" + length},
 		{"no colon", "HTTP/1.1 200 OK\r\nX\r\n" + length},
+		{"chunks before HTTP/1.1", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\ndata: not\n\n\r\n0\r\n"},
 		{"blank in a name, not run", "HTTP/1.1 503 Busy\r\nCurrantwick-Not-Executed: 1\r\nX Y: 1\r\n" + length},
 	}
 	kinds := []struct {
--- a/heads/heads.go
+++ b/heads/heads.go
@@ -13,21 +13,21 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// Bounds of valid status codes. The protocol has no meaning for others, although three
-// digits have room for them.
 const (
+	// minStatus and maxStatus bound the valid status codes. The protocol gives no meaning to
+	// others, although three digits have room for them.
 	minStatus = http.StatusContinue
 	maxStatus = 599
+	// maxQuoted bounds what an error quotes of a line, in bytes.
+	maxQuoted = 80
 )
 
-// maxQuoted bounds what an error quotes of a line, in bytes.
-const maxQuoted = 80
-
 // Check reads the next head into the buffer of r, and returns an error if it is malformed.
 // It consumes nothing. The error is bufio.ErrBufferFull if the head exceeds the buffer, and
 // io.ErrUnexpectedEOF if the input ends before the head does.
 func Check(r *bufio.Reader) error {
-	checked, hasStatus := 0, false
+	var h head
+	checked := 0 // Bytes of whole lines.
 	for {
 		buf, _ := r.Peek(r.Buffered()) // What is buffered can be peeked.
 		for {
@@ -37,18 +37,8 @@
 			}
 			line := bytes.TrimSuffix(buf[checked:checked+n], []byte("\r"))
 			checked += n + 1
-			switch {
-			case !hasStatus:
-				if err := checkStatusLine(line); err != nil {
-					return err
-				}
-				hasStatus = true
-			case len(line) == 0:
-				return nil
-			default:
-				if err := checkField(line); err != nil {
-					return err
-				}
+			if isEnd, err := h.add(line); isEnd || err != nil {
+				return err
 			}
 		}
 		if _, err := r.Peek(len(buf) + 1); errors.Is(err, io.EOF) {
@@ -59,16 +49,36 @@
 	}
 }
 
+// head is the part of a head that was checked.
+type head struct {
+	// hasStatus is set after the status line, and isHTTP10 if that is one of HTTP/1.0.
+	hasStatus, isHTTP10 bool
+}
+
+// add checks the next line and reports whether it ends the head.
+func (h *head) add(line []byte) (isEnd bool, err error) {
+	switch {
+	case !h.hasStatus:
+		h.hasStatus = true
+		h.isHTTP10 = bytes.HasPrefix(line, []byte("HTTP/1.0"))
+		return false, checkStatusLine(line)
+	case len(line) == 0:
+		return true, nil
+	default:
+		return false, h.checkField(line)
+	}
+}
+
 // checkStatusLine checks a status line as of RFC 9112, section 4. The blank before an empty
 // reason may be missing, as many servers leave it out.
 func checkStatusLine(line []byte) error {
-	const version, status = len("HTTP/1.1"), len("200")
+	const protoEnd, codeEnd = len("HTTP/1.1"), len("HTTP/1.1 200")
 	malformed := func() error { return fmt.Errorf("malformed status line %q", line[:min(len(line), maxQuoted)]) }
-	if len(line) < version+1+status || !bytes.HasPrefix(line, []byte("HTTP/1.")) || !isDigit(line[version-1]) || line[version] != ' ' {
+	if len(line) < codeEnd || !bytes.HasPrefix(line, []byte("HTTP/1.")) || !isDigit(line[protoEnd-1]) || line[protoEnd] != ' ' {
 		return malformed()
 	}
-	code, reason := 0, line[version+1+status:]
-	for _, c := range line[version+1 : version+1+status] {
+	code, reason := 0, line[codeEnd:]
+	for _, c := range line[protoEnd+1 : codeEnd] {
 		if !isDigit(c) {
 			return malformed()
 		}
@@ -87,11 +97,15 @@
 // checkField checks a line of the header as of RFC 9110, sections 5.1 and 5.5. A line that
 // begins with a blank is malformed too: RFC 9112, section 5.2 lets proxies reject a response
 // that folds lines.
-func checkField(line []byte) error {
+func (h *head) checkField(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
 		return fmt.Errorf("malformed header line %q", line[:min(len(line), maxQuoted)])
 	}
+	// RFC 9112, section 6.1. Parsers return the chunks as the body.
+	if h.isHTTP10 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		return errors.New("transfer coding in a response of HTTP/1.0")
+	}
 	return nil
 }
 
--- a/heads/heads_test.go
+++ b/heads/heads_test.go
@@ -59,6 +59,26 @@
 	}
 }
 
+// Parsers ignore a transfer coding before HTTP/1.1 and return its chunks as the body.
+func TestTransferCoding(t *testing.T) {
+	tests := []struct {
+		head  string
+		valid bool
+	}{
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", true},
+		{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n", false},
+		{"HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\nContent-Length: 2\r\n", false},
+	}
+	for _, test := range tests {
+		t.Run(test.head, func(t *testing.T) {
+			err := heads.Check(bufio.NewReader(strings.NewReader(test.head + "\r\n")))
+			if (err == nil) != test.valid {
+				t.Errorf("got %v, want an error: %v", err, !test.valid)
+			}
+		})
+	}
+}
+
 func TestFields(t *testing.T) {
 	tests := []struct {
 		name, fields string
