--- a/heads/heads.go
+++ b/heads/heads.go
@@ -22,12 +22,12 @@
 	maxQuoted = 80
 )
 
-// Check reads the next head into the buffer of r, and returns an error if it is malformed.
-// It consumes nothing. The error is bufio.ErrBufferFull if the head exceeds the buffer, and
+// Check reads the next head into the buffer of r, and returns an error as soon as a line is
+// malformed. It consumes nothing. The error is bufio.ErrBufferFull if the head exceeds the buffer, and
 // io.ErrUnexpectedEOF if the input ends before the head does.
 func Check(r *bufio.Reader) error {
 	var h head
-	checked := 0 // Bytes of whole lines.
+	checked := 0 // Bytes of the lines that were checked.
 	for {
 		buf, _ := r.Peek(r.Buffered()) // What is buffered can be peeked.
 		for {
@@ -49,7 +49,7 @@
 	}
 }
 
-// head is the part of a head that was checked.
+// head is what the lines of a head that were checked say of those that follow.
 type head struct {
 	// hasStatus is set after the status line, and isHTTP10 if that is one of HTTP/1.0.
 	hasStatus, isHTTP10 bool
