httpc: a chunked reply that is cut in its trailers is not complete

The daemon took a reply of a plain service, an engine, the log or the list of hosts for complete although its connection ended after the last chunk and before the end of the message, also by a reset. The body itself was whole; conns counts such an answer as broken.

Cause: readWhole ignored io.EOF from fasthttp's ReadTrailer, which returns it for any failure of its first read.

It is now an error like any other, after which the call may have run.

--- a/httpc/httpc.go
+++ b/httpc/httpc.go
@@ -178,7 +178,7 @@
 		return fmt.Errorf("read body: %w", err)
 	}
 	if length == -1 {
-		if err := x.resp.Header.ReadTrailer(x.r); err != nil && !errors.Is(err, io.EOF) {
+		if err := x.resp.Header.ReadTrailer(x.r); err != nil {
 			return fmt.Errorf("read trailer: %w", err)
 		}
 	}
--- a/httpc/httpc_test.go
+++ b/httpc/httpc_test.go
@@ -110,6 +110,32 @@
 	}
 }
 
+// A chunked reply is complete only with the empty line that ends its trailers.
+func TestEndOfChunks(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n"
+	tests := []struct {
+		name, end string
+		sound     bool
+	}{
+		{"no trailers", "0\r\n\r\n", true},
+		{"a trailer", "0\r\nX: y\r\n\r\n", true},
+		{"cut before the last chunk", "", false},
+		{"cut in the last chunk", "0", false},
+		{"cut before the trailers", "0\r\n", false},
+		{"cut in a trailer", "0\r\nX: y", false},
+		{"cut after a trailer", "0\r\nX: y\r\n", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			addr := serve(t, func(c net.Conn, _ *http.Request) { io.WriteString(c, head+test.end) })
+			var req fasthttp.Request
+			var resp fasthttp.Response
+			err := httpc.New(httpc.Config{}).Do(t.Context(), addr, &req, &resp)
+			check(t, resp.StatusCode(), string(resp.Body()), err, test.sound)
+		})
+	}
+}
+
 // The end of a streamed answer without a length shows that it is complete only if the server
 // closed the connection, also if the answer came before the request was read.
 func TestEndOfStream(t *testing.T) {
