--- a/conns/carried_test.go
+++ b/conns/carried_test.go
@@ -12,8 +12,8 @@
 
 	"currantwick"
 	"currantwick/conns"
+	"currantwick/fakes"
 
-	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 )
 
@@ -30,38 +30,23 @@
 // serve accepts connections until the returned function is called, which waits for the
 // connections to end.
 func (s *doubler) serve(t testing.TB) (wick.Address, func()) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	srv, err := fakes.StartConnServer(s.answer)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var group errgroup.Group
-	group.Go(func() error {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return nil
-			}
-			s.mu.Lock()
-			n := len(s.carried)
-			s.carried = append(s.carried, nil)
-			s.mu.Unlock()
-			group.Go(func() error {
-				defer c.Close()
-				s.answer(c, n)
-				return nil
-			})
-		}
-	})
-	return addressOf(l), func() {
-		l.Close()
-		if err := group.Wait(); err != nil {
+	return srv.Address(), func() {
+		if err := srv.Close(); err != nil {
 			t.Error(err)
 		}
 	}
 }
 
-// answer answers the requests on the n-th connection.
-func (s *doubler) answer(c net.Conn, n int) {
+// answer answers the requests on a connection.
+func (s *doubler) answer(c net.Conn) {
+	s.mu.Lock()
+	n := len(s.carried)
+	s.carried = append(s.carried, nil)
+	s.mu.Unlock()
 	r := bufio.NewReader(c)
 	late := ""
 	for {
--- a/direct/broken_test.go
+++ b/direct/broken_test.go
@@ -11,44 +11,34 @@
 
 	"currantwick"
 	"currantwick/conns"
+	"currantwick/fakes"
 	"currantwick/platform"
-
-	"golang.org/x/sync/errgroup"
 )
 
 // scripted starts an endpoint that answers the first request with broken and others with
 // sound, and closes each connection. It returns the endpoint's address and counts requests.
 func scripted(t *testing.T, broken, sound string) (wick.Address, *atomic.Int32) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	requests := new(atomic.Int32)
-	var group errgroup.Group
-	group.Go(func() error {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return nil
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				answer := sound
-				if requests.Add(1) == 1 {
-					answer = broken
-				}
-				io.WriteString(c, answer)
-			}
-			c.Close()
+	s, err := fakes.StartConnServer(func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
 		}
+		answer := sound
+		if requests.Add(1) == 1 {
+			answer = broken
+		}
+		io.WriteString(c, answer)
 	})
+	if err != nil {
+		t.Fatal(err)
+	}
 	t.Cleanup(func() {
-		l.Close()
-		if err := group.Wait(); err != nil {
+		if err := s.Close(); err != nil {
 			t.Error(err)
 		}
 	})
-	return wick.Address(l.Addr().String()), requests
+	return s.Address(), requests
 }
 
 // An answer with a head that HTTP does not allow is passed on in no part, whatever it says of
--- a/httpc/httpc_test.go
+++ b/httpc/httpc_test.go
@@ -10,40 +10,30 @@
 	"time"
 
 	"currantwick"
+	"currantwick/fakes"
 	"currantwick/httpc"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/errgroup"
 )
 
 // serve starts a server that answers the request on each connection, closes it, and returns
 // its address.
 func serve(t *testing.T, answer func(c net.Conn, req *http.Request)) wick.Address {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := fakes.StartConnServer(func(c net.Conn) {
+		if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			answer(c, req)
+		}
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	var group errgroup.Group
-	group.Go(func() error {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return nil
-			}
-			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				answer(c, req)
-			}
-			c.Close()
-		}
-	})
 	t.Cleanup(func() {
-		l.Close()
-		if err := group.Wait(); err != nil {
+		if err := s.Close(); err != nil {
 			t.Error(err)
 		}
 	})
-	return wick.Address(l.Addr().String())
+	return s.Address()
 }
 
 // An answer with a head that HTTP does not allow is an error after which the request may have
