--- a/accept/accept.go
+++ b/accept/accept.go
@@ -232,14 +232,14 @@
 	return context.WithValue(ctx, connKey{}, nc)
 }
 
-// ResetOnClose sets whether the connection of a context is reset when it is closed, also when
-// the process ends, so that its remote end does not take what it has got for complete.
+// ResetOnClose sets whether the connection of a context is reset when it is closed or the
+// process ends, so that the remote end does not mistake a truncated answer for a complete one.
 func ResetOnClose(ctx context.Context, reset bool) error {
 	c, ok := ctx.Value(connKey{}).(*Conn)
 	if !ok {
 		return errors.New("context has no accepted connection")
 	}
-	linger := -1 // The default: sends what is left, then an orderly close.
+	linger := -1 // The default: an orderly close after all data was sent.
 	if reset {
 		linger = 0
 	}
--- a/conns/reset_test.go
+++ b/conns/reset_test.go
@@ -13,7 +13,7 @@
 	"currantwick/conns"
 )
 
-// reset closes a connection with a reset.
+// reset makes the close of a connection reset it.
 func reset(c net.Conn) { c.(*net.TCPConn).SetLinger(0) }
 
 // awaitUnread waits for bytes that nothing has read.
@@ -88,8 +88,8 @@
 	}
 }
 
-// An answer that is complete before the request is neither waits for the rest of the write
-// nor is it taken for a cut one.
+// The end of an answer that is complete before the request was written neither waits for the
+// write nor counts as a failure.
 func TestUnframedAnswerBeforeEndOfRequest(t *testing.T) {
 	ended := make(chan struct{})
 	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
--- a/direct/broken_test.go
+++ b/direct/broken_test.go
@@ -61,16 +61,16 @@
 		{"status 999, not run", "HTTP/1.1 999 Trouble\r\nCurrantwick-Not-Executed: 1\r\n" + length},
 		{"control byte after the status", "HTTP/1.1 503 Bu\x00sy\r\nCurrantwick-Not-Executed: 1\r\n" + length},
 		{"other protocol", "HTTP/2.0 200 OK\r\n" + length},
-		{"blank in a name", "HTTP/1.1 200 OK\r\nX Y: 1\r\n" + length},
-		{"blank in the name of the length", "HTTP/1.1 200 OK\r\nContent Length: 1\r\n"},
-		{"blank after a name", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n"},
-		{"blank before a name", "HTTP/1.1 200 OK\r\nX: 1\r\n Y: 2\r\n" + length},
+		{"space in a name", "HTTP/1.1 200 OK\r\nX Y: 1\r\n" + length},
+		{"space in the name of the length", "HTTP/1.1 200 OK\r\nContent Length: 1\r\n"},
+		{"space after a name", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n"},
+		{"space before a name", "HTTP/1.1 200 OK\r\nX: 1\r\n Y: 2\r\n" + length},
 		{"tab in a name", "HTTP/1.1 200 OK\r\nX\tY: 1\r\n" + length},
 		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Y: 1\r\n" + length},
 		{"no name", "HTTP/1.1 200 OK\r\n: 1\r\n" + length},
 		{"no colon", "HTTP/1.1 200 OK\r\nX\r\n" + length},
 		{"chunks before HTTP/1.1", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\ndata: not\n\n\r\n0\r\n"},
-		{"blank in a name, not run", "HTTP/1.1 503 Busy\r\nCurrantwick-Not-Executed: 1\r\nX Y: 1\r\n" + length},
+		{"space in a name, not run", "HTTP/1.1 503 Busy\r\nCurrantwick-Not-Executed: 1\r\nX Y: 1\r\n" + length},
 	}
 	kinds := []struct {
 		name string
--- a/heads/heads.go
+++ b/heads/heads.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// checkStatusLine checks a status line as of RFC 9112, section 4. The blank before an empty
-// reason may be missing, as many servers leave it out.
+// checkStatusLine checks a status line against RFC 9112, section 4. The space before an empty
+// reason phrase may be missing, as many servers omit it.
 func checkStatusLine(line []byte) error {
 	const protoEnd, codeEnd = len("HTTP/1.1"), len("HTTP/1.1 200")
 	malformed := func() error { return fmt.Errorf("malformed status line %q", line[:min(len(line), maxQuoted)]) }
@@ -87,24 +87,24 @@
 	if len(reason) > 0 && reason[0] != ' ' || !httpguts.ValidHeaderFieldValue(string(reason)) {
 		return malformed()
 	}
-	// No request asks for another protocol.
+	// No request asks for an upgrade.
 	if code < minStatus || code > maxStatus || code == http.StatusSwitchingProtocols {
 		return fmt.Errorf("invalid status code %03d", code)
 	}
 	return nil
 }
 
-// checkField checks a line of the header as of RFC 9110, sections 5.1 and 5.5. A line that
-// begins with a blank is malformed too: RFC 9112, section 5.2 lets proxies reject a response
-// that folds lines.
+// checkField checks a field line against RFC 9110, sections 5.1 and 5.5. Line folding is
+// rejected, as RFC 9112, section 5.2 allows for proxies.
 func (h *head) checkField(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
-		return fmt.Errorf("malformed header line %q", line[:min(len(line), maxQuoted)])
+		return fmt.Errorf("malformed field line %q", line[:min(len(line), maxQuoted)])
 	}
-	// RFC 9112, section 6.1. Parsers return the chunks as the body.
+	// Faulty by RFC 9112, section 6.1. Parsers ignore the field and return the chunks as the
+	// body.
 	if h.isHTTP10 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
-		return errors.New("transfer coding in a response of HTTP/1.0")
+		return errors.New("Transfer-Encoding in an HTTP/1.0 response")
 	}
 	return nil
 }
