A late write of a runner that left does not bring it back

Cause: facts took the record with the higher offset for the later state. The store may carry out a write without an answer seconds later, behind newer ones.

Evidence: in the record of the case the late write has a lower sequence than the heartbeats before the removal.

Change: the start and the sequence of an entry decide before its offset. An entry of the removed start is held until a later one follows, or until it has stood for four heartbeats; the store removes that of a silent runner after three. Holders send daemons that start afterwards the newer record, or the removal with the start that it ended. No calls are added.

With age() and the hold taken out, 10 rows of TestLateDescriptions and all of TestLateRecords fail; the new row of TestLeavingEndpoints fails without the memory of what was said.

--- /dev/null
+++ b/coord/late_test.go
@@ -0,0 +1,77 @@
+package coord
+
+import (
+	"testing"
+	"time"
+
+	"currantwick"
+)
+
+// A write that the store carries out late must not take effect, neither at a daemon
+// that knows of the newer one nor at one that starts afterwards and finds the late one
+// in the store.
+func TestLateRecords(t *testing.T) {
+	entry := func(t *testing.T, at wick.Offset, seq wick.DescriptionCount, draining bool) wick.KeyedRecord {
+		return record(t, at, "e", wick.Fact{Runner: &wick.Runner{
+			Name: "e", Pool: "p", Address: "x:1", Domain: "d", Started: 5, Sequence: seq, Draining: draining,
+		}})
+	}
+	removed := func(at wick.Offset) wick.KeyedRecord { return wick.KeyedRecord{Offset: at, Key: "e"} }
+	inUse := func(s *state) bool { return s.endpoints["e"] != nil && s.endpoints["e"].takesRequests() }
+	tests := []struct {
+		name  string
+		topic wick.Topic
+		// records are those of one key in the order in which the store has them.
+		records func(t *testing.T) []wick.KeyedRecord
+		// old reports whether a daemon goes by the last record.
+		old func(s *state) bool
+	}{
+		{"entry of an endpoint that left", wick.TopicRunners, func(t *testing.T) []wick.KeyedRecord {
+			return []wick.KeyedRecord{entry(t, 1, 7, false), removed(2), entry(t, 3, 6, false)}
+		}, inUse},
+		{"entry of an endpoint that left, its last", wick.TopicRunners, func(t *testing.T) []wick.KeyedRecord {
+			return []wick.KeyedRecord{entry(t, 1, 7, false), removed(2), entry(t, 3, 8, false)}
+		}, inUse},
+		{"entry of a draining endpoint", wick.TopicRunners, func(t *testing.T) []wick.KeyedRecord {
+			return []wick.KeyedRecord{entry(t, 1, 6, false), entry(t, 2, 7, true), entry(t, 3, 5, false)}
+		}, inUse},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			reader, fresh := newLateHarness(t), newLateHarness(t)
+			list := test.records(t)
+			for i, r := range list {
+				reader.read(ms(i), test.topic, r)
+			}
+			if test.old(reader.state) {
+				t.Error("the daemon that knew the newer record goes by the late one")
+			}
+			// A daemon that starts now reads the newest record of the key only.
+			fresh.read(ms(10), test.topic, list[len(list)-1])
+			if !test.old(fresh.state) {
+				t.Fatal("the daemon that has just started does not go by the only record that it knows")
+			}
+			l, sender := &link{}, &holder{instances: make(map[wick.HostName]wick.InstanceState)}
+			reader.connect(l, "b", 2, ms(11), fresh.knownOffsets()...)
+			for _, m := range l.sent {
+				fresh.applyUpdate(ms(12), sender, m.Update)
+			}
+			if test.old(fresh.state) {
+				t.Error("the daemon that has just started goes by the late record after it was told of the newer one")
+			}
+		})
+	}
+}
+
+// newLateHarness returns a control state with a configuration of a pool of plain
+// services, whose entries may be written late.
+func newLateHarness(t *testing.T) *harness {
+	w := newHarness(t, true)
+	w.cfg.Bounds.Heartbeat = wick.Duration(time.Second)
+	w.state = newState(w.cfg)
+	w.read(0, wick.TopicConfig, record(t, 0, "config", wick.Fact{ServingConfig: &wick.ServingConfig{
+		Version: 1, Pools: map[wick.PoolName]wick.PoolConfig{"p": {Name: "p"}},
+	}}))
+	w.read(0, wick.TopicRunners)
+	return w
+}
--- a/coord/leaving_test.go
+++ b/coord/leaving_test.go
@@ -36,6 +36,11 @@
 			endpointLeaving{wick.EndpointStart{Endpoint: e}}.apply(w.state, ms(1))
 			w.read(ms(2), wick.TopicRunners, record(t, 5, string(e), wick.Fact{Runner: &wick.Runner{Name: e, Pool: "p", Address: "x:1", Domain: "d"}}))
 		}, false, true},
+		{"said, and its entry comes back", func(t *testing.T, w *harness, e wick.EndpointName, _ *link) {
+			endpointLeaving{wick.EndpointStart{Endpoint: e}}.apply(w.state, ms(1))
+			w.read(ms(2), wick.TopicRunners, wick.KeyedRecord{Offset: 5, Key: string(e)})
+			w.read(ms(3), wick.TopicRunners, record(t, 6, string(e), wick.Fact{Runner: &wick.Runner{Name: e, Pool: "p", Address: "x:1", Domain: "d"}}))
+		}, false, true},
 		{"said, and it started again under its name", func(t *testing.T, w *harness, e wick.EndpointName, _ *link) {
 			endpointLeaving{wick.EndpointStart{Endpoint: e}}.apply(w.state, ms(1))
 			w.read(ms(2), wick.TopicRunners, record(t, 5, string(e), wick.Fact{Runner: &wick.Runner{Name: e, Pool: "p", Address: "x:1", Domain: "d", Started: 9}}))
--- a/coord/records.go
+++ b/coord/records.go
@@ -23,63 +23,109 @@
 	// fromStore marks a record that this daemon read from the store.
 	fromStore source = iota
 	// fromHolder marks a record that a holder relayed; fromHolderConfirmed marks
-	// the removal of an endpoint that a holder has confirmed.
+	// one that a holder has confirmed.
 	fromHolder
 	fromHolderConfirmed
 )
 
 // applyRecord applies a record and, if it had an effect, retains it for daemons
 // that link later. Of the records that this daemon read itself, it queues for
-// the linked daemons those whose effect is facts.Change, and all removals of
-// endpoints. It reports whether another holder relayed the record before.
-func (s *state) applyRecord(now wick.Instant, topic wick.Topic, rec wick.KeyedRecord, from source) (relayedBefore bool) {
-	if old, ok := s.relayed[topic][rec.Key]; ok && from != fromHolderConfirmed && rec.Offset <= old.Offset {
-		return rec.Offset == old.Offset
+// the linked daemons those that they need, and all removals of endpoints. It reports
+// whether another holder relayed the record before.
+func (s *state) applyRecord(now wick.Instant, r wick.RelayedRecord, from source) (relayedBefore bool) {
+	if old, ok := s.relayed[r.Topic][r.Key]; ok && from != fromHolderConfirmed && r.Offset <= old.Offset {
+		return r.Offset == old.Offset
 	}
 	effect := facts.Unchanged
-	if topic == wick.TopicDaemons {
-		effect = s.daemonRecord(now, rec)
+	if r.Topic == wick.TopicDaemons {
+		effect = s.daemonRecord(now, r)
 	} else {
-		effect = s.factRecord(now, topic, rec, from)
+		effect = s.factRecord(now, r, from)
 	}
-	removed := topic == wick.TopicRunners && len(rec.Value) == 0 && from == fromStore
-	relayed := wick.RelayedRecord{Topic: topic, Offset: rec.Offset, Key: rec.Key, Value: rec.Value, Confirmed: removed && effect == facts.Change}
-	if effect != facts.Unchanged {
-		s.relayed[topic][rec.Key] = relayed
+	removed := r.Topic == wick.TopicRunners && len(r.Value) == 0
+	if from == fromStore {
+		r.Confirmed = effect == facts.Return || removed && effect == facts.Change
 	}
-	if from == fromStore && (effect == facts.Change || removed) {
-		s.out.records = append(s.out.records, relayed)
+	if removed {
+		delete(s.held, r.Key)
+		if from == fromStore && r.Confirmed {
+			r.Started, r.Sequence, _ = s.facts.Removed(wick.EndpointName(r.Key))
+		}
+	}
+	switch effect {
+	case facts.Unchanged:
+	case facts.Outdated:
+		s.keepNewer(r)
+	case facts.Held:
+		s.held[r.Key] = r
+	default:
+		s.relayed[r.Topic][r.Key] = r
+	}
+	if from == fromStore && (effect == facts.Change || effect == facts.Return || effect == facts.Held || removed) {
+		s.out.records = append(s.out.records, r)
 	}
 	return false
 }
 
+// keepNewer handles a record that the store wrote late, behind the newest one of its
+// key. A daemon that starts now finds the late one in the store, so it is sent the
+// newest one whatever offsets it knows. Removals are always sent.
+func (s *state) keepNewer(late wick.RelayedRecord) {
+	s.log.Warn("record ignored: the store wrote it late", "topic", late.Topic.String(), "key", late.Key, "offset", late.Offset)
+	if newest, ok := s.relayed[late.Topic][late.Key]; ok && len(newest.Value) > 0 {
+		newest.Confirmed = true
+		s.relayed[late.Topic][late.Key] = newest
+	}
+}
+
 // relayRemoval queues the removal of an endpoint for the linked daemons.
 func (s *state) relayRemoval(f wick.Fact) {
-	relayed := wick.RelayedRecord{Topic: wick.TopicRunners, Offset: f.Offset, Key: string(f.RemovedEndpoint), Confirmed: true}
+	relayed := wick.RelayedRecord{
+		Topic: wick.TopicRunners, Offset: f.Offset, Key: string(f.RemovedEndpoint), Confirmed: true,
+		Started: f.RemovedStart, Sequence: f.RemovedSequence,
+	}
 	s.relayed[wick.TopicRunners][relayed.Key] = relayed
 	s.out.records = append(s.out.records, relayed)
 }
 
+// relayReturns puts endpoints into use again whose entries came back and stayed.
+func (s *state) relayReturns(now wick.Instant) {
+	for _, f := range s.facts.Returned(now) {
+		s.log.Info("endpoint is back", "endpoint", f.Runner.Name, "offset", f.Offset, "cause", "its entry stayed")
+		if r, ok := s.held[string(f.Runner.Name)]; ok {
+			delete(s.held, r.Key)
+			r.Confirmed = true
+			s.relayed[wick.TopicRunners][r.Key] = r
+			s.out.records = append(s.out.records, r)
+		}
+		s.syncEndpoints(now)
+	}
+}
+
 // factRecord applies a record of the configuration, of an adapter's version or
 // of an endpoint.
-func (s *state) factRecord(now wick.Instant, topic wick.Topic, rec wick.KeyedRecord, from source) facts.Effect {
-	f, err := s.cfg.Decoder.Decode(topic, rec)
+func (s *state) factRecord(now wick.Instant, r wick.RelayedRecord, from source) facts.Effect {
+	f, err := s.cfg.Decoder.Decode(r.Topic, wick.KeyedRecord{Offset: r.Offset, Key: r.Key, Value: r.Value})
 	if err != nil {
-		s.log.Warn("record refused", "topic", topic.String(), "key", rec.Key, "offset", rec.Offset, "err", err)
+		s.log.Warn("record refused", "topic", r.Topic.String(), "key", r.Key, "offset", r.Offset, "err", err)
 		return facts.Unchanged
 	}
 	effect := facts.Unchanged
-	if from != fromHolderConfirmed {
+	if from == fromHolderConfirmed {
+		f.RemovedStart, f.RemovedSequence = r.Started, r.Sequence
+		effect = s.facts.Confirm(now, f)
+	} else {
 		effect = s.facts.Apply(now, f)
-	} else if s.facts.Remove(f) {
-		effect = facts.Change
 	}
 	switch effect {
 	case facts.CacheChange:
 		s.setInfo(now, s.endpoints[f.Runner.Name], f.Runner)
 		s.dirty = true
-	case facts.Change:
+	case facts.Change, facts.Return:
 		s.factChanged(now, f)
+	case facts.Held:
+		s.log.Info("entry of a removed endpoint held", "endpoint", f.Runner.Name, "offset", f.Offset,
+			"started", f.Runner.Started, "sequence", f.Runner.Sequence)
 	}
 	return effect
 }
@@ -106,7 +152,7 @@
 }
 
 // daemonRecord applies a record that a daemon wrote.
-func (s *state) daemonRecord(now wick.Instant, rec wick.KeyedRecord) facts.Effect {
+func (s *state) daemonRecord(now wick.Instant, rec wick.RelayedRecord) facts.Effect {
 	if name, ok := strings.CutPrefix(rec.Key, keyDaemon); ok {
 		var d wick.Instance
 		if err := codec.DecodeJSON(rec.Value, &d); err != nil || string(d.Host) != name {
--- a/coord/state.go
+++ b/coord/state.go
@@ -20,6 +20,9 @@
 	terms *terms.Table
 
 	endpoints map[wick.EndpointName]*endpoint
+	// left are the endpoints that are gone and said before that they are about to
+	// end.
+	left map[wick.EndpointName]wick.Started
 	// crashes are the crashes and suspected crashes of the last seconds.
 	crashes map[wick.EndpointStart]*suspectedCrash
 	// suspects has the evidence of all daemons, and verdicts is what follows from
@@ -45,6 +48,8 @@
 	// relayed is the newest record of each key that had an effect, for daemons
 	// that link later.
 	relayed [wick.NumTopics]map[string]wick.RelayedRecord
+	// held are descriptions of endpoints that were removed, as in facts.Held.
+	held map[string]wick.RelayedRecord
 	// daemons are the records that daemons wrote about themselves, by host.
 	// They are never removed, so they include daemons that have ended.
 	daemons map[wick.HostName]daemonRecord
@@ -102,7 +107,7 @@
 	s := &state{
 		cfg:   cfg,
 		log:   cfg.Log,
-		facts: facts.New(),
+		facts: facts.New(facts.Config{Heartbeat: cfg.Bounds.Heartbeat.Std()}),
 		terms: terms.New(terms.Config{
 			Self:           cfg.Self.Host,
 			Incarnation:    cfg.Self.Incarnation,
@@ -110,10 +115,12 @@
 			RequireFencing: cfg.Bounds.RequireFencing,
 		}),
 		endpoints:     make(map[wick.EndpointName]*endpoint),
+		left:          make(map[wick.EndpointName]wick.Started),
 		crashes:       make(map[wick.EndpointStart]*suspectedCrash),
 		suspects:      crash.NewSuspects(crash.Config{}),
 		granted:       make(map[wick.TrialID]wick.Instant),
 		ledgers:       make(map[wick.EndpointName]*slots.Ledger),
+		held:          make(map[string]wick.RelayedRecord),
 		daemons:       make(map[wick.HostName]daemonRecord),
 		linkedDaemons: make(map[wick.Link]*linkedDaemon),
 		holders:       make(map[wick.HostName]*holder),
@@ -145,6 +152,7 @@
 		s.relayRemoval(f)
 		s.syncEndpoints(now)
 	}
+	s.relayReturns(now)
 	if s.ready() != s.wasReady {
 		s.wasReady = s.ready()
 		s.out.instance(s.cfg.Self.Host)
--- a/coord/topics.go
+++ b/coord/topics.go
@@ -211,7 +211,7 @@
 	}
 	whole := span.To > span.From
 	for _, rec := range e.batch.Records {
-		if s.applyRecord(now, t.id, rec, fromStore) {
+		if s.applyRecord(now, wick.RelayedRecord{Topic: t.id, Offset: rec.Offset, Key: rec.Key, Value: rec.Value}, fromStore) {
 			whole = false // A record that is not queued again is missing in the update.
 		}
 	}
--- a/coord/update.go
+++ b/coord/update.go
@@ -50,7 +50,7 @@
 		if r.Confirmed {
 			from = fromHolderConfirmed
 		}
-		s.applyRecord(now, r.Topic, wick.KeyedRecord{Offset: r.Offset, Key: r.Key, Value: r.Value}, from)
+		s.applyRecord(now, r, from)
 	}
 	for _, sp := range u.Spans {
 		if sp.Topic < wick.NumTopics {
--- a/coord/view.go
+++ b/coord/view.go
@@ -197,6 +197,10 @@
 		e := s.endpoints[r.Name]
 		if e == nil || e.info.Started != r.Started {
 			e = &endpoint{shard: terms.ShardOf(r.Name), meter: tally.NewMeter(), adapters: loadedAt(r, now), recent: slots.NewRecentAdapters()}
+			if started, ok := s.left[r.Name]; ok {
+				e.leaving = started == r.Started
+				delete(s.left, r.Name)
+			}
 			s.endpoints[r.Name] = e
 			delete(s.ledgers, r.Name)
 			s.addLinkedLoad(e, r.Name)
@@ -206,8 +210,11 @@
 		}
 		s.sortedEndpoints = append(s.sortedEndpoints, e)
 	}
-	for name := range s.endpoints {
+	for name, e := range s.endpoints {
 		if !live[name] {
+			if e.leaving {
+				s.left[name] = e.info.Started
+			}
 			delete(s.endpoints, name)
 			delete(s.ledgers, name)
 		}
--- a/daemon.go
+++ b/daemon.go
@@ -47,6 +47,9 @@
 	// ChangeDeadline is the time within which a change at the store must be in use
 	// on every daemon.
 	ChangeDeadline Duration
+	// Heartbeat is how often an endpoint renews its entry in the store, which removes
+	// it after three heartbeats of silence. 0 if it is not known.
+	Heartbeat Duration
 	// RetryRatio and RetrySlack limit the retries of all daemons together: in
 	// each window of time in which the platform counts them, they must not exceed
 	// RetryRatio times the requests plus RetrySlack.
@@ -117,6 +120,9 @@
 			errs = append(errs, badField("Bounds."+t.field, "must be positive, not %v", t.value))
 		}
 	}
+	if b.Heartbeat < 0 {
+		errs = append(errs, badField("Bounds.Heartbeat", "must not be negative"))
+	}
 	if b.RevocationDeadline < 0 {
 		errs = append(errs, badField("Bounds.RevocationDeadline", "must not be negative"))
 	}
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -133,7 +133,7 @@
 	config := &wick.ServingConfig{Version: 3, Routes: routes, Pools: map[wick.PoolName]wick.PoolConfig{
 		"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: &wick.PoolEngine{AdapterSlots: 4}},
 	}}
-	f := facts.New()
+	f := facts.New(facts.Config{})
 	f.Apply(0, wick.Fact{Offset: 1, ServingConfig: config})
 	v := &coord.View{ServingConfig: config, Routes: f.Routes(), Pools: make(map[wick.PoolName][]*coord.Runner), Ready: true}
 	for pool := range config.Pools {
@@ -344,7 +344,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			v := view(route(wick.KindStream, "llm", 1, false))
-			f := facts.New()
+			f := facts.New(facts.Config{})
 			f.Apply(wick.Instant(test.announced), wick.Fact{Offset: 9, NewRevision: &wick.Loaded{Weights: adapter, Revision: 2}})
 			v.Newest = f.Newest()
 			send, c := &sender{replies: []reply{{status: 200}}}, &control{view: v}
@@ -387,7 +387,7 @@
 					second.Adapters[adapter] = coord.Residence{Revision: test.second, Ready: wick.Instant(time.Hour)}
 				}
 			}
-			f := facts.New()
+			f := facts.New(facts.Config{})
 			f.Apply(0, wick.Fact{Offset: 9, NewRevision: &wick.Loaded{Weights: adapter, Revision: 2}})
 			v.Newest = f.Newest()
 			send, c := &sender{replies: []reply{{status: 200}, {status: 200}}}, &control{view: v}
--- a/direct/trial_test.go
+++ b/direct/trial_test.go
@@ -136,7 +136,7 @@
 				Name: "r", Host: "h", Prefix: "/", Kind: wick.KindUnsafe, Attempts: 1, Timeout: wick.Duration(2 * time.Second),
 				Split: []wick.PoolShare{{Pool: "p", Weight: 1}},
 			}}}
-			f := facts.New()
+			f := facts.New(facts.Config{})
 			f.Apply(0, wick.Fact{Offset: 1, ServingConfig: config})
 			c := &arbiter{grant: test.grant, change: test.change, view: &coord.View{
 				ServingConfig: config, Routes: f.Routes(), Ready: true, Verdicts: test.verdicts,
--- a/facts/facts.go
+++ b/facts/facts.go
@@ -1,7 +1,10 @@
 // Package facts keeps the state that the platform publishes: the serving
 // configuration in force, the endpoints, and the newest versions of adapters.
 // The state is built by applying records; a record older than the known state
-// changes nothing, whichever way it arrived.
+// changes nothing, whichever way it arrived. The offset of a record does not show
+// its age: the store may carry out a write seconds after it was sent, behind newer
+// ones. Where the descriptions of an endpoint number themselves, these numbers
+// decide.
 package facts
 
 import (
@@ -19,9 +22,22 @@
 // two seconds.
 const lapseGrace = 2300 * time.Millisecond
 
+// returnHeartbeats is how many heartbeats the entry of an endpoint that was removed
+// must stay in the store before the endpoint counts as back: the three after which
+// the store removes the entry of a silent endpoint, and one for delays.
+const returnHeartbeats = 4
+
+// Config sets up a State.
+type Config struct {
+	// Heartbeat is how often an endpoint renews its entry; 0 if an endpoint that was
+	// removed may return at once.
+	Heartbeat time.Duration
+}
+
 // State is the state built by applying facts. It is not safe for concurrent
 // use; values returned by its methods are never modified.
 type State struct {
+	cfg      Config
 	config   *wick.ServingConfig
 	configAt wick.Offset
 	routes   map[string][]wick.RouteConfig
@@ -43,18 +59,30 @@
 
 // endpointEntry is the known state of an endpoint.
 type endpointEntry struct {
+	// runner is the newest description; only Name, Started and Sequence are set if
+	// just the removal is known.
 	runner *wick.Runner
 	at     wick.Offset
 	// gone is set when the entry was removed. lapsed is set instead when it was
 	// removed during an outage or within lapseGrace after it, in which case it may
-	// still return.
-	gone   bool
-	lapsed bool
+	// still return. expired is set beside gone if a lapsed entry did not return in
+	// time: the store has not said that the endpoint left.
+	gone    bool
+	lapsed  bool
+	expired bool
+	// held is a description of the start that was removed: the endpoint is back, or
+	// the store has carried out a write of it late. It is set only beside gone.
+	held   *wick.Fact
+	heldAt wick.Instant
+	// returnedAt is the offset of the last description with which the endpoint
+	// returned.
+	returnedAt wick.Offset
 }
 
 // New returns an empty state.
-func New() *State {
+func New(cfg Config) *State {
 	return &State{
+		cfg:          cfg,
 		routes:       make(map[string][]wick.RouteConfig),
 		runners:      make(map[wick.EndpointName]*endpointEntry),
 		newest:       make(map[wick.Weights]Revision),
@@ -73,8 +101,18 @@
 	// CacheChange is a change only of the adapters that an endpoint has loaded or
 	// cached. The holder of the endpoint's shard learns of it earlier.
 	CacheChange
+	// Outdated is the effect of a record that the store has written behind newer
+	// ones although it is older. It changes nothing.
+	Outdated
+	// Held is the effect of a description of an endpoint that was removed. It may
+	// have been written late, and takes effect by Returned or a later description.
+	Held
+	// Noted is the effect of the removal of an endpoint that was not known.
+	Noted
 	// Change is any other change.
 	Change
+	// Return is a Change by which an endpoint that was removed is back.
+	Return
 )
 
 // effectOf returns Change if something changed, and Unchanged otherwise.
@@ -94,11 +132,25 @@
 	case f.NewRevision != nil:
 		return effectOf(s.applyNewer(now, f))
 	case f.Runner != nil:
-		return s.applyRunner(f)
+		return s.applyRunner(now, f)
 	}
 	return effectOf(s.applyGone(now, f))
 }
 
+// Confirm applies a fact that a holder has confirmed, and returns its effect.
+func (s *State) Confirm(now wick.Instant, f wick.Fact) Effect {
+	if f.RemovedEndpoint != "" {
+		return s.remove(now, f)
+	}
+	if f.Runner != nil {
+		if e := s.runners[f.Runner.Name]; e != nil && e.gone && f.Offset >= e.at && age(f.Runner, e.runner) >= 0 {
+			e.bringBack(f)
+			return Change
+		}
+	}
+	return s.Apply(now, f)
+}
+
 func (s *State) applyConfig(f wick.Fact) bool {
 	if s.config != nil && f.Offset <= s.configAt {
 		return false
@@ -125,17 +177,42 @@
 	return true
 }
 
-func (s *State) applyRunner(f wick.Fact) Effect {
+// age compares two descriptions of an endpoint by what they say of their own age. It
+// returns 1 if a is newer than b, -1 if it is older, and 0 if they don't tell.
+func age(a, b *wick.Runner) int {
+	switch {
+	case a.Started != b.Started:
+		if a.Started == 0 || b.Started == 0 {
+			return 0
+		}
+		return cmp.Compare(a.Started, b.Started)
+	case a.Sequence == 0 || b.Sequence == 0:
+		return 0
+	}
+	return cmp.Compare(a.Sequence, b.Sequence)
+}
+
+func (s *State) applyRunner(now wick.Instant, f wick.Fact) Effect {
 	e := s.runners[f.Runner.Name]
 	if e == nil {
 		s.runners[f.Runner.Name] = &endpointEntry{runner: f.Runner, at: f.Offset}
 		return Change
 	}
-	if f.Offset <= e.at {
+	newer := age(f.Runner, e.runner)
+	switch known := f.Offset <= e.at; {
+	case newer < 0 && known, newer == 0 && known:
 		return Unchanged
+	case newer < 0:
+		return Outdated
+	case e.gone && known:
+		// Only the removal was known so far.
+		e.runner = f.Runner
+		return Unchanged
+	case e.gone:
+		return s.applyReturn(now, e, f)
 	}
-	e.at = f.Offset
-	same := !e.gone && e.runner.Started == f.Runner.Started
+	e.at = max(e.at, f.Offset)
+	same := e.runner.Started == f.Runner.Started
 	if same && e.runner.Draining && !f.Runner.Draining {
 		// A heartbeat that arrives late does not cancel a draining notice.
 		return Unchanged
@@ -143,13 +220,38 @@
 	// Other daemons may have removed a lapsed entry, and must be notified of
 	// its return.
 	details := same && !e.lapsed && onlyAdaptersDiffer(e.runner, f.Runner)
-	e.runner, e.gone, e.lapsed = f.Runner, false, false
+	e.runner, e.lapsed = f.Runner, false
 	if details {
 		return CacheChange
 	}
 	return Change
 }
 
+// applyReturn applies a description of an endpoint that was removed. One of the start
+// that was removed may have been written late. It is held until a later description
+// follows, or until the store would have removed the entry of an endpoint that ended.
+func (s *State) applyReturn(now wick.Instant, e *endpointEntry, f wick.Fact) Effect {
+	switch {
+	case e.expired || f.Runner.Started != e.runner.Started || s.cfg.Heartbeat == 0:
+	case e.runner.Sequence > 0 && f.Runner.Sequence == e.runner.Sequence:
+		return Outdated
+	case e.held == nil:
+		e.held, e.heldAt, e.at = &f, now, f.Offset
+		return Held
+	case age(f.Runner, e.held.Runner) <= 0:
+		e.at = f.Offset
+		return Held
+	}
+	e.bringBack(f)
+	return Return
+}
+
+// bringBack ends the removal of an endpoint.
+func (e *endpointEntry) bringBack(f wick.Fact) {
+	e.runner, e.at, e.returnedAt = f.Runner, f.Offset, f.Offset
+	e.gone, e.expired, e.held = false, false, nil
+}
+
 // onlyAdaptersDiffer reports whether two descriptions of one incarnation differ at
 // most in the loaded and cached adapters, which the holder of its shard knows
 // better.
@@ -166,7 +268,7 @@
 	if e == nil || f.Offset <= e.at {
 		return false
 	}
-	e.at = f.Offset
+	e.at, e.held = f.Offset, nil
 	if e.gone {
 		return false
 	}
@@ -178,16 +280,63 @@
 	return true
 }
 
-// Remove removes an endpoint that is known to be gone, and reports whether that
-// changed anything. Unlike a removal given to Apply, it takes effect during an
-// outage of the store too.
-func (s *State) Remove(f wick.Fact) bool {
+// remove removes an endpoint that a holder knows to be gone. Unlike a removal given
+// to Apply, it takes effect during an outage of the store too, and for an entry that
+// was written behind the removal if it is that of the removed start.
+func (s *State) remove(now wick.Instant, f wick.Fact) Effect {
+	last := &wick.Runner{Name: f.RemovedEndpoint, Started: f.RemovedStart, Sequence: f.RemovedSequence}
 	e := s.runners[f.RemovedEndpoint]
-	if e == nil || e.gone || f.Offset < e.at {
-		return false
+	switch {
+	case e == nil && last.Started == 0:
+		return Unchanged
+	case e == nil:
+		s.runners[f.RemovedEndpoint] = &endpointEntry{runner: last, at: f.Offset, gone: true}
+		return Noted
+	case e.gone:
+		if f.Offset > e.at {
+			e.at, e.held = f.Offset, nil
+		}
+		return Unchanged
+	case f.Offset >= e.at:
+		e.at, e.gone, e.lapsed, e.expired = f.Offset, true, false, last.Started == 0
+		return Change
+	case last.Started == 0 || f.Offset < e.returnedAt || e.runner.Started > last.Started:
+		return Unchanged
 	}
-	e.at, e.gone, e.lapsed = f.Offset, true, false
-	return true
+	e.gone, e.lapsed = true, false
+	if age(e.runner, last) > 0 {
+		e.held, e.heldAt = &wick.Fact{Offset: e.at, Runner: e.runner}, now
+	}
+	e.runner = last
+	return Change
+}
+
+// Removed returns the start of an endpoint that was removed, and the number of the
+// newest description of it. It returns false if the store has not said that the
+// endpoint left.
+func (s *State) Removed(name wick.EndpointName) (wick.Started, wick.DescriptionCount, bool) {
+	e := s.runners[name]
+	if e == nil || !e.gone || e.expired {
+		return 0, 0, false
+	}
+	return e.runner.Started, e.runner.Sequence, true
+}
+
+// Returned returns the endpoints that were removed and whose entries have since been
+// in the store for so long that they are back.
+func (s *State) Returned(now wick.Instant) []wick.Fact {
+	if s.storeDown || now.Sub(s.storeUpSince) < returnHeartbeats*s.cfg.Heartbeat {
+		return nil
+	}
+	var back []wick.Fact
+	for _, e := range s.runners {
+		if e.held != nil && now.Sub(e.heldAt) >= returnHeartbeats*s.cfg.Heartbeat {
+			f := *e.held
+			e.bringBack(f)
+			back = append(back, f)
+		}
+	}
+	return back
 }
 
 // ApplyListing applies a full listing of the endpoints in the store, which ends at
@@ -202,6 +351,7 @@
 		}
 		f := wick.Fact{Offset: end - 1, RemovedEndpoint: name}
 		if s.applyGone(now, f) {
+			f.RemovedStart, f.RemovedSequence = e.runner.Started, e.runner.Sequence
 			gone = append(gone, f)
 		}
 	}
@@ -225,7 +375,7 @@
 	var gone []wick.Fact
 	for name, e := range s.runners {
 		if e.lapsed {
-			e.lapsed, e.gone = false, true
+			e.lapsed, e.gone, e.expired = false, true, true
 			gone = append(gone, wick.Fact{Offset: e.at, RemovedEndpoint: name})
 		}
 	}
--- a/facts/facts_test.go
+++ b/facts/facts_test.go
@@ -62,7 +62,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			s := facts.New()
+			s := facts.New(facts.Config{})
 			for _, st := range test.steps {
 				switch {
 				case st.storeDown:
@@ -85,6 +85,127 @@
 	}
 }
 
+// described is a fact with the description seq of a start of the endpoint.
+func described(at wick.Offset, started wick.Started, seq wick.DescriptionCount) wick.Fact {
+	f := runner(at, started, false)
+	f.Runner.Sequence = seq
+	return f
+}
+
+// A write that the store carries out late must not bring back an endpoint that left:
+// daemons sent requests to one that was about to end.
+func TestLateDescriptions(t *testing.T) {
+	const heartbeat = 1000
+	removed := func(at wick.Offset, started wick.Started, seq wick.DescriptionCount) wick.Fact {
+		return wick.Fact{Offset: at, RemovedEndpoint: "r", RemovedStart: started, RemovedSequence: seq}
+	}
+	type step struct {
+		at        wick.Instant
+		fact      wick.Fact
+		confirmed bool
+		want      facts.Effect
+	}
+	tests := []struct {
+		name  string
+		steps []step
+		// at is when the endpoint is looked at.
+		at      wick.Instant
+		present bool
+	}{
+		{"an older description after the removal", []step{
+			{0, described(1, 5, 7), false, facts.Change},
+			{0, gone(2), false, facts.Change},
+			{0, described(3, 5, 6), false, facts.Outdated},
+		}, ms(9 * heartbeat), false},
+		{"the last description once more", []step{
+			{0, described(1, 5, 7), false, facts.Change},
+			{0, gone(2), false, facts.Change},
+			{0, described(3, 5, 7), false, facts.Outdated},
+		}, ms(9 * heartbeat), false},
+		{"a description of an earlier start", []step{
+			{0, described(1, 5, 7), false, facts.Change},
+			{0, gone(2), false, facts.Change},
+			{0, described(3, 4, 90), false, facts.Outdated},
+		}, ms(9 * heartbeat), false},
+		{"an earlier start does not cancel draining", []step{
+			{0, runner(1, 5, true), false, facts.Change},
+			{0, described(2, 4, 90), false, facts.Outdated},
+			{0, gone(3), false, facts.Change},
+		}, 0, false},
+		{"a write that no heartbeat follows is removed", []step{
+			{0, described(1, 5, 7), false, facts.Change},
+			{0, gone(2), false, facts.Change},
+			{0, described(3, 5, 8), false, facts.Held},
+			{ms(3 * heartbeat), gone(4), false, facts.Unchanged},
+		}, ms(9 * heartbeat), false},
+		{"held while the store would keep it", []step{
+			{0, described(1, 5, 7), false, facts.Change},
+			{0, gone(2), false, facts.Change},
+			{0, described(3, 5, 8), false, facts.Held},
+		}, ms(4*heartbeat - 1), false},
+		{"an entry that stays", []step{
+			{0, described(1, 5, 7), false, facts.Change},
+			{0, gone(2), false, facts.Change},
+			{0, described(3, 5, 8), false, facts.Held},
+		}, ms(4 * heartbeat), true},
+		{"heartbeats follow", []step{
+			{0, described(1, 5, 7), false, facts.Change},
+			{0, gone(2), false, facts.Change},
+			{0, described(3, 5, 8), false, facts.Held},
+			{ms(heartbeat), described(4, 5, 9), false, facts.Return},
+		}, ms(heartbeat), true},
+		{"a new start", []step{
+			{0, described(1, 5, 7), false, facts.Change},
+			{0, gone(2), false, facts.Change},
+			{0, described(3, 6, 1), false, facts.Return},
+		}, 0, true},
+		{"read late, told of the removal before", []step{
+			{0, removed(2, 5, 7), true, facts.Noted},
+			{0, described(3, 5, 6), false, facts.Outdated},
+		}, ms(9 * heartbeat), false},
+		{"read late, told of the removal after", []step{
+			{0, described(3, 5, 6), false, facts.Change},
+			{0, removed(2, 5, 7), true, facts.Change},
+		}, ms(9 * heartbeat), false},
+		{"a newer entry, told of the removal after", []step{
+			{0, described(3, 5, 8), false, facts.Change},
+			{0, removed(2, 5, 7), true, facts.Change},
+		}, ms(4*heartbeat - 1), false},
+		{"a later start, told of the removal after", []step{
+			{0, described(3, 6, 1), false, facts.Change},
+			{0, removed(2, 5, 7), true, facts.Unchanged},
+		}, 0, true},
+		{"the newer description at a lower offset", []step{
+			{0, described(3, 4, 9), false, facts.Change},
+			{0, described(2, 5, 7), true, facts.Change},
+		}, 0, true},
+		{"a holder has confirmed the return", []step{
+			{0, described(1, 5, 7), false, facts.Change},
+			{0, gone(2), false, facts.Change},
+			{0, described(3, 5, 8), true, facts.Change},
+			{0, removed(2, 5, 7), true, facts.Unchanged},
+		}, 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := facts.New(facts.Config{Heartbeat: heartbeat * time.Millisecond})
+			for i, st := range test.steps {
+				apply := s.Apply
+				if st.confirmed {
+					apply = s.Confirm
+				}
+				if got := apply(st.at, st.fact); got != st.want {
+					t.Errorf("step %d: effect %d, want %d", i+1, got, st.want)
+				}
+			}
+			s.Returned(test.at)
+			if present := s.Runner("r") != nil; present != test.present {
+				t.Errorf("present is %v, want %v", present, test.present)
+			}
+		})
+	}
+}
+
 func TestListingRemovesMissing(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -98,7 +219,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			s := facts.New()
+			s := facts.New(facts.Config{})
 			s.Apply(0, runner(5, 1, false))
 			s.ApplyListing(ms(5000), test.listed, test.end)
 			if there := s.Runner("r") != nil; there != test.there {
@@ -109,7 +230,7 @@
 }
 
 func TestRoutes(t *testing.T) {
-	s := facts.New()
+	s := facts.New(facts.Config{})
 	s.Apply(0, wick.Fact{Offset: 1, ServingConfig: &wick.ServingConfig{Version: 1, Routes: []wick.RouteConfig{
 		{Name: "root", Host: "h", Prefix: "/"},
 		{Name: "deep", Host: "h", Prefix: "/a/b/"},
@@ -137,7 +258,7 @@
 }
 
 func TestStaleFactsAreIgnored(t *testing.T) {
-	s := facts.New()
+	s := facts.New(facts.Config{})
 	s.Apply(0, wick.Fact{Offset: 5, ServingConfig: &wick.ServingConfig{Version: 9}})
 	s.Apply(0, wick.Fact{Offset: 4, ServingConfig: &wick.ServingConfig{Version: 8}})
 	if config := s.ServingConfig(); config.Version != 9 {
@@ -179,7 +300,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			s := facts.New()
+			s := facts.New(facts.Config{})
 			s.Apply(0, runner(1, 5, false))
 			if test.outage {
 				s.SetReachable(ms(10), false)
--- a/fleet.go
+++ b/fleet.go
@@ -23,6 +23,9 @@
 	// Started is the wall-clock time at which an endpoint started, in Unix
 	// milliseconds. Together with its name it identifies an incarnation.
 	Started int64
+	// DescriptionCount counts the descriptions that an endpoint has published since it
+	// started; 0 if it does not say.
+	DescriptionCount uint64
 	// Shard numbers a group of endpoints that take their orders from the same
 	// daemon, the holder.
 	Shard int
@@ -62,6 +65,8 @@
 	Domain  Domain
 	Slots   Slots
 	Started Started
+	// Sequence is the number of this description.
+	Sequence DescriptionCount
 	// Draining is set if no new requests may be sent to the endpoint.
 	Draining bool
 	Models   []ModelName
@@ -202,6 +207,10 @@
 	Runner *Runner
 	// RemovedEndpoint names an endpoint whose record was removed.
 	RemovedEndpoint EndpointName
+	// RemovedStart and RemovedSequence are the start of the removed endpoint and the
+	// newest description of it; 0 unless a holder has confirmed the removal.
+	RemovedStart    Started
+	RemovedSequence DescriptionCount
 	// NewRevision announces the newest version of an adapter or a base model.
 	NewRevision *Loaded
 }
--- a/instance.go
+++ b/instance.go
@@ -142,10 +142,15 @@
 	Offset Offset `cbor:"2,keyasint"`
 	Key    string `cbor:"3,keyasint"`
 	Value  []byte `cbor:"4,keyasint,omitempty"`
-	// Confirmed is set on a record without value if the holder has decided that
-	// the endpoint is gone. Otherwise the record may have expired in an outage
-	// that only the holder saw, and the endpoint may still renew it.
+	// Confirmed is set if the holder has decided that the record is the state of its
+	// key. Without it, the removal of an endpoint may be that of an entry which
+	// expired in an outage that only the holder saw and which may still be renewed.
+	// The store may hold a record of the key with a higher offset that it wrote late.
 	Confirmed bool `cbor:"5,keyasint,omitempty"`
+	// Started and Sequence are the start of the endpoint that a confirmed removal
+	// ended, and the newest description of it; 0 if the endpoint may return at once.
+	Started  Started          `cbor:"6,keyasint,omitempty"`
+	Sequence DescriptionCount `cbor:"7,keyasint,omitempty"`
 }
 
 // Span is a range of a topic's records.
