A late write of an older configuration does not revert a newer one

Cause, the same as for late entries of runners: the configuration with the higher offset was taken for the newer one, whatever its version.

Change: the version decides, and the offset only between equal ones. Versions of adapters were compared already; a newer one at a lower offset is now taken too.

TestLateVersions and the row of TestLateRecords fail with the version out of applyConfig.

--- a/coord/late_test.go
+++ b/coord/late_test.go
@@ -17,6 +17,12 @@
 		}})
 	}
 	removed := func(at wick.Offset) wick.KeyedRecord { return wick.KeyedRecord{Offset: at, Key: "e"} }
+	config := func(t *testing.T, at wick.Offset, version uint64) wick.KeyedRecord {
+		return record(t, at, "config", wick.Fact{ServingConfig: &wick.ServingConfig{Version: version}})
+	}
+	revision := func(t *testing.T, at wick.Offset, version wick.Revision) wick.KeyedRecord {
+		return record(t, at, "version", wick.Fact{NewRevision: &wick.Loaded{Weights: wick.Weights{Model: "m", Adapter: "a"}, Revision: version}})
+	}
 	inUse := func(s *state) bool { return s.endpoints["e"] != nil && s.endpoints["e"].takesRequests() }
 	tests := []struct {
 		name  string
@@ -35,6 +41,12 @@
 		{"entry of a draining endpoint", wick.TopicRunners, func(t *testing.T) []wick.KeyedRecord {
 			return []wick.KeyedRecord{entry(t, 1, 6, false), entry(t, 2, 7, true), entry(t, 3, 5, false)}
 		}, inUse},
+		{"configuration", wick.TopicConfig, func(t *testing.T) []wick.KeyedRecord {
+			return []wick.KeyedRecord{config(t, 1, 12), config(t, 2, 7)}
+		}, func(s *state) bool { return s.facts.ServingConfig().Version == 7 }},
+		{"version of an adapter", wick.TopicConfig, func(t *testing.T) []wick.KeyedRecord {
+			return []wick.KeyedRecord{revision(t, 1, 3), revision(t, 2, 2)}
+		}, func(s *state) bool { return s.facts.Newest()[wick.Weights{Model: "m", Adapter: "a"}].Number == 2 }},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/facts/facts.go
+++ b/facts/facts.go
@@ -3,8 +3,7 @@
 // The state is built by applying records; a record older than the known state
 // changes nothing, whichever way it arrived. The offset of a record does not show
 // its age: the store may carry out a write seconds after it was sent, behind newer
-// ones. Where the descriptions of an endpoint number themselves, these numbers
-// decide.
+// ones. Where records number their own versions, these decide.
 package facts
 
 import (
@@ -128,9 +127,9 @@
 func (s *State) Apply(now wick.Instant, f wick.Fact) Effect {
 	switch {
 	case f.ServingConfig != nil:
-		return effectOf(s.applyConfig(f))
+		return s.applyConfig(f)
 	case f.NewRevision != nil:
-		return effectOf(s.applyNewer(now, f))
+		return s.applyNewer(now, f)
 	case f.Runner != nil:
 		return s.applyRunner(now, f)
 	}
@@ -151,11 +150,16 @@
 	return s.Apply(now, f)
 }
 
-func (s *State) applyConfig(f wick.Fact) bool {
-	if s.config != nil && f.Offset <= s.configAt {
-		return false
+func (s *State) applyConfig(f wick.Fact) Effect {
+	if s.config != nil {
+		switch older := f.Offset <= s.configAt; {
+		case f.ServingConfig.Version < s.config.Version && !older:
+			return Outdated
+		case f.ServingConfig.Version < s.config.Version, f.ServingConfig.Version == s.config.Version && older:
+			return Unchanged
+		}
 	}
-	s.config, s.configAt = f.ServingConfig, f.Offset
+	s.config, s.configAt = f.ServingConfig, max(f.Offset, s.configAt)
 	s.routes = make(map[string][]wick.RouteConfig)
 	for _, r := range f.ServingConfig.Routes {
 		s.routes[r.Host] = append(s.routes[r.Host], r)
@@ -163,18 +167,21 @@
 	for _, list := range s.routes {
 		slices.SortStableFunc(list, func(a, b wick.RouteConfig) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	return true
+	return Change
 }
 
-func (s *State) applyNewer(now wick.Instant, f wick.Fact) bool {
+func (s *State) applyNewer(now wick.Instant, f wick.Fact) Effect {
 	known, ok := s.newest[f.NewRevision.Weights]
-	if ok && (f.Offset <= known.at || f.NewRevision.Revision <= known.Number) {
-		return false
+	switch {
+	case ok && f.NewRevision.Revision < known.Number && f.Offset > known.at:
+		return Outdated
+	case ok && f.NewRevision.Revision <= known.Number:
+		return Unchanged
 	}
 	// Readers hold the old map, so it is replaced.
 	s.newest = maps.Clone(s.newest)
-	s.newest[f.NewRevision.Weights] = Revision{Number: f.NewRevision.Revision, ReceivedAt: now, at: f.Offset}
-	return true
+	s.newest[f.NewRevision.Weights] = Revision{Number: f.NewRevision.Revision, ReceivedAt: now, at: max(f.Offset, known.at)}
+	return Change
 }
 
 // age compares two descriptions of an endpoint by what they say of their own age. It
--- a/facts/facts_test.go
+++ b/facts/facts_test.go
@@ -206,6 +206,44 @@
 	}
 }
 
+// A configuration or an adapter's version that the store writes late must not replace
+// a newer one, and one that was read late must yield to it.
+func TestLateVersions(t *testing.T) {
+	w := wick.Weights{Model: "m", Adapter: "a"}
+	config := func(at wick.Offset, version uint64) wick.Fact {
+		return wick.Fact{Offset: at, ServingConfig: &wick.ServingConfig{Version: version}}
+	}
+	revision := func(at wick.Offset, version wick.Revision) wick.Fact {
+		return wick.Fact{Offset: at, NewRevision: &wick.Loaded{Weights: w, Revision: version}}
+	}
+	tests := []struct {
+		name          string
+		first, second wick.Fact
+		want          facts.Effect
+	}{
+		{"older configuration", config(5, 12), config(6, 7), facts.Outdated},
+		{"newer configuration at a lower offset", config(6, 7), config(5, 12), facts.Change},
+		{"configuration read again", config(5, 12), config(5, 12), facts.Unchanged},
+		{"older version", revision(5, 3), revision(6, 2), facts.Outdated},
+		{"newer version at a lower offset", revision(6, 2), revision(5, 3), facts.Change},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := facts.New(facts.Config{})
+			s.Apply(0, test.first)
+			if got := s.Apply(0, test.second); got != test.want {
+				t.Errorf("effect %d, want %d", got, test.want)
+			}
+			if c := s.ServingConfig(); c != nil && c.Version != 12 {
+				t.Errorf("configuration %d is in force, want 12", c.Version)
+			}
+			if n, ok := s.Newest()[w]; ok && n.Number != 3 {
+				t.Errorf("newest version is %d, want 3", n.Number)
+			}
+		})
+	}
+}
+
 func TestListingRemovesMissing(t *testing.T) {
 	tests := []struct {
 		name   string
