A daemon whose own record was hidden by a late one appends it again

Change: a daemon that reads such a record behind its own appends its own once more, at most three times a run. Without such a record there is no further call: the one from before a start stands ahead of its own.

TestLateRecordOfEarlierRun: no further append before the change.

--- a/coord/late_test.go
+++ b/coord/late_test.go
@@ -75,6 +75,46 @@
 	}
 }
 
+// A record of an earlier run of a daemon that the store writes late must not hide the
+// address of the present one. The record of before a start is not late.
+func TestLateRecordOfEarlierRun(t *testing.T) {
+	own, earlier := instance("a", 1), instance("a", 9)
+	tests := []struct {
+		name string
+		// records are those of the daemon's host in the order of the store.
+		records []wick.Instance
+		// appends are expected after them.
+		appends int
+	}{
+		{"before its own", []wick.Instance{earlier, own}, 0},
+		{"late", []wick.Instance{earlier, own, earlier}, 1},
+		{"late, again and again", []wick.Instance{own, earlier, own, earlier, own, earlier, own, earlier, own, earlier}, maxReannounced},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newHarness(t, true)
+			w.announced = true
+			for i, d := range test.records {
+				w.read(ms(i), wick.TopicDaemons, record(t, wick.Offset(i), keyDaemon+"a", d))
+				w.pendingPut = "" // The claim of a term.
+				w.announce(ms(i))
+				if w.pendingPut == keyDaemon+"a" {
+					putDone{key: w.pendingPut, current: true}.apply(w.state, ms(i))
+				}
+			}
+			appends := 0
+			for _, key := range w.fakeIO.puts {
+				if key == keyDaemon+"a" {
+					appends++
+				}
+			}
+			if appends != test.appends {
+				t.Errorf("its own record was appended %d times, want %d", appends, test.appends)
+			}
+		})
+	}
+}
+
 // newLateHarness returns a control state with a configuration of a pool of plain
 // services, whose entries may be written late.
 func newLateHarness(t *testing.T) *harness {
--- a/coord/records.go
+++ b/coord/records.go
@@ -159,13 +159,13 @@
 			s.log.Warn("record refused", "topic", wick.TopicDaemons.String(), "key", rec.Key, "offset", rec.Offset, "err", err)
 			return facts.Unchanged
 		}
+		s.checkAnnounced(rec.Offset, d)
 		old, known := s.daemons[d.Host]
 		if known && old.instance == d {
 			return facts.Unchanged
 		}
 		s.daemons[d.Host] = daemonRecord{instance: d, readAt: now}
 		s.daemonsChanged()
-		s.announced = s.announced || d == s.cfg.Self
 		return facts.Change
 	}
 	var c terms.Claim
@@ -179,6 +179,24 @@
 	return facts.Change
 }
 
+// maxReannounced bounds how often a daemon appends its own record again.
+const maxReannounced = 3
+
+// checkAnnounced compares a record of a daemon with this daemon. One of an earlier run
+// of it that the store wrote late, behind its own, hides its address from others, and
+// its own is appended again.
+func (s *state) checkAnnounced(at wick.Offset, d wick.Instance) {
+	switch {
+	case d.Host != s.cfg.Self.Host:
+	case d == s.cfg.Self:
+		s.announced, s.announcedRead, s.announcedAt = true, true, at
+	case s.announcedRead && at > s.announcedAt && s.reannounced < maxReannounced:
+		s.log.Warn("record of an earlier run was written late", "offset", at, "incarnation", d.Incarnation)
+		s.announced, s.announcedRead = false, false
+		s.reannounced++
+	}
+}
+
 // putDone is the result of an append; current is false if the store held records
 // that this daemon had not read, so that nothing was appended.
 type putDone struct {
--- a/coord/state.go
+++ b/coord/state.go
@@ -79,11 +79,16 @@
 	nextPut wick.Instant
 	// announced is set when this daemon's own record is in the store.
 	announced bool
-	roster    roster
-	started   wick.Instant
-	lastTick  wick.Instant
-	stopping  bool
-	wasReady  bool
+	// announcedRead is set once that record was read, announcedAt is its offset, and
+	// reannounced is how often it was appended again.
+	announcedRead bool
+	announcedAt   wick.Offset
+	reannounced   int
+	roster        roster
+	started       wick.Instant
+	lastTick      wick.Instant
+	stopping      bool
+	wasReady      bool
 	// settledAt is when the offsets that linked daemons must know last advanced.
 	settledAt wick.Instant
 	// nextLoads is when loads are queued next, and nextCopies when copies of adapters
