A status that promises "not run" reaches callers only if somebody stated it

Cause: a 503 of a runner that does not say "not executed" was passed on. For the runner it states nothing, for callers it is a promise.

Change: a request that may run once gets 502 of the daemon, without the runner's seal, in place of 408, 429 or 503 without the statement. What may be repeated is answered as before.

The row of TestForward wanted the 503 passed on, which breaks the promise; it now wants the outcome Unknown, as strictly. Four rows are new.

TestForward failed in two rows without the change of direct.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -104,6 +104,11 @@
 		t.recordFailure(to)
 		return &retryableError{cause: wick.Unknownf(wick.CodeBroken, "%s answered with status %d", to.runner.Name, rec.Status)}
 	}
+	if rec.ImpliesNotRun && !t.mayRerun() {
+		t.answered()
+		t.recordFailure(to)
+		return wick.Unknownf(wick.CodeBroken, "%s answered with status %d, which callers take to mean that the request did not run", to.runner.Name, rec.Status)
+	}
 	if t.route.Kind != wick.KindStream {
 		return t.passBuffered(ctx, to, rec, from.sent)
 	}
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -24,7 +24,9 @@
 type reply struct {
 	status int
 	notRun bool
-	body   string
+	// impliesNotRun is set for a status that callers take for notRun.
+	impliesNotRun bool
+	body          string
 	// unframed is set for a body whose end does not show that it is complete.
 	unframed bool
 	signal   wick.EndpointSignal
@@ -51,7 +53,7 @@
 	if r.err != nil {
 		return nil, r.err
 	}
-	return &wick.Response{Status: r.status, NotRun: r.notRun, Unframed: r.unframed, Signal: r.signal, Body: &body{Reader: strings.NewReader(r.body), cut: r.cut}}, nil
+	return &wick.Response{Status: r.status, NotRun: r.notRun, ImpliesNotRun: r.impliesNotRun, Unframed: r.unframed, Signal: r.signal, Body: &body{Reader: strings.NewReader(r.body), cut: r.cut}}, nil
 }
 
 // body is the body of a reply, which may break off.
@@ -204,7 +206,11 @@
 		{"unsafe after a refused connection", unsafe, 1, false, []reply{{err: notRun}, {status: 200, body: "hi"}}, 200, "hi", "", 2},
 		{"unsafe after a lost response", unsafe, 3, false, []reply{{err: broken}}, 0, "", wick.Unknown, 1},
 		{"unsafe with a broken body", unsafe, 3, false, []reply{{status: 200, body: "h", cut: true}}, 0, "", wick.Unknown, 1},
-		{"unsafe after 503 without the not-run header", unsafe, 3, false, []reply{{status: 503, body: "x"}}, 503, "x", "", 1},
+		{"unsafe after 503 without the not-run header", unsafe, 3, false, []reply{{status: 503, impliesNotRun: true, body: "x"}}, 0, "", wick.Unknown, 1},
+		{"stream after 503 without the not-run header", stream, 2, false, []reply{{status: 503, impliesNotRun: true, body: "x"}}, 0, "", wick.Unknown, 1},
+		{"safe after 503 without the not-run header", safe, 2, false, []reply{{status: 503, impliesNotRun: true}, {status: 200, body: "hi"}}, 200, "hi", "", 2},
+		{"safe with one attempt after 503 without the not-run header", safe, 1, false, []reply{{status: 503, impliesNotRun: true, body: "x"}}, 503, "x", "", 1},
+		{"resumable stream after 503 without the not-run header", stream, 2, true, []reply{{status: 503, impliesNotRun: true, body: "x"}}, 503, "x", "", 1},
 		{"safe after a lost response", safe, 2, false, []reply{{err: broken}, {status: 200, body: "hi"}}, 200, "hi", "", 2},
 		{"safe with a broken body", safe, 2, false, []reply{{status: 200, body: "h", cut: true}, {status: 200, body: "hi"}}, 200, "hi", "", 2},
 		{"safe after an endpoint error", safe, 2, false, []reply{{status: 500, body: "no"}, {status: 200, body: "hi"}}, 200, "hi", "", 2},
--- a/exchange.go
+++ b/exchange.go
@@ -144,6 +144,9 @@
 	Header []HeaderField
 	// NotRun is set if the endpoint states that it did not run the request.
 	NotRun bool
+	// ImpliesNotRun is set if callers take the status to mean that the request has not
+	// run and never will, although the endpoint does not state it.
+	ImpliesNotRun bool
 	// Misdirected is set if another endpoint has the address now, or if the
 	// endpoint has not loaded the requested adapter or version.
 	Misdirected bool
