What proves that a request crashes engines outlives all daemons

Cause: what is known of crashes was in the memory of the daemons only. Beside it, two proofs that one report brought about were judged in random order, so that the time of the stop was doubled or not.

Change: the arbiter of trials stores the crashes that prove a cause, in one record under a condition, at most every 2 s; daemons read it with the records that they read anyway, and reach the same verdicts. It is removed when no proved cause is left. Without one there are no calls.

Without the call of storeProofs TestProofsOutliveDaemons and four rows of TestProofsAreWrittenSparingly fail.

--- a/boot/gateway.go
+++ b/boot/gateway.go
@@ -135,6 +135,7 @@
 		Seeds:    cfg.Daemon.Seeds,
 		Bounds:   cfg.Daemon.Bounds,
 		Clock:    bootClock,
+		Wall:     clock.Wall{},
 		IO:       g.io,
 		Decoder:  platform.Decoder{},
 		Log:      cfg.Log,
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -36,6 +36,14 @@
 	return wick.Instant(now - b.start)
 }
 
+// Wall implements wick.WallClock.
+type Wall struct{}
+
+var _ wick.WallClock = Wall{}
+
+// Wall implements wick.WallClock.
+func (Wall) Wall() wick.UnixMillis { return wick.UnixMillis(time.Now().UnixMilli()) }
+
 func read() (time.Duration, error) {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -22,6 +22,7 @@
 	reads     []wick.Topic
 	newest    []wick.Topic
 	puts      []string
+	putValues [][]byte
 	orders    []wick.RunnerOrder
 	inspected []wick.EndpointName
 	probed    []wick.EndpointStart
@@ -31,8 +32,12 @@
 
 func (s *fakeIO) Read(t wick.Topic, _ wick.Offset, _ wick.Duration) { s.reads = append(s.reads, t) }
 func (s *fakeIO) ReadNewest(t wick.Topic)                           { s.newest = append(s.newest, t) }
-func (s *fakeIO) Put(_ wick.Offset, key string, _ []byte)           { s.puts = append(s.puts, key) }
-func (s *fakeIO) Order(_ wick.Address, o wick.RunnerOrder)          { s.orders = append(s.orders, o) }
+
+func (s *fakeIO) Put(_ wick.Offset, key string, value []byte) {
+	s.puts, s.putValues = append(s.puts, key), append(s.putValues, value)
+}
+
+func (s *fakeIO) Order(_ wick.Address, o wick.RunnerOrder) { s.orders = append(s.orders, o) }
 
 func (s *fakeIO) Inspect(e wick.EndpointName, _ wick.Address) { s.inspected = append(s.inspected, e) }
 
@@ -65,6 +70,11 @@
 
 func (fixedClock) Now() wick.Instant { return 0 }
 
+// wall implements wick.WallClock.
+type wall struct{ now wick.UnixMillis }
+
+func (w *wall) Wall() wick.UnixMillis { return w.now }
+
 // link implements wick.Link and records the messages.
 type link struct {
 	sent   []wick.LinkMessage
@@ -83,15 +93,16 @@
 type harness struct {
 	*state
 	fakeIO *fakeIO
+	wall   *wall
 }
 
 func newHarness(t testing.TB, fenced bool) *harness {
 	t.Helper()
-	st := &fakeIO{}
-	return &harness{fakeIO: st, state: newState(Config{
+	st, clock := &fakeIO{}, &wall{now: 1_700_000_000_000}
+	return &harness{fakeIO: st, wall: clock, state: newState(Config{
 		Self:   instance("a", 1),
 		Bounds: wick.Bounds{Lease: wick.Duration(3 * time.Second), RequireFencing: fenced, RevisionDeadline: wick.Duration(5 * time.Second)},
-		Clock:  fixedClock{}, IO: st, Decoder: decoder{}, Log: slog.New(slog.DiscardHandler), Observer: fakes.GatewayObserver{},
+		Clock:  fixedClock{}, Wall: clock, IO: st, Decoder: decoder{}, Log: slog.New(slog.DiscardHandler), Observer: fakes.GatewayObserver{},
 		Pauses: new(tally.Pauses), AnsweredParts: new(tally.Parts),
 	})}
 }
--- /dev/null
+++ b/coord/proofs_test.go
@@ -0,0 +1,149 @@
+package coord
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"currantwick"
+	"currantwick/crash"
+	"currantwick/terms"
+)
+
+// crashWith7 adds the evidence of request 7, which crashed its n-th to m-th endpoint,
+// from the second on as a trial.
+func (w *harness) crashWith7(at wick.Instant, n, m int) {
+	for i := n; i <= m; i++ {
+		r := wick.CrashReport{Crash: wick.EndpointStart{Endpoint: "e", Started: wick.Started(i)}, Pending: []wick.PendingRequest{{Request: 7, Trial: i > 1}}}
+		w.addEvidence(at, wick.Evidence{Crashes: []wick.CrashReport{r}}, ownEvidence)
+	}
+}
+
+// proofPuts returns the values of the records with proofs that were appended.
+func (w *harness) proofPuts() [][]byte {
+	var list [][]byte
+	for i, key := range w.fakeIO.puts {
+		if key == keyProofs {
+			list = append(list, w.fakeIO.putValues[i])
+		}
+	}
+	return list
+}
+
+// After the loss of all daemons a request that crashes endpoints was found anew.
+func TestProofsOutliveDaemons(t *testing.T) {
+	w := newHarness(t, true)
+	w.start(t)
+	w.crashWith7(ms(1000), 1, 2)
+	w.crashWith7(ms(17_000), 3, 3)
+	w.tick(ms(17_050))
+	puts := w.proofPuts()
+	if len(puts) != 1 {
+		t.Fatalf("%d records with proofs were appended, want 1", len(puts))
+	}
+	tests := []struct {
+		name string
+		// later is when the daemon that has just started reads the record.
+		later time.Duration
+		want  crash.Verdict
+	}{
+		{"within the second stop", 29 * time.Second, crash.Stopped},
+		{"after it", 31 * time.Second, crash.RunAlone},
+		{"with a clock that is behind", -2400 * time.Millisecond, crash.Stopped},
+		{"after the evidence is too old", time.Hour, crash.Clear},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			fresh := newHarness(t, true)
+			fresh.wall.now = w.wall.now + wick.UnixMillis(test.later.Milliseconds())
+			fresh.read(0, wick.TopicDaemons, wick.KeyedRecord{Offset: 3, Key: keyProofs, Value: puts[0]})
+			if got, _ := fresh.verdicts.Of(7, nil); got != test.want {
+				t.Errorf("verdict %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// The store's calls are priced and limited: the proofs are written by one daemon, when
+// a cause is proved, and removed once when none is left.
+func TestProofsAreWrittenSparingly(t *testing.T) {
+	const last = 30 * time.Minute
+	ok := func(w *harness, at wick.Instant) { putDone{key: keyProofs, current: true}.apply(w.state, at) }
+	tests := []struct {
+		name string
+		do   func(t *testing.T, w *harness)
+		// until is when the last tick is, with one each second.
+		until time.Duration
+		// done handles an append.
+		done func(w *harness, at wick.Instant)
+		// least and most bound the appends with a value, and removals are those without.
+		least, most, removals int
+	}{
+		{"no crash", func(*testing.T, *harness) {}, last, ok, 0, 0, 0},
+		{"a crash under a request that is not proved", func(_ *testing.T, w *harness) { w.crashWith7(0, 1, 1) }, last, ok, 0, 0, 0},
+		{"a proved request", func(_ *testing.T, w *harness) { w.crashWith7(0, 1, 2) }, time.Minute, ok, 1, 1, 0},
+		{"and when its evidence is too old", func(_ *testing.T, w *harness) { w.crashWith7(0, 1, 2) }, last, ok, 1, 1, 1},
+		{"and when it was answered", func(_ *testing.T, w *harness) {
+			w.crashWith7(0, 1, 2)
+			w.tick(ms(1))
+			ok(w, ms(2))
+			suspectsAnswered{[]wick.Fingerprint{7}}.apply(w.state, ms(3))
+		}, time.Minute, ok, 1, 1, 1},
+		{"another daemon decides on trials", func(t *testing.T, w *harness) {
+			for sh := range wick.Shard(terms.Shards) {
+				w.read(0, wick.TopicDaemons, record(t, wick.Offset(10+sh), fmt.Sprintf("%s%d", keyTerm, sh), terms.Claim{Shard: sh, Holder: "b", Incarnation: 2}))
+			}
+			w.holders["b"] = &holder{link: &link{}, instances: make(map[wick.HostName]wick.InstanceState)}
+			w.crashWith7(0, 1, 2)
+		}, time.Minute, ok, 0, 0, 0},
+		{"it is stored already", func(t *testing.T, w *harness) {
+			w.crashWith7(0, 1, 2)
+			w.tick(ms(1))
+			w.read(ms(2), wick.TopicDaemons, wick.KeyedRecord{Offset: 9, Key: keyProofs, Value: w.proofPuts()[0]})
+			ok(w, ms(3))
+			w.fakeIO.puts = nil
+		}, time.Minute, ok, 0, 0, 0},
+		{"an earlier write is done late", func(t *testing.T, w *harness) {
+			w.crashWith7(0, 1, 2)
+			w.tick(ms(1))
+			ok(w, ms(2))
+			w.crashWith7(0, 3, 3)
+			w.tick(ms(3000))
+			ok(w, ms(3001))
+			w.read(ms(3002), wick.TopicDaemons, wick.KeyedRecord{Offset: 9, Key: keyProofs, Value: w.proofPuts()[0]})
+		}, time.Minute, ok, 3, 3, 0},
+		{"the store is away for a minute", func(_ *testing.T, w *harness) { w.crashWith7(0, 1, 2) }, time.Minute, func(w *harness, at wick.Instant) {
+			putDone{key: keyProofs, err: errors.New("down")}.apply(w.state, at)
+			w.read(at, wick.TopicDaemons)
+		}, 5, 30, 0},
+		{"the store has newer records each time", func(_ *testing.T, w *harness) { w.crashWith7(0, 1, 2) }, time.Minute, func(w *harness, at wick.Instant) {
+			putDone{key: keyProofs}.apply(w.state, at)
+			w.read(at, wick.TopicDaemons)
+		}, 5, 30, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newHarness(t, true)
+			w.start(t)
+			test.do(t, w)
+			for at := wick.Instant(3 * time.Second); at < wick.Instant(test.until); at += wick.Instant(time.Second) {
+				w.tick(at)
+				if w.proofs.pending {
+					test.done(w, at)
+				}
+			}
+			writes, removals := 0, 0
+			for _, v := range w.proofPuts() {
+				if len(v) > 0 {
+					writes++
+				} else {
+					removals++
+				}
+			}
+			if writes < test.least || writes > test.most || removals != test.removals {
+				t.Errorf("%d writes and %d removals, want %d to %d and %d", writes, removals, test.least, test.most, test.removals)
+			}
+		})
+	}
+}
--- a/coord/records.go
+++ b/coord/records.go
@@ -168,6 +168,13 @@
 		s.daemonsChanged()
 		return facts.Change
 	}
+	if rec.Key == keyProofs {
+		if err := s.readProofs(now, rec); err != nil {
+			s.log.Warn("record refused", "topic", wick.TopicDaemons.String(), "key", rec.Key, "offset", rec.Offset, "err", err)
+			return facts.Unchanged
+		}
+		return facts.Change
+	}
 	var c terms.Claim
 	if err := codec.DecodeJSON(rec.Value, &c); err != nil || keyTerm+strconv.Itoa(int(c.Shard)) != rec.Key {
 		s.log.Warn("record refused", "topic", wick.TopicDaemons.String(), "key", rec.Key, "offset", rec.Offset, "err", err)
@@ -206,6 +213,10 @@
 }
 
 func (e putDone) apply(s *state, now wick.Instant) {
+	if e.key == keyProofs {
+		s.proofsPut(now, e)
+		return
+	}
 	s.pendingPut = ""
 	switch {
 	case e.err != nil:
--- a/coord/state.go
+++ b/coord/state.go
@@ -29,6 +29,7 @@
 	// it.
 	suspects *crash.Suspects
 	verdicts crash.Verdicts
+	proofs   proofStore
 	// trials are those that this daemon granted as the arbiter, and granted those
 	// that were granted to it, with the time.
 	trials  crash.Trials
@@ -136,6 +137,7 @@
 		lastTick:      now,
 		roster:        roster{stale: true},
 		shares:        shareState{told: make(map[wick.HostName]toldShares)},
+		proofs:        proofStore{backoff: pause.Backoff{Least: failPause, Most: maxProofsPause}},
 		probe:         storeProbe{backoff: pause.Backoff{Least: failPause, Most: maxFailPause}},
 	}
 	for i := range s.relayed {
@@ -173,6 +175,7 @@
 	s.forgetCrashes(now)
 	s.clearAnswered(now)
 	s.expireSuspects(now)
+	s.storeProofs(now)
 	s.updateLoads(now)
 	s.planCopies(now)
 	s.tickShares(now)
--- a/coord/thread.go
+++ b/coord/thread.go
@@ -39,7 +39,9 @@
 	Seeds  []wick.Address
 	Bounds wick.Bounds
 	// Clock keeps running while the process is paused.
-	Clock    wick.Clock
+	Clock wick.Clock
+	// Wall dates what is stored for later runs of the daemons.
+	Wall     wick.WallClock
 	IO       wick.GatewayIO
 	Decoder  wick.RecordDecoder
 	Log      *slog.Logger
--- a/crash.go
+++ b/crash.go
@@ -3,8 +3,8 @@
 // EndpointStart identifies one start of an endpoint, and the crash that ends it: an
 // endpoint crashes once between two starts.
 type EndpointStart struct {
-	Endpoint EndpointName `cbor:"1,keyasint"`
-	Started  Started      `cbor:"2,keyasint,omitempty"`
+	Endpoint EndpointName `json:"Endpoint" cbor:"1,keyasint"`
+	Started  Started      `json:"Started,omitempty" cbor:"2,keyasint,omitempty"`
 }
 
 // TrialID identifies the trial of a suspect: the one attempt that may be sent while
@@ -13,12 +13,12 @@
 
 // PendingRequest is a request whose answer an endpoint had not begun.
 type PendingRequest struct {
-	Request Fingerprint `cbor:"1,keyasint"`
+	Request Fingerprint `json:"Request" cbor:"1,keyasint"`
 	// Trial is set if the request was sent on trial.
-	Trial bool `cbor:"2,keyasint,omitempty"`
+	Trial bool `json:"Trial,omitempty" cbor:"2,keyasint,omitempty"`
 	// Parts are the fingerprints of the parts of its prompt that other requests may
 	// share.
-	Parts []Fingerprint `cbor:"3,keyasint,omitempty"`
+	Parts []Fingerprint `json:"Parts,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // BrokenAttempt is an attempt whose answer broke off although this daemon did not
@@ -39,10 +39,35 @@
 // CrashReport reports the requests that were pending at a crash. Daemons that saw
 // the same crash report different requests.
 type CrashReport struct {
-	Crash   EndpointStart    `cbor:"1,keyasint"`
-	Pending []PendingRequest `cbor:"2,keyasint"`
+	Crash   EndpointStart    `json:"Crash" cbor:"1,keyasint"`
+	Pending []PendingRequest `json:"Pending" cbor:"2,keyasint"`
 	// Age is the time since the crash.
-	Age Duration `cbor:"3,keyasint,omitempty"`
+	Age Duration `json:"Age,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// CrashProofs is a record of what proves which requests and parts of prompts crash
+// endpoints. It outlives the daemons, which would otherwise try each of them again on
+// several endpoints after the loss of all.
+type CrashProofs struct {
+	// At is when the record was written, to which the ages of Crashes refer.
+	At UnixMillis `json:"At"`
+	// Crashes are those at which the causes were pending, with these only.
+	Crashes []CrashReport `json:"Crashes"`
+	// Vouched are parts in Crashes that were answered before.
+	Vouched []Fingerprint `json:"Vouched,omitempty"`
+}
+
+// Check implements Checker.
+func (p CrashProofs) Check() error {
+	for _, r := range p.Crashes {
+		if r.Crash.Endpoint == "" {
+			return badField("Crashes", "a crash without an endpoint")
+		}
+		if r.Age < 0 {
+			return badField("Crashes", "the age of a crash at %s must not be negative", r.Crash.Endpoint)
+		}
+	}
+	return nil
 }
 
 // StoppedCause is a cause of crashes: requests that have all of Keys are not sent to
--- a/crash/judge.go
+++ b/crash/judge.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"cmp"
 	"slices"
 
 	"currantwick"
@@ -19,11 +20,24 @@
 			}
 		}
 	}
+	// The time for which a cause is stopped depends on earlier proofs.
+	for _, id := range s.byTime(ids) {
+		s.judge(id, s.crashes[id])
+	}
+}
+
+// byTime lists those of some crashes that are known, the oldest first.
+func (s *Suspects) byTime(ids map[wick.EndpointStart]bool) []wick.EndpointStart {
+	list := make([]wick.EndpointStart, 0, len(ids))
 	for id := range ids {
-		if c := s.crashes[id]; c != nil {
-			s.judge(id, c)
+		if s.crashes[id] != nil {
+			list = append(list, id)
 		}
 	}
+	slices.SortFunc(list, func(a, b wick.EndpointStart) int {
+		return cmp.Or(cmp.Compare(s.crashes[a].at, s.crashes[b].at), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Started, b.Started))
+	})
+	return list
 }
 
 // judge stops the causes that a crash proves. It takes that back if there is new
--- a/port.go
+++ b/port.go
@@ -96,3 +96,9 @@
 	// Now returns the time since the daemon started.
 	Now() Instant
 }
+
+// WallClock reads the wall clock.
+type WallClock interface {
+	// Wall returns the time of day.
+	Wall() UnixMillis
+}
--- a/units.go
+++ b/units.go
@@ -16,6 +16,9 @@
 	Slots int
 	// PerSecond is a rate of events per second.
 	PerSecond float64
+	// UnixMillis is a reading of the wall clock, in milliseconds since the Unix epoch.
+	// The clocks of two machines may differ, and each may jump by seconds.
+	UnixMillis int64
 	// Level orders priorities: a higher level is served first.
 	Level int
 	// Capacity is the relative capacity of a machine: the number of cores that a
