Without fencing a holder that has started again waits for the lease

Cause, the same as for forgotten crashes: from when a holder may give orders is in its memory only. One that was killed while it waited found its own claim in the store and went on at once.

Change: where engines don't check fencing tokens, a claim of another run of the same holder waits as that of a new holder does. Where they do, nothing changes.

Two rows of TestMayOrder fail without the change.

--- a/terms/terms.go
+++ b/terms/terms.go
@@ -122,8 +122,11 @@
 	term := Term{Claim: c, Fence: fence, From: now}
 	// A holder need not wait for its own lease. Nor need the successor of one
 	// that gave up its term, if endpoints check fencing tokens, which protect
-	// against the former holder's last orders.
-	mustWait := old.Fence > 0 && old.Holder != c.Holder && !(old.Left && t.cfg.RequireFencing)
+	// against the former holder's last orders. Where they do not, an earlier run of
+	// the same holder may have waited for the lease of the holder before it, of
+	// which the store keeps no record.
+	sameRun := old.Holder == c.Holder && (old.Incarnation == c.Incarnation || t.cfg.RequireFencing)
+	mustWait := old.Fence > 0 && !sameRun && !(old.Left && t.cfg.RequireFencing)
 	if mustWait {
 		term.From = now.Add(t.cfg.Lease + takeoverMargin)
 		if !t.cfg.RequireFencing && !old.Left {
@@ -132,7 +135,7 @@
 			term.From = term.From.Add(maxReadAgeUnfenced)
 		}
 	}
-	if old.Holder == c.Holder {
+	if sameRun {
 		term.From = max(now, old.From)
 	}
 	t.terms[c.Shard] = term
--- a/terms/terms_test.go
+++ b/terms/terms_test.go
@@ -36,6 +36,15 @@
 		{"after one that left, with fencing", true, terms.Claim{Shard: 1, Holder: "b", Incarnation: 7, Left: true}, nil, ms(10), true},
 		{"after one that left, without fencing", false, terms.Claim{Shard: 1, Holder: "b", Incarnation: 7, Left: true}, nil, ms(10), false},
 		{"the same machine restarted", true, terms.Claim{Shard: 1, Holder: "a", Incarnation: 9}, nil, ms(10), true},
+		// It had claimed the shard while it waited for the lease of the holder before it, was
+		// killed, and gave orders at once when it was back.
+		{"the same machine restarted, without fencing", false, terms.Claim{Shard: 1, Holder: "a", Incarnation: 9}, nil, ms(10), false},
+		{
+			"the same machine restarted, without fencing, after the lease", false,
+			terms.Claim{Shard: 1, Holder: "a", Incarnation: 9},
+			func(t *terms.Table) { t.Confirm(ms(4600)) }, ms(4700), true,
+		},
+		{"the same machine restarted after it left, without fencing", false, terms.Claim{Shard: 1, Holder: "a", Incarnation: 9, Left: true}, nil, ms(10), false},
 		{"with an old read", true, terms.Claim{}, nil, ms(3300), false},
 		{"with an old read, without fencing", false, terms.Claim{}, nil, ms(1300), false},
 		{"while the store is unreachable", true, terms.Claim{}, (*terms.Table).SetUnreachable, ms(60000), true},
