A late configuration does not come back with the loss of all daemons

By reading, with the change for late configurations: daemons that start and find no other go by the newest record of the store, which is the late one.

Change: holders that read a record of the operator's topic that is older than the state keep the newer one in the daemons' topic, under a condition; the arbiter removes it when the operator's topic is newer again. The writing of proofs of crashes is split off and shared. Without a late write there are no calls.

The rows of TestKeptConfiguration with a late record fail without storeKept.

--- /dev/null
+++ b/coord/kept_test.go
@@ -0,0 +1,106 @@
+package coord
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+	"time"
+
+	"currantwick"
+)
+
+// After a late write of an older configuration and the loss of all daemons, the older
+// one was in force for good.
+func TestKeptConfiguration(t *testing.T) {
+	config := func(t *testing.T, at wick.Offset, version uint64) wick.KeyedRecord {
+		return record(t, at, "config", wick.Fact{ServingConfig: &wick.ServingConfig{Version: version}})
+	}
+	const memo = keyKept + "config"
+	tests := []struct {
+		name string
+		// records are those of the operator's topic.
+		records []uint64
+		// holds is set if the daemon holds a term.
+		holds bool
+		// keeps is the version of the memo that is written, 0 for none, and removed is
+		// set if it is removed.
+		keeps   uint64
+		removed bool
+	}{
+		{"in order", []uint64{7, 12}, true, 0, false},
+		{"an older one is late", []uint64{12, 7}, true, 12, false},
+		{"two older ones are late", []uint64{12, 7, 9}, true, 12, false},
+		{"the same one again", []uint64{12, 12}, true, 0, false},
+		{"a daemon without a term", []uint64{12, 7}, false, 0, false},
+		{"and then a newer one", []uint64{12, 7, 20}, true, 12, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newHarness(t, true)
+			if test.holds {
+				w.start(t)
+			}
+			for i, version := range test.records {
+				w.read(ms(3000*i), wick.TopicConfig, config(t, wick.Offset(10+i), version))
+				for at := ms(3000 * i); at < ms(3000*i+3000); at += ms(50) {
+					w.tick(at)
+					if w.memos.pending != "" {
+						putDone{key: memo, current: true}.apply(w.state, at)
+					}
+				}
+			}
+			want := [][]byte(nil)
+			if test.keeps > 0 {
+				want = append(want, config(t, 0, test.keeps).Value)
+			}
+			if test.removed {
+				want = append(want, nil)
+			}
+			if puts := w.memoPuts(memo); !slices.EqualFunc(puts, want, bytes.Equal) {
+				t.Errorf("memos written: %q, want %q", puts, want)
+			}
+		})
+	}
+}
+
+// A daemon that starts goes by the memo, unless the operator's topic has a newer record.
+func TestKeptConfigurationIsRead(t *testing.T) {
+	config := func(t *testing.T, key string, version uint64) wick.KeyedRecord {
+		return record(t, 30, key, wick.Fact{ServingConfig: &wick.ServingConfig{Version: version}})
+	}
+	tests := []struct {
+		name string
+		// store is the version in the operator's topic, and first is set if the memo is
+		// read before it.
+		store uint64
+		first bool
+		want  uint64
+	}{
+		{"memo first", 7, true, 12},
+		{"memo last", 7, false, 12},
+		{"memo first, obsolete", 20, true, 20},
+		{"memo last, obsolete", 20, false, 20},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newHarness(t, true)
+			memo := func() { w.read(0, wick.TopicDaemons, config(t, keyKept+"config", 12)) }
+			if test.first {
+				memo()
+			}
+			w.read(0, wick.TopicConfig, config(t, "config", test.store))
+			if !test.first {
+				memo()
+			}
+			for at := ms(0); at < wick.Instant(time.Minute); at += ms(1000) {
+				w.storeKept(at)
+			}
+			if got := w.facts.ServingConfig().Version; got != test.want {
+				t.Errorf("configuration %d is in force, want %d", got, test.want)
+			}
+			if slices.Contains(w.fakeIO.puts, keyKept+"config") {
+				t.Error("a daemon without a term has written the memo")
+			}
+		})
+	}
+}
--- a/coord/proofs.go
+++ b/coord/proofs.go
@@ -7,41 +7,20 @@
 
 	"currantwick"
 	"currantwick/codec"
-	"currantwick/pause"
 )
 
 // The evidence about requests that crash endpoints is in the memory of the daemons, and
-// would be lost with all of them. What proves a cause is therefore stored, in one record
-// that the arbiter replaces when a cause is proved (again), and removes when none is left.
-// Daemons read it with the other records of their topic. It is written under a condition,
-// so that a late write of it is done only if nothing else was written meanwhile; one that
-// is done all the same adds what it has to the evidence, and the arbiter writes again.
+// would be lost with all of them. What proves a cause is therefore stored in a memo,
+// which the arbiter replaces when a cause is proved (again), and removes when none is
+// left. A memo that was written late adds what it has to the evidence, and the arbiter
+// writes again.
 
-const (
-	// keyProofs is the key of the record with the proofs.
-	keyProofs = "crashes"
-	// proofsInterval is the least time between two writes of it, and maxProofsPause
-	// the longest pause after a failed one.
-	proofsInterval = 2 * time.Second
-	maxProofsPause = 5 * time.Second
-)
-
-// proofStore is what this daemon knows of the record with the proofs.
-type proofStore struct {
-	// stored lists what the record has, as proofNames does. writing lists what is being
-	// written, if pending is set.
-	stored, writing []string
-	pending         bool
-	// next is the earliest time of the next write.
-	next    wick.Instant
-	backoff pause.Backoff
-}
+// keyProofs is the key of the memo with the proofs.
+const keyProofs = "crashes"
 
-// storeProofs writes the record with the proofs if it lacks some, or if none is left.
+// storeProofs writes the memo with the proofs if it lacks some, or if none is left.
 func (s *state) storeProofs(now wick.Instant) {
-	p := &s.proofs
-	t := &s.topics[wick.TopicDaemons]
-	if p.pending || now < p.next || t.knownUpTo() < 0 {
+	if !s.mayPutMemo(now) {
 		return
 	}
 	if h, ok := s.arbiter(); !ok || h != nil {
@@ -49,8 +28,8 @@
 	}
 	ev := s.suspects.Proofs(now)
 	names := proofNames(ev.Crashes)
-	lacking := slices.ContainsFunc(names, func(n string) bool { return !slices.Contains(p.stored, n) })
-	if !lacking && (len(names) > 0 || len(p.stored) == 0) {
+	lacking := slices.ContainsFunc(names, func(n string) bool { return !slices.Contains(s.storedProofs, n) })
+	if !lacking && (len(names) > 0 || len(s.storedProofs) == 0) {
 		return
 	}
 	var value []byte
@@ -58,43 +37,25 @@
 		var err error
 		value, err = codec.EncodeJSON(wick.CrashProofs{At: s.cfg.Wall.Wall(), Crashes: ev.Crashes, Vouched: ev.Vouched})
 		if err != nil {
-			s.log.Error("record could not be encoded", "key", keyProofs, "err", err)
-			p.next = now.Add(maxProofsPause)
+			s.log.Error("memo could not be encoded", "key", keyProofs, "err", err)
+			s.memos.next = now.Add(maxMemoPause)
 			return
 		}
 	}
-	s.log.Info("storing proofs of crashes", "crashes", len(ev.Crashes), "bytes", len(value))
-	p.pending, p.writing, p.next = true, names, now.Add(proofsInterval)
-	s.cfg.IO.Put(max(t.next, t.known), keyProofs, value)
-}
-
-// proofsPut handles the result of a write.
-func (s *state) proofsPut(now wick.Instant, e putDone) {
-	p := &s.proofs
-	p.pending = false
-	if e.err == nil && e.current {
-		p.stored = p.writing
-		p.backoff.Reset()
-		return
-	}
-	s.log.Warn("proofs of crashes not stored", "current", e.current, "err", e.err)
-	p.next = max(p.next, now.Add(p.backoff.Next()))
-	// The topic is read before the next write.
-	t := &s.topics[wick.TopicDaemons]
-	t.holderCurrent, t.current, t.due = -1, -1, now
+	s.putMemo(now, keyProofs, value, func() { s.storedProofs = names })
 }
 
-// readProofs adds the evidence of a record with proofs.
-func (s *state) readProofs(now wick.Instant, rec wick.RelayedRecord) error {
-	s.proofs.stored = nil
-	if len(rec.Value) == 0 {
+// readProofs adds the evidence of the memo with the proofs.
+func (s *state) readProofs(now wick.Instant, value []byte) error {
+	s.storedProofs = nil
+	if len(value) == 0 {
 		return nil
 	}
 	var r wick.CrashProofs
-	if err := codec.DecodeJSON(rec.Value, &r); err != nil {
+	if err := codec.DecodeJSON(value, &r); err != nil {
 		return fmt.Errorf("proofs of crashes: %w", err)
 	}
-	s.proofs.stored = proofNames(r.Crashes)
+	s.storedProofs = proofNames(r.Crashes)
 	since := wick.Duration(max(time.Duration(s.cfg.Wall.Wall()-r.At)*time.Millisecond, 0))
 	for i := range r.Crashes {
 		r.Crashes[i].Age += since
--- a/coord/proofs_test.go
+++ b/coord/proofs_test.go
@@ -20,11 +20,11 @@
 	}
 }
 
-// proofPuts returns the values of the records with proofs that were appended.
-func (w *harness) proofPuts() [][]byte {
+// memoPuts returns the values of the memos with a key that were appended.
+func (w *harness) memoPuts(key string) [][]byte {
 	var list [][]byte
-	for i, key := range w.fakeIO.puts {
-		if key == keyProofs {
+	for i, k := range w.fakeIO.puts {
+		if k == key {
 			list = append(list, w.fakeIO.putValues[i])
 		}
 	}
@@ -38,7 +38,7 @@
 	w.crashWith7(ms(1000), 1, 2)
 	w.crashWith7(ms(17_000), 3, 3)
 	w.tick(ms(17_050))
-	puts := w.proofPuts()
+	puts := w.memoPuts(keyProofs)
 	if len(puts) != 1 {
 		t.Fatalf("%d records with proofs were appended, want 1", len(puts))
 	}
@@ -100,7 +100,7 @@
 		{"it is stored already", func(t *testing.T, w *harness) {
 			w.crashWith7(0, 1, 2)
 			w.tick(ms(1))
-			w.read(ms(2), wick.TopicDaemons, wick.KeyedRecord{Offset: 9, Key: keyProofs, Value: w.proofPuts()[0]})
+			w.read(ms(2), wick.TopicDaemons, wick.KeyedRecord{Offset: 9, Key: keyProofs, Value: w.memoPuts(keyProofs)[0]})
 			ok(w, ms(3))
 			w.fakeIO.puts = nil
 		}, time.Minute, ok, 0, 0, 0},
@@ -111,7 +111,7 @@
 			w.crashWith7(0, 3, 3)
 			w.tick(ms(3000))
 			ok(w, ms(3001))
-			w.read(ms(3002), wick.TopicDaemons, wick.KeyedRecord{Offset: 9, Key: keyProofs, Value: w.proofPuts()[0]})
+			w.read(ms(3002), wick.TopicDaemons, wick.KeyedRecord{Offset: 9, Key: keyProofs, Value: w.memoPuts(keyProofs)[0]})
 		}, time.Minute, ok, 3, 3, 0},
 		{"the store is away for a minute", func(_ *testing.T, w *harness) { w.crashWith7(0, 1, 2) }, time.Minute, func(w *harness, at wick.Instant) {
 			putDone{key: keyProofs, err: errors.New("down")}.apply(w.state, at)
@@ -129,12 +129,12 @@
 			test.do(t, w)
 			for at := wick.Instant(3 * time.Second); at < wick.Instant(test.until); at += wick.Instant(time.Second) {
 				w.tick(at)
-				if w.proofs.pending {
+				if w.memos.pending != "" {
 					test.done(w, at)
 				}
 			}
 			writes, removals := 0, 0
-			for _, v := range w.proofPuts() {
+			for _, v := range w.memoPuts(keyProofs) {
 				if len(v) > 0 {
 					writes++
 				} else {
--- a/coord/records.go
+++ b/coord/records.go
@@ -55,11 +55,14 @@
 	switch effect {
 	case facts.Unchanged:
 	case facts.Outdated:
-		s.keepNewer(r)
+		s.keepNewer(r, from)
 	case facts.Held:
 		s.held[r.Key] = r
 	default:
 		s.relayed[r.Topic][r.Key] = r
+		if r.Topic == wick.TopicConfig && from != fromHolderConfirmed {
+			delete(s.kept.late, r.Key)
+		}
 	}
 	if from == fromStore && (effect == facts.Change || effect == facts.Return || effect == facts.Held || removed) {
 		s.out.records = append(s.out.records, r)
@@ -70,11 +73,14 @@
 // keepNewer handles a record that the store wrote late, behind the newest one of its
 // key. A daemon that starts now finds the late one in the store, so it is sent the
 // newest one whatever offsets it knows. Removals are always sent.
-func (s *state) keepNewer(late wick.RelayedRecord) {
+func (s *state) keepNewer(late wick.RelayedRecord, from source) {
 	s.log.Warn("record ignored: the store wrote it late", "topic", late.Topic.String(), "key", late.Key, "offset", late.Offset)
 	if newest, ok := s.relayed[late.Topic][late.Key]; ok && len(newest.Value) > 0 {
 		newest.Confirmed = true
 		s.relayed[late.Topic][late.Key] = newest
+		if late.Topic == wick.TopicConfig && from == fromStore {
+			s.kept.late[late.Key] = true
+		}
 	}
 }
 
@@ -169,12 +175,16 @@
 		return facts.Change
 	}
 	if rec.Key == keyProofs {
-		if err := s.readProofs(now, rec); err != nil {
+		if err := s.readProofs(now, rec.Value); err != nil {
 			s.log.Warn("record refused", "topic", wick.TopicDaemons.String(), "key", rec.Key, "offset", rec.Offset, "err", err)
 			return facts.Unchanged
 		}
 		return facts.Change
 	}
+	if key, ok := strings.CutPrefix(rec.Key, keyKept); ok {
+		s.readKept(now, key, rec.Value)
+		return facts.Change
+	}
 	var c terms.Claim
 	if err := codec.DecodeJSON(rec.Value, &c); err != nil || keyTerm+strconv.Itoa(int(c.Shard)) != rec.Key {
 		s.log.Warn("record refused", "topic", wick.TopicDaemons.String(), "key", rec.Key, "offset", rec.Offset, "err", err)
@@ -213,8 +223,8 @@
 }
 
 func (e putDone) apply(s *state, now wick.Instant) {
-	if e.key == keyProofs {
-		s.proofsPut(now, e)
+	if e.key == s.memos.pending {
+		s.memoPut(now, e)
 		return
 	}
 	s.pendingPut = ""
--- a/coord/state.go
+++ b/coord/state.go
@@ -29,7 +29,10 @@
 	// it.
 	suspects *crash.Suspects
 	verdicts crash.Verdicts
-	proofs   proofStore
+	memos    memoWriter
+	// storedProofs lists the proofs in their memo, as proofNames does.
+	storedProofs []string
+	kept         keptRecords
 	// trials are those that this daemon granted as the arbiter, and granted those
 	// that were granted to it, with the time.
 	trials  crash.Trials
@@ -137,7 +140,8 @@
 		lastTick:      now,
 		roster:        roster{stale: true},
 		shares:        shareState{told: make(map[wick.HostName]toldShares)},
-		proofs:        proofStore{backoff: pause.Backoff{Least: failPause, Most: maxProofsPause}},
+		memos:         memoWriter{backoff: pause.Backoff{Least: failPause, Most: maxMemoPause}},
+		kept:          keptRecords{stored: make(map[string][]byte), late: make(map[string]bool)},
 		probe:         storeProbe{backoff: pause.Backoff{Least: failPause, Most: maxFailPause}},
 	}
 	for i := range s.relayed {
@@ -176,6 +180,7 @@
 	s.clearAnswered(now)
 	s.expireSuspects(now)
 	s.storeProofs(now)
+	s.storeKept(now)
 	s.updateLoads(now)
 	s.planCopies(now)
 	s.tickShares(now)
