Counters for late records, memos and replaced answers; a listing ends a hold

Operators could tell late records, writes of memos and answers that were replaced from log lines only. Three counters count them.

An entry that is held since its endpoint was removed ended by the record of its next removal only. A daemon that misses that record, since it was deleted, reads a listing without the entry, which now ends the hold too; TestListingEndsHeldEntries failed without it.

--- a/coord/memo.go
+++ b/coord/memo.go
@@ -48,7 +48,9 @@
 func (s *state) memoPut(now wick.Instant, e putDone) {
 	m := &s.memos
 	m.pending = ""
-	if e.err == nil && e.current {
+	ok := e.err == nil && e.current
+	s.cfg.Observer.MemoStored(ok)
+	if ok {
 		m.stored()
 		m.backoff.Reset()
 		return
--- a/coord/records.go
+++ b/coord/records.go
@@ -74,6 +74,7 @@
 // key. A daemon that starts now finds the late one in the store, so it is sent the
 // newest one whatever offsets it knows. Removals are always sent.
 func (s *state) keepNewer(late wick.RelayedRecord, from source) {
+	s.cfg.Observer.LateRecord(late.Topic)
 	s.log.Warn("record ignored: the store wrote it late", "topic", late.Topic.String(), "key", late.Key, "offset", late.Offset)
 	if newest, ok := s.relayed[late.Topic][late.Key]; ok && len(newest.Value) > 0 {
 		newest.Confirmed = true
@@ -130,6 +131,7 @@
 	case facts.Change, facts.Return:
 		s.factChanged(now, f)
 	case facts.Held:
+		s.cfg.Observer.LateRecord(r.Topic)
 		s.log.Info("entry of a removed endpoint held", "endpoint", f.Runner.Name, "offset", f.Offset,
 			"started", f.Runner.Started, "sequence", f.Runner.Sequence)
 	}
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -107,6 +107,7 @@
 	if rec.ImpliesNotRun && !t.mayRerun() {
 		t.answered()
 		t.recordFailure(to)
+		t.server.cfg.Observer.UnstatedRefusal()
 		return wick.Unknownf(wick.CodeBroken, "%s answered with status %d, which callers take to mean that the request did not run", to.runner.Name, rec.Status)
 	}
 	if t.route.Kind != wick.KindStream {
--- a/facts/facts.go
+++ b/facts/facts.go
@@ -207,7 +207,7 @@
 	}
 	newer := age(f.Runner, e.runner)
 	switch known := f.Offset <= e.at; {
-	case newer < 0 && known, newer == 0 && known:
+	case newer <= 0 && known:
 		return Unchanged
 	case newer < 0:
 		return Outdated
@@ -353,7 +353,7 @@
 func (s *State) ApplyListing(now wick.Instant, listed map[wick.EndpointName]bool, end wick.Offset) []wick.Fact {
 	var gone []wick.Fact
 	for name, e := range s.runners {
-		if listed[name] || e.gone || e.at >= end || end == 0 {
+		if listed[name] || e.gone && e.held == nil || e.at >= end || end == 0 {
 			continue
 		}
 		f := wick.Fact{Offset: end - 1, RemovedEndpoint: name}
--- a/facts/facts_test.go
+++ b/facts/facts_test.go
@@ -267,6 +267,18 @@
 	}
 }
 
+// The removal of an entry that is held may have been deleted before it was read.
+func TestListingEndsHeldEntries(t *testing.T) {
+	s := facts.New(facts.Config{Heartbeat: time.Second})
+	s.Apply(0, described(1, 5, 7))
+	s.Apply(0, gone(2))
+	s.Apply(0, described(3, 5, 8))
+	s.ApplyListing(ms(1000), nil, 9)
+	if back := s.Returned(ms(9000)); len(back) > 0 {
+		t.Errorf("%v is back, though the store has no entry of it", back[0].Runner.Name)
+	}
+}
+
 func TestRoutes(t *testing.T) {
 	s := facts.New(facts.Config{})
 	s.Apply(0, wick.Fact{Offset: 1, ServingConfig: &wick.ServingConfig{Version: 1, Routes: []wick.RouteConfig{
--- a/fakes/observer.go
+++ b/fakes/observer.go
@@ -56,6 +56,15 @@
 // EndpointLeaving implements wick.GatewayObserver.
 func (GatewayObserver) EndpointLeaving() {}
 
+// LateRecord implements wick.GatewayObserver.
+func (GatewayObserver) LateRecord(wick.Topic) {}
+
+// MemoStored implements wick.GatewayObserver.
+func (GatewayObserver) MemoStored(bool) {}
+
+// UnstatedRefusal implements wick.GatewayObserver.
+func (GatewayObserver) UnstatedRefusal() {}
+
 // CopyRequested implements wick.GatewayObserver.
 func (GatewayObserver) CopyRequested() {}
 
--- a/observer.go
+++ b/observer.go
@@ -84,6 +84,14 @@
 	// that one said that it is about to end.
 	EndpointPaused()
 	EndpointLeaving()
+	// LateRecord records a record that the store wrote behind a newer one, or one that
+	// is held since it may be such a record.
+	LateRecord(topic Topic)
+	// MemoStored records the result of a write of what must outlive all daemons.
+	MemoStored(ok bool)
+	// UnstatedRefusal records an answer that was replaced, since callers would have
+	// taken it for a promise which the endpoint had not made.
+	UnstatedRefusal()
 	// CopyRequested records that this daemon, as a holder, asked for a copy of a busy
 	// adapter at another endpoint.
 	CopyRequested()
--- a/stats/gateway.go
+++ b/stats/gateway.go
@@ -37,6 +37,9 @@
 	poolWait      prometheus.Histogram
 	poolRefused   prometheus.Counter
 	limited       *prometheus.CounterVec
+	lateRecords   *prometheus.CounterVec
+	memos         *prometheus.CounterVec
+	unstated      prometheus.Counter
 }
 
 var _ wick.GatewayObserver = (*Gateway)(nil)
@@ -72,7 +75,10 @@
 	g.poolWait = newHistogram("pool_wait_seconds", "Time that requests waited for room in a pool of plain services.")
 	g.poolRefused = newCounter("pool_refused_total", "Requests refused because a pool of plain services would have no room in time.")
 	g.limited = newCounterVec("connections_limited_total", "Requests that waited for a connection because of the limit of their endpoint; over tells those that then exceeded it.", "over")
-	registry.MustRegister(g.poolWait, g.poolRefused, g.limited)
+	g.lateRecords = newCounterVec("late_records_total", "Records that the store wrote late and that were ignored or held, by topic.", "topic")
+	g.memos = newCounterVec("memos_written_total", "Writes of what must outlive all daemons; ok tells those that succeeded.", "ok")
+	g.unstated = newCounter("unstated_refusals_total", "Answers replaced because their status promises what the endpoint had not stated.")
+	registry.MustRegister(g.poolWait, g.poolRefused, g.limited, g.lateRecords, g.memos, g.unstated)
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
@@ -152,6 +158,15 @@
 // EndpointLeaving implements wick.GatewayObserver.
 func (g *Gateway) EndpointLeaving() { g.leaving.Inc() }
 
+// LateRecord implements wick.GatewayObserver.
+func (g *Gateway) LateRecord(topic wick.Topic) { g.lateRecords.WithLabelValues(topic.String()).Inc() }
+
+// MemoStored implements wick.GatewayObserver.
+func (g *Gateway) MemoStored(ok bool) { g.memos.WithLabelValues(yesNo(ok)).Inc() }
+
+// UnstatedRefusal implements wick.GatewayObserver.
+func (g *Gateway) UnstatedRefusal() { g.unstated.Inc() }
+
 // CopyRequested implements wick.GatewayObserver.
 func (g *Gateway) CopyRequested() { g.copies.Inc() }
 
