A confirmed removal tells how new the removed entry was

Heartbeats that change nothing are not relayed, so a linked daemon knew an old sequence, and held a late write, in place of ignoring it, once it read the store itself. It now takes the sequence from the confirmed removal; the new row of TestLateDescriptions failed before.

--- a/facts/facts.go
+++ b/facts/facts.go
@@ -142,7 +142,7 @@
 		return s.remove(now, f)
 	}
 	if f.Runner != nil {
-		if e := s.runners[f.Runner.Name]; e != nil && e.gone && f.Offset >= e.at && age(f.Runner, e.runner) >= 0 {
+		if e := s.runners[f.Runner.Name]; e != nil && e.gone && f.Offset >= e.at && compareAge(f.Runner, e.runner) >= 0 {
 			e.bringBack(f)
 			return Change
 		}
@@ -152,11 +152,11 @@
 
 func (s *State) applyConfig(f wick.Fact) Effect {
 	if s.config != nil {
-		switch older := f.Offset <= s.configAt; {
-		case f.ServingConfig.Version < s.config.Version && !older:
-			return Outdated
-		case f.ServingConfig.Version < s.config.Version, f.ServingConfig.Version == s.config.Version && older:
+		switch version, inForce := f.ServingConfig.Version, s.config.Version; {
+		case f.Offset <= s.configAt && version <= inForce:
 			return Unchanged
+		case version < inForce:
+			return Outdated
 		}
 	}
 	s.config, s.configAt = f.ServingConfig, max(f.Offset, s.configAt)
@@ -184,9 +184,9 @@
 	return Change
 }
 
-// age compares two descriptions of an endpoint by what they say of their own age. It
+// compareAge compares two descriptions of an endpoint by what they say of their own age. It
 // returns 1 if a is newer than b, -1 if it is older, and 0 if they don't tell.
-func age(a, b *wick.Runner) int {
+func compareAge(a, b *wick.Runner) int {
 	switch {
 	case a.Started != b.Started:
 		if a.Started == 0 || b.Started == 0 {
@@ -205,7 +205,7 @@
 		s.runners[f.Runner.Name] = &endpointEntry{runner: f.Runner, at: f.Offset}
 		return Change
 	}
-	newer := age(f.Runner, e.runner)
+	newer := compareAge(f.Runner, e.runner)
 	switch known := f.Offset <= e.at; {
 	case newer <= 0 && known:
 		return Unchanged
@@ -245,7 +245,7 @@
 	case e.held == nil:
 		e.held, e.heldAt, e.at = &f, now, f.Offset
 		return Held
-	case age(f.Runner, e.held.Runner) <= 0:
+	case compareAge(f.Runner, e.held.Runner) <= 0:
 		e.at = f.Offset
 		return Held
 	}
@@ -293,12 +293,17 @@
 func (s *State) remove(now wick.Instant, f wick.Fact) Effect {
 	last := &wick.Runner{Name: f.RemovedEndpoint, Started: f.RemovedStart, Sequence: f.RemovedSequence}
 	e := s.runners[f.RemovedEndpoint]
-	switch {
-	case e == nil && last.Started == 0:
-		return Unchanged
-	case e == nil:
+	if e == nil {
+		if last.Started == 0 {
+			return Unchanged
+		}
 		s.runners[f.RemovedEndpoint] = &endpointEntry{runner: last, at: f.Offset, gone: true}
 		return Noted
+	}
+	if (e.gone || f.Offset >= e.at) && compareAge(last, e.runner) > 0 {
+		e.runner = last // Heartbeats are not relayed.
+	}
+	switch {
 	case e.gone:
 		if f.Offset > e.at {
 			e.at, e.held = f.Offset, nil
@@ -311,7 +316,7 @@
 		return Unchanged
 	}
 	e.gone, e.lapsed = true, false
-	if age(e.runner, last) > 0 {
+	if compareAge(e.runner, last) > 0 {
 		e.held, e.heldAt = &wick.Fact{Offset: e.at, Runner: e.runner}, now
 	}
 	e.runner = last
--- a/facts/facts_test.go
+++ b/facts/facts_test.go
@@ -167,6 +167,11 @@
 			{0, described(3, 5, 6), false, facts.Change},
 			{0, removed(2, 5, 7), true, facts.Change},
 		}, ms(9 * heartbeat), false},
+		{"a late heartbeat between one that was relayed and the removal", []step{
+			{0, described(1, 5, 1), false, facts.Change},
+			{0, removed(9, 5, 7), true, facts.Change},
+			{0, described(10, 5, 6), false, facts.Outdated},
+		}, ms(9 * heartbeat), false},
 		{"a newer entry, told of the removal after", []step{
 			{0, described(3, 5, 8), false, facts.Change},
 			{0, removed(2, 5, 7), true, facts.Change},
