soak: late writes of older configurations and versions, with and without restarts

TestLateWrites has real daemons and a store that writes an older configuration and older versions of adapters behind the newest ones.

The route that only the newest configuration has was below /safe/, so another route served it while an older configuration was in force, and the check of every run found nothing. It has a path of its own now.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -263,7 +263,7 @@
 	s.poll(t, d, func() error {
 		var errs []error
 		for i, d := range s.daemons {
-			for _, k := range append(kinds, kind{fmt.Sprintf("/safe/new%d/x", s.version), false, 1}) {
+			for _, k := range append(kinds, kind{fmt.Sprintf("/new%d/x", s.version), false, 1}) {
 				sent++
 				q := request{id: wick.RequestID(fmt.Sprintf("calm-%d", sent)), to: string(d.Settings.CallerAddress), kind: k, adapter: i % adapters, timeout: timeout}
 				errs = append(errs, s.probe(q))
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -44,7 +44,7 @@
 	{"name":"resumable","host":"soak.example","pathPrefix":"/stream/again/","kind":"streaming","timeoutMs":4000,"objectiveMs":500,"gapTargetMs":400,"service":"s","attempts":2,"resumable":true},
 	{"name":"safe","host":"soak.example","pathPrefix":"/safe/","kind":"safe","timeoutMs":2000,"objectiveMs":300,"service":"s","attempts":2},
 	{"name":"unsafe","host":"soak.example","pathPrefix":"/unsafe/","kind":"unsafe","timeoutMs":2000,"objectiveMs":300,"service":"s","attempts":1},
-	{"name":"new","host":"soak.example","pathPrefix":"/safe/new%d/","kind":"safe","timeoutMs":2000,"objectiveMs":300,"service":"s","attempts":1}],
+	{"name":"new","host":"soak.example","pathPrefix":"/new%d/","kind":"safe","timeoutMs":2000,"objectiveMs":300,"service":"s","attempts":1}],
 	"services":[{"name":"s","engine":{"slots":8,"adapterSlots":3,"loadsPerS":20,"models":[{"name":"m","adapterMb":%v,"weightsMb":%v}],"weightsMb":%v}}],"limits":{"headerBytes":16384,"bodyBytes":100000}}`
 
 // bounds returns the platform's bounds, with shorter times than in production to
