A proof that is taken back leaves its memo

The memo was written again only if it lacked a proof, so one that was taken back stayed in it beside others, and daemons that start afterwards, which have nothing but the memo, would refuse sound requests.

Change: the memo is written again whenever it differs from the proofs, but for those that are too old to count. TestProofsTakenBack failed before.

--- a/coord/proofs_test.go
+++ b/coord/proofs_test.go
@@ -65,6 +65,48 @@
 	}
 }
 
+// A proof that other evidence takes back must leave the memo, or daemons that start
+// afterwards refuse sound requests: they have only the half of the evidence that proved it.
+func TestProofsTakenBack(t *testing.T) {
+	w := newHarness(t, true)
+	w.start(t)
+	crashOf := func(endpoint string, n int, pending ...wick.PendingRequest) {
+		r := wick.CrashReport{Crash: wick.EndpointStart{Endpoint: wick.EndpointName(endpoint), Started: wick.Started(n)}, Pending: pending}
+		w.addEvidence(ms(1), wick.Evidence{Crashes: []wick.CrashReport{r}}, ownEvidence)
+	}
+	tick := func(at wick.Instant) {
+		w.tick(at)
+		if w.memos.pending != "" {
+			putDone{key: keyProofs, current: true}.apply(w.state, at)
+		}
+	}
+	w.crashWith7(ms(1), 1, 2)
+	crashOf("f", 1, wick.PendingRequest{Request: 9})
+	crashOf("f", 2, wick.PendingRequest{Request: 9, Trial: true})
+	tick(ms(2))
+	for n := range 2 {
+		crashOf("e", n+1, wick.PendingRequest{Request: 8})
+	}
+	for at := ms(1000); at < ms(9000); at += ms(1000) {
+		tick(at)
+	}
+	puts := w.memoPuts(keyProofs)
+	if len(puts) != 2 {
+		t.Fatalf("%d memos were written, want 2", len(puts))
+	}
+	fresh := newHarness(t, true)
+	fresh.read(0, wick.TopicDaemons, wick.KeyedRecord{Offset: 3, Key: keyProofs, Value: puts[1]})
+	tests := []struct {
+		request wick.Fingerprint
+		want    crash.Verdict
+	}{{7, crash.Clear}, {8, crash.Clear}, {9, crash.Stopped}}
+	for _, test := range tests {
+		if got, _ := fresh.verdicts.Of(test.request, nil); got != test.want {
+			t.Errorf("request %d: verdict %d, want %d", test.request, got, test.want)
+		}
+	}
+}
+
 // The store's calls are priced and limited: the proofs are written by one daemon, when
 // a cause is proved, and removed once when none is left.
 func TestProofsAreWrittenSparingly(t *testing.T) {
--- a/coord/state.go
+++ b/coord/state.go
@@ -30,8 +30,8 @@
 	suspects *crash.Suspects
 	verdicts crash.Verdicts
 	memos    memoWriter
-	// storedProofs lists the proofs in their memo, as proofNames does.
-	storedProofs []string
+
+	storedProofs storedProofs
 	kept         keptRecords
 	// trials are those that this daemon granted as the arbiter, and granted those
 	// that were granted to it, with the time.
--- a/crash/suspects.go
+++ b/crash/suspects.go
@@ -101,16 +101,18 @@
 	maxCauses = 128
 	// firstStop is how long a cause is stopped after its first proof, and
 	// sharedStoppedTTL, the default StoppedTTL of a Suspects, the longest time. A
-	// cause is then a suspect again until its evidence is sharedSuspectTTL old.
+	// cause is then a suspect again until its evidence is EvidenceTime old.
 	firstStop        = 15 * time.Second
 	sharedStoppedTTL = 10 * time.Minute
-	sharedSuspectTTL = 20 * time.Minute
 )
 
+// EvidenceTime is how long evidence counts: the default SuspectTTL of a Suspects.
+const EvidenceTime = 20 * time.Minute
+
 // NewSuspects returns a Suspects without evidence.
 func NewSuspects(cfg Config) *Suspects {
 	if cfg.SuspectTTL <= 0 {
-		cfg.SuspectTTL = sharedSuspectTTL
+		cfg.SuspectTTL = EvidenceTime
 	}
 	if cfg.StoppedTTL <= 0 {
 		cfg.StoppedTTL = sharedStoppedTTL
