--- a/coord/late_test.go
+++ b/coord/late_test.go
@@ -29,8 +29,8 @@
 		topic wick.Topic
 		// records are those of one key in the order in which the store has them.
 		records func(t *testing.T) []wick.KeyedRecord
-		// old reports whether a daemon goes by the last record.
-		old func(s *state) bool
+		// followsLast reports whether a daemon goes by the last record.
+		followsLast func(s *state) bool
 	}{
 		{"entry of an endpoint that left", wick.TopicRunners, func(t *testing.T) []wick.KeyedRecord {
 			return []wick.KeyedRecord{entry(t, 1, 7, false), removed(2), entry(t, 3, 6, false)}
@@ -55,12 +55,12 @@
 			for i, r := range list {
 				reader.read(ms(i), test.topic, r)
 			}
-			if test.old(reader.state) {
+			if test.followsLast(reader.state) {
 				t.Error("the daemon that knew the newer record goes by the late one")
 			}
 			// A daemon that starts now reads the newest record of the key only.
 			fresh.read(ms(10), test.topic, list[len(list)-1])
-			if !test.old(fresh.state) {
+			if !test.followsLast(fresh.state) {
 				t.Fatal("the daemon that has just started does not go by the only record that it knows")
 			}
 			l, sender := &link{}, &holder{instances: make(map[wick.HostName]wick.InstanceState)}
@@ -68,7 +68,7 @@
 			for _, m := range l.sent {
 				fresh.applyUpdate(ms(12), sender, m.Update)
 			}
-			if test.old(fresh.state) {
+			if test.followsLast(fresh.state) {
 				t.Error("the daemon that has just started goes by the late record after it was told of the newer one")
 			}
 		})
