A late copy of its last heartbeat does not renew an entry that lapsed

An entry that the store removed in an outage is kept for a while, and was renewed by any record with a higher offset, so also by the last heartbeat of a runner that had left, done late. A repeated description now renews it no more than it brings back a removed one; both pass the same check.

The first row of TestLateRenewal failed before.

--- a/facts/facts.go
+++ b/facts/facts.go
@@ -199,6 +199,11 @@
 	return cmp.Compare(a.Sequence, b.Sequence)
 }
 
+// isRepeated reports whether two descriptions of an endpoint are one and the same.
+func isRepeated(a, b *wick.Runner) bool {
+	return a.Started == b.Started && a.Sequence == b.Sequence && a.Sequence > 0
+}
+
 func (s *State) applyRunner(now wick.Instant, f wick.Fact) Effect {
 	e := s.runners[f.Runner.Name]
 	if e == nil {
@@ -209,7 +214,7 @@
 	switch known := f.Offset <= e.at; {
 	case newer <= 0 && known:
 		return Unchanged
-	case newer < 0:
+	case newer < 0, (e.gone || e.lapsed) && isRepeated(f.Runner, e.runner):
 		return Outdated
 	case e.gone && known:
 		// Only the removal was known so far.
@@ -238,19 +243,17 @@
 // that was removed may have been written late. It is held until a later description
 // follows, or until the store would have removed the entry of an endpoint that ended.
 func (s *State) applyReturn(now wick.Instant, e *endpointEntry, f wick.Fact) Effect {
-	switch {
-	case e.expired || f.Runner.Started != e.runner.Started || s.cfg.Heartbeat == 0:
-	case e.runner.Sequence > 0 && f.Runner.Sequence == e.runner.Sequence:
-		return Outdated
-	case e.held == nil:
-		e.held, e.heldAt, e.at = &f, now, f.Offset
-		return Held
-	case compareAge(f.Runner, e.held.Runner) <= 0:
-		e.at = f.Offset
-		return Held
-	}
-	e.bringBack(f)
-	return Return
+	mayBeLate := !e.expired && f.Runner.Started == e.runner.Started && s.cfg.Heartbeat > 0
+	confirmed := e.held != nil && compareAge(f.Runner, e.held.Runner) > 0
+	if !mayBeLate || confirmed {
+		e.bringBack(f)
+		return Return
+	}
+	if e.held == nil {
+		e.held, e.heldAt = &f, now
+	}
+	e.at = f.Offset
+	return Held
 }
 
 // bringBack ends the removal of an endpoint.
--- a/facts/facts_test.go
+++ b/facts/facts_test.go
@@ -122,6 +122,13 @@
 			{0, gone(2), false, facts.Change},
 			{0, described(3, 5, 7), false, facts.Outdated},
 		}, ms(9 * heartbeat), false},
+		{"a write that no heartbeat follows, twice", []step{
+			{0, described(1, 5, 7), false, facts.Change},
+			{0, gone(2), false, facts.Change},
+			{0, described(3, 5, 8), false, facts.Held},
+			{ms(heartbeat), described(4, 5, 8), false, facts.Held},
+			{ms(3 * heartbeat), gone(5), false, facts.Unchanged},
+		}, ms(9 * heartbeat), false},
 		{"a description of an earlier start", []step{
 			{0, described(1, 5, 7), false, facts.Change},
 			{0, gone(2), false, facts.Change},
@@ -211,6 +218,38 @@
 	}
 }
 
+// An entry that lapsed in an outage is renewed by a newer description only, and not by
+// the last one, which the store has written late.
+func TestLateRenewal(t *testing.T) {
+	tests := []struct {
+		name    string
+		last    wick.Fact
+		want    facts.Effect
+		present bool
+	}{
+		{"the last description once more", described(3, 5, 7), facts.Outdated, false},
+		{"an older one", described(3, 5, 6), facts.Outdated, false},
+		{"a heartbeat", described(3, 5, 8), facts.Change, true},
+		{"a new start", described(3, 6, 1), facts.Change, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := facts.New(facts.Config{Heartbeat: time.Second})
+			s.Apply(0, described(1, 5, 7))
+			s.SetReachable(ms(10), false)
+			s.Apply(ms(20), gone(2))
+			s.SetReachable(ms(30), true)
+			if got := s.Apply(ms(40), test.last); got != test.want {
+				t.Errorf("effect %d, want %d", got, test.want)
+			}
+			s.Expire(ms(9000))
+			if present := s.Runner("r") != nil; present != test.present {
+				t.Errorf("present is %v, want %v", present, test.present)
+			}
+		})
+	}
+}
+
 // A configuration or an adapter's version that the store writes late must not replace
 // a newer one, and one that was read late must yield to it.
 func TestLateVersions(t *testing.T) {
