What an endpoint says of its leaving reaches daemons that don't have it

A daemon that was told that an endpoint leaves while its entry was removed, or before it knew that start, dropped the news, and sent requests there when the entry came back or came. One that linked meanwhile was not told at all.

Two new rows of TestLeavingEndpoints and TestLeavingIsToldAfterRemoval fail without it.

--- a/coord/leaving_test.go
+++ b/coord/leaving_test.go
@@ -41,6 +41,17 @@
 			w.read(ms(2), wick.TopicRunners, wick.KeyedRecord{Offset: 5, Key: string(e)})
 			w.read(ms(3), wick.TopicRunners, record(t, 6, string(e), wick.Fact{Runner: &wick.Runner{Name: e, Pool: "p", Address: "x:1", Domain: "d"}}))
 		}, false, true},
+		{"said to another daemon while its entry was removed", func(t *testing.T, w *harness, e wick.EndpointName, daemon *link) {
+			w.read(ms(1), wick.TopicRunners, wick.KeyedRecord{Offset: 5, Key: string(e)})
+			r := &wick.InstanceReport{Ready: true, Leaving: []wick.EndpointStart{{Endpoint: e}}}
+			linkMessage{daemon, wick.LinkMessage{Report: r}}.apply(w.state, ms(2))
+			w.read(ms(3), wick.TopicRunners, record(t, 6, string(e), wick.Fact{Runner: &wick.Runner{Name: e, Pool: "p", Address: "x:1", Domain: "d"}}))
+		}, false, false},
+		{"said to another daemon of a start that is not known yet", func(t *testing.T, w *harness, e wick.EndpointName, daemon *link) {
+			r := &wick.InstanceReport{Ready: true, Leaving: []wick.EndpointStart{{Endpoint: e, Started: 9}}}
+			linkMessage{daemon, wick.LinkMessage{Report: r}}.apply(w.state, ms(2))
+			w.read(ms(3), wick.TopicRunners, record(t, 5, string(e), wick.Fact{Runner: &wick.Runner{Name: e, Pool: "p", Address: "x:1", Domain: "d", Started: 9}}))
+		}, false, false},
 		{"said, and it started again under its name", func(t *testing.T, w *harness, e wick.EndpointName, _ *link) {
 			endpointLeaving{wick.EndpointStart{Endpoint: e}}.apply(w.state, ms(1))
 			w.read(ms(2), wick.TopicRunners, record(t, 5, string(e), wick.Fact{Runner: &wick.Runner{Name: e, Pool: "p", Address: "x:1", Domain: "d", Started: 9}}))
@@ -77,6 +88,33 @@
 	}
 }
 
+// A daemon that links while the endpoint is gone was not told that it leaves, and used it
+// once its entry came back.
+func TestLeavingIsToldAfterRemoval(t *testing.T) {
+	tests := []struct {
+		name string
+		at   wick.Instant
+		told int
+	}{
+		{"at once", ms(3), 1},
+		{"later than it is remembered", wick.Instant(leftMemory) + ms(3), 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newHarness(t, true)
+			e := w.start(t)
+			endpointLeaving{wick.EndpointStart{Endpoint: e}}.apply(w.state, ms(1))
+			w.read(ms(2), wick.TopicRunners, wick.KeyedRecord{Offset: 5, Key: string(e)})
+			w.tick(test.at)
+			l := &link{}
+			w.connect(l, "b", 2, test.at)
+			if told := len(l.lastUpdate().Leaving); told != test.told {
+				t.Errorf("told of %d endpoints, want %d", told, test.told)
+			}
+		})
+	}
+}
+
 // An endpoint that asked for a pause gets no orders, requests for its report or
 // probes meanwhile.
 func TestPausedEndpointsAreLeftAlone(t *testing.T) {
--- a/coord/linked.go
+++ b/coord/linked.go
@@ -81,7 +81,7 @@
 		}
 	}
 	s.addEvidence(now, r.Evidence, daemonEvidence)
-	s.setLeaving(r.Leaving, false)
+	s.setLeaving(now, r.Leaving, false)
 	if len(r.TrialRequests) > 0 {
 		s.grantTrials(now, m, r.TrialRequests)
 	}
--- a/coord/state.go
+++ b/coord/state.go
@@ -20,9 +20,7 @@
 	terms *terms.Table
 
 	endpoints map[wick.EndpointName]*endpoint
-	// left are the endpoints that are gone and said before that they are about to
-	// end.
-	left map[wick.EndpointName]wick.Started
+	left      map[wick.EndpointName]leftEndpoint
 	// crashes are the crashes and suspected crashes of the last seconds.
 	crashes map[wick.EndpointStart]*suspectedCrash
 	// suspects has the evidence of all daemons, and verdicts is what follows from
@@ -124,7 +122,7 @@
 			RequireFencing: cfg.Bounds.RequireFencing,
 		}),
 		endpoints:     make(map[wick.EndpointName]*endpoint),
-		left:          make(map[wick.EndpointName]wick.Started),
+		left:          make(map[wick.EndpointName]leftEndpoint),
 		crashes:       make(map[wick.EndpointStart]*suspectedCrash),
 		suspects:      crash.NewSuspects(crash.Config{}),
 		granted:       make(map[wick.TrialID]wick.Instant),
@@ -177,6 +175,7 @@
 	s.dialHolders(now)
 	s.settle(now)
 	s.forgetCrashes(now)
+	s.forgetLeft(now)
 	s.clearAnswered(now)
 	s.expireSuspects(now)
 	s.storeProofs(now)
--- a/coord/update.go
+++ b/coord/update.go
@@ -83,7 +83,7 @@
 		}
 	}
 	s.addEvidence(now, u.Evidence, daemonEvidence)
-	s.setLeaving(u.Leaving, false)
+	s.setLeaving(now, u.Leaving, false)
 	for _, id := range u.Trials {
 		s.grant(now, id)
 	}
--- a/coord/view.go
+++ b/coord/view.go
@@ -197,10 +197,7 @@
 		e := s.endpoints[r.Name]
 		if e == nil || e.info.Started != r.Started {
 			e = &endpoint{shard: terms.ShardOf(r.Name), meter: tally.NewMeter(), adapters: loadedAt(r, now), recent: slots.NewRecentAdapters()}
-			if started, ok := s.left[r.Name]; ok {
-				e.leaving = started == r.Started
-				delete(s.left, r.Name)
-			}
+			e.leaving = s.saidLeaving(r)
 			s.endpoints[r.Name] = e
 			delete(s.ledgers, r.Name)
 			s.addLinkedLoad(e, r.Name)
@@ -213,7 +210,7 @@
 	for name, e := range s.endpoints {
 		if !live[name] {
 			if e.leaving {
-				s.left[name] = e.info.Started
+				s.left[name] = leftEndpoint{started: e.info.Started, since: now, known: true}
 			}
 			delete(s.endpoints, name)
 			delete(s.ledgers, name)
