Proofs are stored although the store turns the arbiter away

The store may refuse one daemon and serve the others. While it refused the arbiter, proofs stayed in memory, and the loss of all daemons lost them.

Change: if the memo keeps lacking proofs for 5 s, the holder of the next rank writes it; it adds only, and removals stay with the arbiter.

The row "it can't write" of TestProofsAreWrittenSparingly failed before.

--- a/coord/proofs.go
+++ b/coord/proofs.go
@@ -16,8 +16,13 @@
 // when none is left. A memo that was written late adds what it has to the evidence, and
 // the arbiter writes again.
 
-// keyProofs is the key of the memo with the proofs.
-const keyProofs = "crashes"
+const (
+	// keyProofs is the key of the memo with the proofs.
+	keyProofs = "crashes"
+	// proofsTakeover is how long a memo must have lacked proofs before the holder of
+	// the next rank writes it: the store may turn the arbiter away.
+	proofsTakeover = 5 * time.Second
+)
 
 // storedProofs is what this daemon knows of the memo with the proofs.
 type storedProofs struct {
@@ -25,23 +30,20 @@
 	there bool
 	// until has when each of its proofs, as proofName names them, is too old to count.
 	until map[string]wick.Instant
+	// lacking is set while the memo lacks proofs, and lackingSince is since when.
+	lacking      bool
+	lackingSince wick.Instant
 }
 
 // storeProofs writes the memo with the proofs if it lacks some or has others. Those that
 // have become too old stay in it until it is written the next time.
 func (s *state) storeProofs(now wick.Instant) {
-	if !s.mayPutMemo(now) {
-		return
-	}
-	if h, ok := s.arbiter(); !ok || h != nil {
+	if !s.mayPutMemo(now) || !s.terms.HoldsAny() {
 		return
 	}
-	stored := &s.storedProofs
-	maps.DeleteFunc(stored.until, func(_ string, until wick.Instant) bool { return now >= until })
 	ev := s.suspects.Proofs(now)
 	until := proofsUntil(now, ev.Crashes)
-	same := maps.EqualFunc(stored.until, until, func(wick.Instant, wick.Instant) bool { return true })
-	if same && (len(until) > 0 || !stored.there) {
+	if !s.storedProofs.isDue(now, until, s.readerRank()) {
 		return
 	}
 	var value []byte
@@ -54,7 +56,28 @@
 			return
 		}
 	}
-	s.putMemo(now, keyProofs, value, func() { *stored = storedProofs{there: len(value) > 0, until: until} })
+	s.putMemo(now, keyProofs, value, func() { s.storedProofs = storedProofs{there: len(value) > 0, until: until} })
+}
+
+// isDue reports whether the holder of a rank should write the memo. The arbiter, of rank
+// 0, does so whenever it differs, the others only if it keeps lacking proofs.
+func (p *storedProofs) isDue(now wick.Instant, until map[string]wick.Instant, rank int) bool {
+	maps.DeleteFunc(p.until, func(_ string, until wick.Instant) bool { return now >= until })
+	lacking := false
+	for name := range until {
+		_, ok := p.until[name]
+		lacking = lacking || !ok
+	}
+	if lacking != p.lacking {
+		p.lacking, p.lackingSince = lacking, now
+	}
+	switch {
+	case rank > 0:
+		return lacking && now.Sub(p.lackingSince) >= time.Duration(rank)*proofsTakeover
+	case len(until) == 0:
+		return p.there
+	}
+	return lacking || len(p.until) > len(until)
 }
 
 // readProofs adds the evidence of the memo with the proofs.
--- a/coord/proofs_test.go
+++ b/coord/proofs_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,6 +32,19 @@
 	return list
 }
 
+// giveTerms gives shards to another daemon to which this one has a link, and the rest to
+// this one.
+func giveTerms(t *testing.T, w *harness, others ...wick.Shard) {
+	for sh := range wick.Shard(terms.Shards) {
+		c := terms.Claim{Shard: sh, Holder: "a", Incarnation: 1}
+		if slices.Contains(others, sh) {
+			c.Holder, c.Incarnation = "b", 2
+		}
+		w.read(0, wick.TopicDaemons, record(t, wick.Offset(10+sh), fmt.Sprintf("%s%d", keyTerm, sh), c))
+	}
+	w.holders["b"] = &holder{link: &link{}, instances: make(map[wick.HostName]wick.InstanceState)}
+}
+
 // After the loss of all daemons a request that crashes endpoints was found anew.
 func TestProofsOutliveDaemons(t *testing.T) {
 	w := newHarness(t, true)
@@ -133,12 +147,23 @@
 			suspectsAnswered{[]wick.Fingerprint{7}}.apply(w.state, ms(3))
 		}, time.Minute, ok, 1, 1, 1},
 		{"another daemon decides on trials", func(t *testing.T, w *harness) {
-			for sh := range wick.Shard(terms.Shards) {
-				w.read(0, wick.TopicDaemons, record(t, wick.Offset(10+sh), fmt.Sprintf("%s%d", keyTerm, sh), terms.Claim{Shard: sh, Holder: "b", Incarnation: 2}))
-			}
-			w.holders["b"] = &holder{link: &link{}, instances: make(map[wick.HostName]wick.InstanceState)}
+			giveTerms(t, w, 0, 1, 2, 3)
 			w.crashWith7(0, 1, 2)
 		}, time.Minute, ok, 0, 0, 0},
+		{"it can't write", func(t *testing.T, w *harness) {
+			giveTerms(t, w, 0)
+			w.crashWith7(0, 1, 2)
+		}, time.Minute, ok, 1, 1, 0},
+		{"it can't write for a moment", func(t *testing.T, w *harness) {
+			giveTerms(t, w, 0)
+			w.crashWith7(0, 1, 2)
+		}, proofsTakeover, ok, 0, 0, 0},
+		{"nor remove", func(t *testing.T, w *harness) {
+			giveTerms(t, w, 0)
+			w.crashWith7(0, 1, 2)
+			suspectsAnswered{[]wick.Fingerprint{7}}.apply(w.state, ms(3))
+			w.storedProofs.there = true
+		}, time.Minute, ok, 0, 0, 0},
 		{"it is stored already", func(t *testing.T, w *harness) {
 			w.crashWith7(0, 1, 2)
 			w.tick(ms(1))
