--- a/coord/kept.go
+++ b/coord/kept.go
@@ -20,8 +20,9 @@
 // keptRecords is what this daemon knows of memos that keep records of TopicConfig, by the
 // keys of these.
 type keptRecords struct {
+	// stored are the kept records as they are in the memos.
 	stored map[string][]byte
-	// late are the keys whose newest record in the store is older than the state.
+	// late are the keys whose newest record in the store is older than what is known.
 	late map[string]bool
 }
 
@@ -31,10 +32,10 @@
 	if len(k.late) == 0 && len(k.stored) == 0 || !s.mayPutMemo(now) {
 		return
 	}
-	state := s.relayed[wick.TopicConfig]
+	newest := s.relayed[wick.TopicConfig]
 	if s.terms.HoldsAny() {
 		for _, key := range slices.Sorted(maps.Keys(k.late)) {
-			if value := state[key].Value; !bytes.Equal(k.stored[key], value) {
+			if value := newest[key].Value; !bytes.Equal(k.stored[key], value) {
 				s.putMemo(now, keyKept+key, value, func() { k.stored[key] = value })
 				return
 			}
@@ -44,8 +45,8 @@
 		return
 	}
 	for _, key := range slices.Sorted(maps.Keys(k.stored)) {
-		// The state is at least as new as the memo, which was applied to it.
-		if value := state[key].Value; !k.late[key] && !bytes.Equal(k.stored[key], value) {
+		// What is known is at least as new as the memo, which was applied to it.
+		if value := newest[key].Value; !k.late[key] && !bytes.Equal(k.stored[key], value) {
 			s.putMemo(now, keyKept+key, nil, func() { delete(k.stored, key) })
 			return
 		}
--- a/coord/state.go
+++ b/coord/state.go
@@ -27,8 +27,8 @@
 	// it.
 	suspects *crash.Suspects
 	verdicts crash.Verdicts
-	memos    memoWriter
-
+	// memos writes what must outlive all daemons: storedProofs and kept.
+	memos        memoWriter
 	storedProofs storedProofs
 	kept         keptRecords
 	// trials are those that this daemon granted as the arbiter, and granted those
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -57,9 +57,12 @@
 	abortShare = 0.1
 )
 
-// startCallers runs callers until ctx is done, and returns a function that
-// waits for their last answers.
-func (s *system) startCallers(ctx context.Context, seed uint64) func() {
+// startCallers runs callers until the test ends, or until the function that it returns
+// is called, which waits for their last answers.
+func (s *system) startCallers(t *testing.T, seed uint64) func() {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
 	var group sync.WaitGroup
 	for i := range callers {
 		group.Add(1)
@@ -69,7 +72,10 @@
 			c.run(ctx)
 		}()
 	}
-	return group.Wait
+	return func() {
+		cancel()
+		group.Wait()
+	}
 }
 
 // caller sends requests one at a time over persistent connections.
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -72,16 +71,13 @@
 		return true
 	})
 	s.waitReady(t, startTimeout)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	wait := s.startCallers(ctx, seed)
+	stop := s.startCallers(t, seed)
 	sleep(b.calm)
 	begin := time.Now()
 	b.send(s)
 	end := time.Now()
 	s.waitRecovered(t, recoveryTimeout)
-	cancel()
-	wait()
+	stop()
 	s.checkResults(t)
 	s.mu.Lock()
 	crashes := slices.Clone(s.crashes)
--- a/soak/late_test.go
+++ b/soak/late_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"syscall"
 	"testing"
 	"time"
@@ -40,9 +39,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			s := startSystem(t, test.seed)
 			s.waitReady(t, startTimeout)
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			wait := s.startCallers(ctx, test.seed)
+			stop := s.startCallers(t, test.seed)
 			older, olderRevision := s.config(), wick.Revision(s.revision)
 			s.publishConfig()
 			s.publishRevision()
@@ -55,8 +52,7 @@
 			test.after(t, s)
 			s.waitReady(t, startTimeout)
 			s.waitRecovered(t, recoveryTimeout)
-			cancel()
-			wait()
+			stop()
 			s.checkResults(t)
 		})
 	}
--- a/soak/leaving_test.go
+++ b/soak/leaving_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"testing"
 	"time"
 )
@@ -33,17 +32,14 @@
 		t.Run(test.name, func(t *testing.T) {
 			s := startSystem(t, test.seed)
 			s.waitReady(t, startTimeout)
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			wait := s.startCallers(ctx, test.seed)
+			stop := s.startCallers(t, test.seed)
 			sleep(time.Second)
 			begin := time.Now()
 			for _, r := range s.runners[:test.runners] {
 				r.current().setMode(test.mode)
 			}
 			sleep(learn + watch)
-			cancel()
-			wait()
+			stop()
 			for _, r := range s.runners[:test.runners] {
 				before, after := r.current().arrivals.after(begin), r.current().arrivals.after(begin.Add(learn))
 				t.Logf("%d requests after the runner changed, %d of them later than %v", before, after, learn)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -119,17 +118,14 @@
 func runSystem(t *testing.T, s *system, seed uint64, beside func()) {
 	t.Helper()
 	s.waitReady(t, startTimeout)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	wait := s.startCallers(ctx, seed)
+	stop := s.startCallers(t, seed)
 	var group sync.WaitGroup
 	group.Go(beside)
 	s.injectFaults(t, seed, *forFlag)
 	group.Wait()
 	s.publishNewest(t)
 	s.waitRecovered(t, recoveryTimeout)
-	cancel()
-	wait()
+	stop()
 	s.checkResults(t)
 	if t.Failed() {
 		t.Logf("reproduce with: go test ./soak -run %s -seed %d -for %v", strings.Split(t.Name(), "/")[0], seed, *forFlag)
