The renewal of an entry that lapsed is confirmed to other daemons

Daemons that did not see an outage remove what the reader keeps as lapsed. When such an entry was renewed they held it, for a heartbeat or four, and a service whose entries lapse together would have been without runners there.

Change: a renewal of a lapsed entry has the effect Return, so that holders confirm it. TestRenewedEntryIsNotHeld failed before.

--- a/coord/late_test.go
+++ b/coord/late_test.go
@@ -1,6 +1,7 @@
 package coord
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -75,6 +76,37 @@
 	}
 }
 
+// An entry that lapsed in an outage which the reader alone saw is removed by the others,
+// and was held by them when it was renewed, as if it were late.
+func TestRenewedEntryIsNotHeld(t *testing.T) {
+	entry := func(at wick.Offset, seq wick.DescriptionCount) wick.KeyedRecord {
+		return record(t, at, "e", wick.Fact{Runner: &wick.Runner{Name: "e", Pool: "p", Address: "x:1", Domain: "d", Started: 5, Sequence: seq}})
+	}
+	reader, other := newLateHarness(t), newLateHarness(t)
+	l, sender := &link{}, &holder{instances: make(map[wick.HostName]wick.InstanceState)}
+	reader.connect(l, "b", 2, ms(1))
+	relay := func(at wick.Instant) {
+		reader.tick(at)
+		for _, m := range l.sent {
+			other.applyUpdate(at, sender, m.Update)
+		}
+		l.sent = nil
+	}
+	reader.read(ms(2), wick.TopicRunners, entry(1, 7))
+	relay(ms(2))
+	topicRead{topic: wick.TopicRunners, err: errors.New("down")}.apply(reader.state, ms(100))
+	reader.read(ms(200), wick.TopicRunners, wick.KeyedRecord{Offset: 2, Key: "e"})
+	relay(ms(200))
+	if reader.endpoints["e"] == nil || other.endpoints["e"] != nil {
+		t.Fatal("want the entry lapsed at the reader and removed at the other daemon")
+	}
+	reader.read(ms(300), wick.TopicRunners, entry(3, 8))
+	relay(ms(300))
+	if reader.endpoints["e"] == nil || other.endpoints["e"] == nil {
+		t.Error("the renewed endpoint is not in use")
+	}
+}
+
 // A record of an earlier run of a daemon that the store writes late must not hide the
 // address of the present one. The record of before a start is not late.
 func TestLateRecordOfEarlierRun(t *testing.T) {
--- a/facts/facts.go
+++ b/facts/facts.go
@@ -110,7 +110,8 @@
 	Noted
 	// Change is any other change.
 	Change
-	// Return is a Change by which an endpoint that was removed is back.
+	// Return is a Change by which an endpoint that was removed, or that other daemons
+	// may have removed, is back.
 	Return
 )
 
@@ -229,11 +230,14 @@
 		// A heartbeat that arrives late does not cancel a draining notice.
 		return Unchanged
 	}
-	// Other daemons may have removed a lapsed entry, and must be notified of
-	// its return.
-	details := same && !e.lapsed && onlyAdaptersDiffer(e.runner, f.Runner)
+	details := same && onlyAdaptersDiffer(e.runner, f.Runner)
+	wasLapsed := e.lapsed
 	e.runner, e.lapsed = f.Runner, false
-	if details {
+	switch {
+	case wasLapsed:
+		// Daemons that did not see the outage have removed it.
+		return Return
+	case details:
 		return CacheChange
 	}
 	return Change
