Kept versions of several adapters are stored in one call

Cause: the daemons' log of the row shows that one memo is written at a time, and one in 2 s. Of the seven that the row needs, two were there when the daemons were killed 1 s after the late writes. Daemons that started went by the older versions of the other adapters.

Change: Put takes several records, which the store appends all or none, and the memos that are missing 0.1 s after the first late record go into one call, at most 256. Obsolete ones are removed in the same way. Still one call in 2 s, and none without late writes. A key that would be too long for the store is left out.

The new row "all runners and daemons start again" of TestLateWrites has runners without adapters; it failed before, as did four rows of TestKeptVersions (1 memo of 100, 2 of 300).

--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -23,6 +23,7 @@
 	newest    []wick.Topic
 	puts      []string
 	putValues [][]byte
+	putCalls  int
 	orders    []wick.RunnerOrder
 	inspected []wick.EndpointName
 	probed    []wick.EndpointStart
@@ -33,8 +34,11 @@
 func (s *fakeIO) Read(t wick.Topic, _ wick.Offset, _ wick.Duration) { s.reads = append(s.reads, t) }
 func (s *fakeIO) ReadNewest(t wick.Topic)                           { s.newest = append(s.newest, t) }
 
-func (s *fakeIO) Put(_ wick.Offset, key string, value []byte) {
-	s.puts, s.putValues = append(s.puts, key), append(s.putValues, value)
+func (s *fakeIO) Put(_ wick.Offset, records ...wick.KeyedRecord) {
+	s.putCalls++
+	for _, r := range records {
+		s.puts, s.putValues = append(s.puts, r.Key), append(s.putValues, r.Value)
+	}
 }
 
 func (s *fakeIO) Order(_ wick.Address, o wick.RunnerOrder) { s.orders = append(s.orders, o) }
--- a/coord/holders.go
+++ b/coord/holders.go
@@ -68,7 +68,7 @@
 		return
 	}
 	s.pendingPut = key
-	s.cfg.IO.Put(at, key, data)
+	s.cfg.IO.Put(at, wick.KeyedRecord{Key: key, Value: data})
 }
 
 // claimTerms claims the terms of shards without a live holder, and releases this
--- a/coord/kept_test.go
+++ b/coord/kept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -63,6 +64,61 @@
 	}
 }
 
+// After late writes of many versions and the loss of all daemons, most of the older ones
+// were in use for good, since memos were written one in 2 s.
+func TestKeptVersions(t *testing.T) {
+	const adapters = maxKeptPerCall + 44
+	version := func(t *testing.T, at wick.Offset, adapter int, n wick.Revision) wick.KeyedRecord {
+		w := wick.Weights{Model: "m", Adapter: wick.AdapterName(fmt.Sprint(adapter))}
+		return record(t, at, fmt.Sprintf("version/m.%d", adapter), wick.Fact{NewRevision: &wick.Loaded{Weights: w, Revision: n}})
+	}
+	tests := []struct {
+		name string
+		// late are the numbers of versions that are written late, in one read each.
+		late []int
+		// within is the time after which memos and calls are counted.
+		within       time.Duration
+		memos, calls int
+	}{
+		{"one", []int{1}, time.Second, 1, 1},
+		{"many in one read", []int{100}, time.Second, 100, 1},
+		{"many in three reads", []int{1, 50, 49}, time.Second, 100, 1},
+		{"more than one call has", []int{adapters}, time.Second, maxKeptPerCall, 1},
+		{"the rest of them", []int{adapters}, 2*memoInterval - time.Second, adapters, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newHarness(t, true)
+			w.start(t)
+			for i := range adapters {
+				w.read(0, wick.TopicConfig, version(t, wick.Offset(i), i, 2))
+			}
+			calls, puts := w.fakeIO.putCalls, len(w.fakeIO.puts)
+			next := 0
+			for at := ms(3000); at < ms(3000).Add(test.within); at += ms(50) {
+				if reads := int(at-ms(3000)) / int(ms(50)); reads < len(test.late) {
+					var late []wick.KeyedRecord
+					for range test.late[reads] {
+						late = append(late, version(t, wick.Offset(1000+next), next, 1))
+						next++
+					}
+					w.read(at, wick.TopicConfig, late...)
+				}
+				w.tick(at)
+				if w.memos.pending != "" {
+					putDone{key: w.memos.pending, current: true}.apply(w.state, at)
+				}
+			}
+			if got := len(w.fakeIO.puts) - puts; got != test.memos {
+				t.Errorf("%d memos were written, want %d", got, test.memos)
+			}
+			if got := w.fakeIO.putCalls - calls; got != test.calls {
+				t.Errorf("%d calls, want %d", got, test.calls)
+			}
+		})
+	}
+}
+
 // A daemon that starts goes by the memo, unless the operator's topic has a newer record.
 func TestKeptConfigurationIsRead(t *testing.T) {
 	config := func(t *testing.T, key string, version uint64) wick.KeyedRecord {
--- a/coord/memo.go
+++ b/coord/memo.go
@@ -22,8 +22,8 @@
 
 // memoWriter limits the writes of memos: one at a time, and at intervals.
 type memoWriter struct {
-	// pending is the key that is being written, empty if there is none, and stored is
-	// called once that is done.
+	// pending is the first key that is being written, empty if there is none, and stored
+	// is called once that is done.
 	pending string
 	stored  func()
 	// next is the earliest time of the next write.
@@ -31,21 +31,23 @@
 	backoff pause.Backoff
 }
 
-// mayPutMemo reports whether a memo may be written now.
-func (s *state) mayPutMemo(now wick.Instant) bool {
+// mayPutMemos reports whether memos may be written now.
+func (s *state) mayPutMemos(now wick.Instant) bool {
 	return s.memos.pending == "" && now >= s.memos.next && s.topics[wick.TopicDaemons].knownUpTo() >= 0
 }
 
-// putMemo writes a memo, or removes it if value is empty.
-func (s *state) putMemo(now wick.Instant, key string, value []byte, stored func()) {
-	s.log.Info("storing memo", "key", key, "bytes", len(value))
+// putMemos writes memos in one call, and removes those without a value.
+func (s *state) putMemos(now wick.Instant, stored func(), list ...wick.KeyedRecord) {
+	for _, r := range list {
+		s.log.Info("storing memo", "key", r.Key, "bytes", len(r.Value))
+	}
 	m, t := &s.memos, &s.topics[wick.TopicDaemons]
-	m.pending, m.stored, m.next = key, stored, now.Add(memoInterval)
-	s.cfg.IO.Put(max(t.next, t.known), key, value)
+	m.pending, m.stored, m.next = list[0].Key, stored, now.Add(memoInterval)
+	s.cfg.IO.Put(max(t.next, t.known), list...)
 }
 
-// memoPut handles the result of a write of a memo.
-func (s *state) memoPut(now wick.Instant, e putDone) {
+// memosPut handles the result of a write of memos.
+func (s *state) memosPut(now wick.Instant, e putDone) {
 	m := &s.memos
 	m.pending = ""
 	ok := e.err == nil && e.current
--- a/coord/proofs.go
+++ b/coord/proofs.go
@@ -38,7 +38,7 @@
 // storeProofs writes the memo with the proofs if it lacks some or has others. Those that
 // have become too old stay in it until it is written the next time.
 func (s *state) storeProofs(now wick.Instant) {
-	if !s.mayPutMemo(now) || !s.terms.HoldsAny() {
+	if !s.mayPutMemos(now) || !s.terms.HoldsAny() {
 		return
 	}
 	ev := s.suspects.Proofs(now)
@@ -56,7 +56,8 @@
 			return
 		}
 	}
-	s.putMemo(now, keyProofs, value, func() { s.storedProofs = storedProofs{there: len(value) > 0, until: until} })
+	s.putMemos(now, func() { s.storedProofs = storedProofs{there: len(value) > 0, until: until} },
+		wick.KeyedRecord{Key: keyProofs, Value: value})
 }
 
 // isDue reports whether the holder of a rank should write the memo. The arbiter, of rank
--- a/coord/records.go
+++ b/coord/records.go
@@ -226,7 +226,7 @@
 
 func (e putDone) apply(s *state, now wick.Instant) {
 	if e.key == s.memos.pending {
-		s.memoPut(now, e)
+		s.memosPut(now, e)
 		return
 	}
 	s.pendingPut = ""
--- a/fleet.go
+++ b/fleet.go
@@ -313,6 +313,9 @@
 	return "unknown"
 }
 
+// MaxRecordKey is the size in bytes of the longest key of a record.
+const MaxRecordKey = 255
+
 // KeyedRecord is a record of a topic. The topic retains the newest record of each
 // key.
 type KeyedRecord struct {
@@ -343,11 +346,11 @@
 	Read(ctx Context, topic Topic, from Offset, wait Duration) (RecordBatch, error)
 	// ReadNewest returns the newest record of each key.
 	ReadNewest(ctx Context, topic Topic) (RecordBatch, error)
-	// Put appends a record if the topic ends at the offset at, or if at is
-	// AnyOffset. It returns the offset of the record and true, or the end of the
-	// topic and false if that is not at. After an error the record may be in the
-	// topic, or may appear there later.
-	Put(ctx Context, topic Topic, at Offset, key string, value []byte) (Offset, bool, error)
+	// Put appends records, all of them or none, if the topic ends at the offset at, or
+	// if at is AnyOffset; their own offsets are ignored. It returns the offset of the
+	// first one and true, or the end of the topic and false if that is not at. After an
+	// error the records may be in the topic, or may appear there later.
+	Put(ctx Context, topic Topic, at Offset, records ...KeyedRecord) (Offset, bool, error)
 }
 
 // RecordDecoder decodes records of the platform.
--- a/gateio/gateio.go
+++ b/gateio/gateio.go
@@ -73,12 +73,12 @@
 }
 
 // Put implements wick.GatewayIO.
-func (s *IO) Put(at wick.Offset, key string, value []byte) {
+func (s *IO) Put(at wick.Offset, records ...wick.KeyedRecord) {
 	s.start(func() {
 		ctx, cancel := context.WithTimeout(s.ctx, putTimeout)
 		defer cancel()
-		_, ok, err := s.cfg.Store.Put(ctx, wick.TopicDaemons, at, key, value)
-		s.thread.PutDone(key, ok, err)
+		_, ok, err := s.cfg.Store.Put(ctx, wick.TopicDaemons, at, records...)
+		s.thread.PutDone(records[0].Key, ok, err)
 	})
 }
 
--- a/instance.go
+++ b/instance.go
@@ -236,8 +236,9 @@
 	// Read reads a topic from an offset on, ReadNewest the newest record of each key.
 	Read(topic Topic, from Offset, wait Duration)
 	ReadNewest(topic Topic)
-	// Put appends a record to TopicDaemons, as Put of RecordStore does.
-	Put(at Offset, key string, value []byte)
+	// Put appends records to TopicDaemons, as Put of RecordStore does. The result names
+	// the key of the first one.
+	Put(at Offset, records ...KeyedRecord)
 	// Order sends an order to an endpoint, Inspect requests its report.
 	Order(to Address, order RunnerOrder)
 	Inspect(endpoint EndpointName, at Address)
--- a/procs/store.go
+++ b/procs/store.go
@@ -92,16 +92,16 @@
 	s.put(topicRunners, -1, record{string(name), []byte(value)})
 }
 
-// put appends a record if the topic ends at the offset at, or if at is negative.
+// put appends records if the topic ends at the offset at, or if at is negative.
 // It returns the end of the topic before the append and whether it appended.
-func (s *Store) put(topic string, at int, r record) (int, bool) {
+func (s *Store) put(topic string, at int, records ...record) (int, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	end := len(s.topics[topic])
 	if at >= 0 && at != end {
 		return end, false
 	}
-	s.topics[topic] = append(s.topics[topic], r)
+	s.topics[topic] = append(s.topics[topic], records...)
 	close(s.appended)
 	s.appended = make(chan struct{})
 	return end, true
@@ -164,13 +164,13 @@
 	}
 }
 
-// headerBytes is the size of the header before a record: 4 bytes for its length
-// and 1 for the key's length.
-const headerBytes = 5
+// lengthBytes is the size of the length before a record.
+const lengthBytes = 4
 
 func (s *Store) append(w http.ResponseWriter, topic, at string, body io.Reader) {
 	data, err := io.ReadAll(body)
-	if err != nil || len(data) < headerBytes || len(data) < headerBytes+int(data[headerBytes-1]) {
+	records, ok := s.decode(data)
+	if err != nil || !ok {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -181,14 +181,31 @@
 			return
 		}
 	}
-	n := headerBytes + int(data[headerBytes-1])
-	offset, ok := s.put(topic, offset, record{string(data[headerBytes:n]), s.replaceAliases(data[n:])})
-	if !ok {
+	if offset, ok = s.put(topic, offset, records...); !ok {
 		w.WriteHeader(http.StatusPreconditionFailed)
 	}
 	fmt.Fprintf(w, `{"offset":%d,"end":%d}`, offset, offset)
 }
 
+// decode decodes the records of one call, and reports whether they are complete. A
+// record is a length, that of the key, the key and the value.
+func (s *Store) decode(data []byte) ([]record, bool) {
+	var list []record
+	for len(data) > 0 {
+		if len(data) <= lengthBytes {
+			return nil, false
+		}
+		n, keyLength := int(binary.BigEndian.Uint32(data)), int(data[lengthBytes])
+		data = data[lengthBytes:]
+		if n > len(data) || n < 1+keyLength {
+			return nil, false
+		}
+		list = append(list, record{string(data[1 : 1+keyLength]), s.replaceAliases(data[1+keyLength : n])})
+		data = data[n:]
+	}
+	return list, len(list) > 0
+}
+
 func (s *Store) replaceAliases(value []byte) []byte {
 	text := string(value)
 	for from, to := range s.alias {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -32,13 +32,7 @@
 		return func() { d.Start(t) }
 	}},
 	{"kill all daemons", 1, func(t *testing.T, s *system, _ *rand.Rand) func() {
-		for _, d := range s.daemons {
-			d.Signal(syscall.SIGKILL)
-		}
-		for _, d := range s.daemons {
-			<-d.Done()
-			d.Start(t)
-		}
+		restartAll(t, s)
 		return nil
 	}},
 	{"stop a daemon", 3, func(t *testing.T, s *system, r *rand.Rand) func() {
--- a/soak/late_test.go
+++ b/soak/late_test.go
@@ -25,14 +25,16 @@
 			s.daemons[0].Kill()
 			s.daemons[0].Start(t)
 		}},
-		{"all daemons start again", 2, func(t *testing.T, s *system) {
-			for _, d := range s.daemons {
-				d.Signal(syscall.SIGKILL)
-			}
-			for _, d := range s.daemons {
-				<-d.Done()
-				d.Start(t)
+		{"all daemons start again", 2, restartAll},
+		// The runners don't have the newest versions any more, so that each daemon
+		// shows which ones it knows.
+		{"all runners and daemons start again", 2, func(t *testing.T, s *system) {
+			for _, r := range s.runners {
+				if err := s.restartRunner(r); err != nil {
+					t.Fatal(err)
+				}
 			}
+			restartAll(t, s)
 		}},
 	}
 	for _, test := range tests {
@@ -57,3 +59,15 @@
 		})
 	}
 }
+
+// restartAll kills all daemons at once and starts them.
+func restartAll(t *testing.T, s *system) {
+	t.Helper()
+	for _, d := range s.daemons {
+		d.Signal(syscall.SIGKILL)
+	}
+	for _, d := range s.daemons {
+		<-d.Done()
+		d.Start(t)
+	}
+}
